Add the design page, the workspace and the contracts between the parts

Cause: the repository was empty. Several people are to work at the same time, so the words, the interfaces, the messages and the checks come first.

Change: docs/design.md with requirements, alternatives and failure table; five packages with their import direction checked; result codes, abstract base classes, generation messages and table rows; `make test` with formatter, linter, types, import contracts and tests from a lock file with hashes.

Conclusion: the parts can be built against these contracts.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Commands of the repository. VENV may point to an environment that exists.
+VENV ?= .venv
+PY := $(VENV)/bin/python
+SOURCES := packages
+SRC_PATH := packages/core/src:packages/adapters/src:packages/daemon/src:packages/cli/src:packages/standins/src
+export PYTHONPATH := $(SRC_PATH)
+
+.PHONY: setup test demo up measure lock format
+
+# The name of the stamp changes with the lock file, so that a changed lock file
+# repeats the installation, also in an environment that VENV shares.
+STAMP := $(VENV)/.installed-$(shell sha256sum requirements.lock | cut -c1-12)
+
+$(STAMP):
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install --quiet --disable-pip-version-check --require-hashes -r requirements.lock
+	$(PY) -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(foreach p,core adapters daemon cli,-e packages/$(p))
+	touch $@
+
+setup: $(STAMP)
+
+lock:
+	$(VENV)/bin/pip-compile --quiet --generate-hashes --allow-unsafe --strip-extras --no-emit-index-url --no-emit-trusted-host --no-emit-find-links -o requirements.lock requirements.in
+
+format: setup
+	$(VENV)/bin/ruff check --fix $(SOURCES)
+	$(VENV)/bin/ruff format $(SOURCES)
+
+test: setup
+	$(VENV)/bin/ruff format --check $(SOURCES)
+	$(VENV)/bin/ruff check $(SOURCES)
+	$(VENV)/bin/mypy $(wildcard packages/*/src)
+	$(VENV)/bin/lint-imports
+	$(PY) -m pytest
+
+demo: setup
+	$(PY) -m rattanpulley_standins.demo
+
+up: setup
+	@$(PY) -m rattanpulley_standins.launcher
+
+measure: setup
+	$(PY) -m rattanpulley_standins.measure
--- /dev/null
+++ b/packages/cli/src/rattanpulley/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' command line of rattanpulley."""
--- /dev/null
+++ b/packages/cli/src/rattanpulley/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Private modules of the package; they may change without notice."""
--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of the coordination parts; may change without notice."""
--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/generations/__init__.py
@@ -0,0 +1,1 @@
+"""The life of a generation: attempts, journal, delivery and resume."""
--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/tables/__init__.py
@@ -0,0 +1,1 @@
+"""Routes and pools: rows, checks, versions and audit entries."""
--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Targets: rows, choice, ejection and concurrency limits."""
--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/targets/hosts.py
@@ -0,0 +1,23 @@
+"""Rows of the platform's host list."""
+
+import dataclasses
+import enum
+
+
+class HostState(enum.Enum):
+    """State of a host in the platform's list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostEntry:
+    """One row of the platform's list of live and leaving hosts."""
+
+    name: str
+    failure_domain: str
+    url: str
+    kind: str
+    version: str
+    state: HostState
--- /dev/null
+++ b/packages/core/src/rattanpulley_core/generations.py
@@ -0,0 +1,28 @@
+"""Public names of the generation subject."""
+
+from rattanpulley_core._internal.generations import messages
+
+Sampling = messages.Sampling
+GenerationRequest = messages.GenerationRequest
+ResumePoint = messages.ResumePoint
+FailureReason = messages.FailureReason
+
+Event = messages.Event
+CallerArrived = messages.CallerArrived
+CallerLeft = messages.CallerLeft
+AttemptAccepted = messages.AttemptAccepted
+TokensReceived = messages.TokensReceived
+AttemptFinished = messages.AttemptFinished
+AttemptFailed = messages.AttemptFailed
+ProbeAnswered = messages.ProbeAnswered
+ProbeFailed = messages.ProbeFailed
+
+Action = messages.Action
+StartAttempt = messages.StartAttempt
+AttachAttempt = messages.AttachAttempt
+CancelAttempt = messages.CancelAttempt
+ProbeTarget = messages.ProbeTarget
+DeliverTokens = messages.DeliverTokens
+FinishAnswer = messages.FinishAnswer
+FailAnswer = messages.FailAnswer
+PublishCrashReport = messages.PublishCrashReport
--- /dev/null
+++ b/packages/daemon/src/rattanpulleyd/__init__.py
@@ -0,0 +1,1 @@
+"""Entry daemon of rattanpulley."""
--- /dev/null
+++ b/packages/standins/src/rattanpulley_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for engines, services and the platform; not shipped."""
