Add the platform adapters, the settings and the engine adapter

The daemon needs clients of the object API and the host list, checked settings, counters and an engine client before its parts can be connected.

--- /dev/null
+++ b/packages/adapters/src/rattanpulley_adapters/_internal/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform."""
--- /dev/null
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/__init__.py
@@ -0,0 +1,1 @@
+"""Caller API."""
--- /dev/null
+++ b/packages/daemon/src/rattanpulleyd/_internal/config/__init__.py
@@ -0,0 +1,1 @@
+"""Watches of the tables and of the host list."""
--- /dev/null
+++ b/packages/daemon/src/rattanpulleyd/_internal/engine/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the engines."""
--- /dev/null
+++ b/packages/daemon/src/rattanpulleyd/_internal/engine/connection.py
@@ -0,0 +1,95 @@
+"""One connection to a target.
+
+The daemon opens a connection for each attempt. A connection that was used
+before can fail for reasons of its earlier use, and the daemon could not tell
+such a failure from one of the target.
+"""
+
+import functools
+import json
+from typing import Any
+import urllib.parse
+
+import urllib3
+import urllib3.connection
+
+from rattanpulleyd._internal.engine import orders
+
+CONNECT_TIMEOUT_S = 0.25
+# Stalls are detected by the generation part. This limit only frees the
+# connection when that part no longer waits for it.
+READ_TIMEOUT_S = 30.0
+READ_BYTES = 65536
+
+Response = urllib3.BaseHTTPResponse
+CallError = (urllib3.exceptions.HTTPError, OSError)
+
+
+@functools.lru_cache(maxsize=4096)
+def _host_and_port(url: str) -> tuple[str, int]:
+    parts = urllib.parse.urlsplit(url)
+    return parts.hostname or "", parts.port or 80
+
+
+def connect(
+    url: str, timeout_s: float = CONNECT_TIMEOUT_S
+) -> urllib3.connection.HTTPConnection:
+    """Opens a connection.
+
+    Args:
+        url: Base URL of the target.
+        timeout_s: Longest time to open it.
+
+    Raises:
+        CallError: The target cannot be reached.
+    """
+    host, port = _host_and_port(url)
+    connection = urllib3.connection.HTTPConnection(
+        host, port, timeout=timeout_s
+    )
+    connection.connect()
+    return connection
+
+
+def send(
+    connection: urllib3.connection.HTTPConnection,
+    request: orders.HttpRequest,
+    timeout_s: float = READ_TIMEOUT_S,
+) -> Response:
+    """Sends a request and returns the response with its headers.
+
+    Args:
+        connection: An open connection.
+        request: The request.
+        timeout_s: Longest time without a byte, now and for later reads.
+
+    Raises:
+        CallError: The connection failed before the headers were complete.
+    """
+    connection.timeout = timeout_s
+    if connection.sock is not None:
+        connection.sock.settimeout(timeout_s)
+    headers = {"Content-Type": "application/json"} if request.body else {}
+    connection.request(
+        request.method,
+        request.path,
+        body=request.body,
+        headers=headers,
+        preload_content=False,
+    )
+    return connection.getresponse()
+
+
+def read_json(response: Response) -> Any:
+    """Reads a short JSON body; anything else gives None.
+
+    Args:
+        response: The response.
+
+    Raises:
+        CallError: The connection failed.
+    """
+    try:
+        return json.loads(response.read(READ_BYTES))
+    except ValueError:
+        return None
--- /dev/null
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""The object that connects the core parts with the adapters."""
--- /dev/null
+++ b/packages/daemon/src/rattanpulleyd/_internal/services/__init__.py
@@ -0,0 +1,1 @@
+"""Calls to plain services."""
--- /dev/null
+++ b/packages/daemon/src/rattanpulleyd/_internal/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings file of the daemon."""
--- /dev/null
+++ b/packages/daemon/src/rattanpulleyd/_internal/settings/model.py
@@ -0,0 +1,61 @@
+"""Typed settings of the daemon."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address:
+    """Numeric IP address and port."""
+
+    host: str
+    port: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Platform:
+    """The platform; `url` serves the object API and the host list."""
+
+    url: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Peers:
+    """Connections to the other daemons.
+
+    Attributes:
+        listen: Address for connections of other daemons.
+        addresses: Addresses of other daemons.
+        keys: Keys that both ends prove; the first is used, all are accepted.
+    """
+
+    listen: Address
+    addresses: tuple[Address, ...]
+    keys: tuple[bytes, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """Settings of one daemon.
+
+    Attributes:
+        name: Name of the daemon, unique among the daemons.
+        failure_domain: Failure domain of the entry host.
+        listen: Address of the caller API.
+        platform: The platform.
+        statsd: Address of the statsd server, or None.
+        resume_keys: Keys of the event ids; the first signs, all verify.
+        account_keys: Keys of the bearer tokens; without keys, tokens are not
+            verified.
+        peers: Connections to other daemons, or None.
+        log_level: Lowest level of the log lines.
+    """
+
+    name: str
+    failure_domain: str
+    listen: Address
+    platform: Platform
+    statsd: Address | None
+    resume_keys: tuple[bytes, ...]
+    account_keys: tuple[bytes, ...]
+    peers: Peers | None
+    log_level: str
--- /dev/null
+++ b/packages/daemon/src/rattanpulleyd/_internal/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Log lines and counters."""
