--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/tables/route_parser.py
@@ -0,0 +1,136 @@
+"""Parsing of the routes table."""
+
+from typing import Any
+
+from rattanpulley_core._internal.tables import faults
+from rattanpulley_core._internal.tables import reader
+from rattanpulley_core._internal.tables import rows
+
+# A day; a longer value is a unit mistake such as milliseconds.
+MAX_DEADLINE_S = 86_400.0
+MIN_DEADLINE_S = 0.01
+# The journal of a generation holds at most this many tokens (design 5.1).
+MAX_TOKENS = 65_536
+MAX_PRIORITY = 1_000
+MAX_CONCURRENT = 1_000_000
+
+
+def parse_routes(value: Any, version: int) -> rows.RouteTable:
+    """Parses the JSON value of the object `tables/routes`.
+
+    Unknown fields are ignored, because later schemas only add fields.
+
+    Args:
+        value: The decoded JSON value.
+        version: Version of the stored object.
+
+    Raises:
+        TableError: With all faults.
+    """
+    found: list[faults.Fault] = []
+    routes_by_name = {
+        name: _parse_route(name, row)
+        for name, row in reader.open_table(value, found).items()
+    }
+    if found:
+        raise faults.TableError(found)
+    return rows.RouteTable(version, routes_by_name)
+
+
+def parse_kind(row: reader.Reader) -> rows.TargetKind:
+    """Returns the field `kind` of a route or pool."""
+    text = row.text("kind")
+    try:
+        return rows.TargetKind(text)
+    except ValueError:
+        if text:
+            row.report(
+                "kind", f"{text!r} is not a kind", "Give 'engine' or 'service'"
+            )
+        return rows.TargetKind.ENGINE
+
+
+def _parse_route(name: str, row: reader.Reader) -> rows.Route:
+    kind = parse_kind(row)
+    return rows.Route(
+        name=name,
+        match=_parse_match(row, kind),
+        pool=row.name("pool"),
+        kind=kind,
+        repeatable=_parse_repeatable(row, kind),
+        priority=row.integer("priority", -MAX_PRIORITY, MAX_PRIORITY, 0),
+        deadline_s=row.number(
+            "deadline_s", MIN_DEADLINE_S, MAX_DEADLINE_S, 600.0
+        ),
+        max_call_s=row.number(
+            "max_call_s", MIN_DEADLINE_S, MAX_DEADLINE_S, 10.0
+        ),
+        max_tokens=row.integer("max_tokens", 1, MAX_TOKENS, 4096),
+        default_limit=_parse_limit(row.optional_child("default_limit")),
+        limits_by_account=_parse_limits(row),
+    )
+
+
+def _parse_match(row: reader.Reader, kind: rows.TargetKind) -> rows.Match:
+    if "match" not in row.fields:
+        row.report("match", "the field is missing", "Give an object")
+        return rows.Match()
+    match = row.child("match")
+    if not isinstance(row.fields["match"], dict):
+        return rows.Match()
+    parsed = rows.Match(
+        match.optional_text("model"), match.optional_text("service")
+    )
+    wanted, other = "model", "service"
+    if kind is rows.TargetKind.SERVICE:
+        wanted, other = other, wanted
+    if getattr(parsed, wanted) is None:
+        match.report(
+            wanted, "the field is missing", f"Name the {wanted} to match"
+        )
+    if getattr(parsed, other) is not None:
+        match.report(
+            other,
+            f"a route of kind {kind.value} cannot match a {other}",
+            f"Remove it, or change the kind of route {row.keys[-1]!r}",
+        )
+    return parsed
+
+
+def _parse_repeatable(row: reader.Reader, kind: rows.TargetKind) -> bool:
+    repeatable = row.flag("repeatable", default=True)
+    if not repeatable and kind is rows.TargetKind.ENGINE:
+        # A resumed generation runs on a second engine by design.
+        row.report(
+            "repeatable",
+            "a generation can always run more than once",
+            "Remove the field, or use a route of kind service",
+        )
+    return repeatable
+
+
+def _parse_limit(holder: reader.Reader | None) -> rows.AccountLimit | None:
+    if holder is None:
+        return None
+    if "concurrent" not in holder.fields:
+        holder.report("concurrent", "the field is missing", "Give a number")
+    return rows.AccountLimit(holder.integer("concurrent", 0, MAX_CONCURRENT, 0))
+
+
+def _parse_limits(row: reader.Reader) -> dict[str, rows.AccountLimit]:
+    limits_by_account: dict[str, rows.AccountLimit] = {}
+    holders_by_account = row.children("limits_by_account", required=False)
+    for account, holder in holders_by_account.items():
+        if not account or "." in account:
+            # The account is the part of the bearer token before the first dot.
+            row.found.append(
+                faults.Fault(
+                    holder.keys,
+                    f"{account!r} is not an account",
+                    "Give the part of the bearer token before the first dot",
+                )
+            )
+        limit = _parse_limit(holder)
+        if limit is not None:
+            limits_by_account[account] = limit
+    return limits_by_account
