--- a/packages/core/src/rattanpulley_core/interfaces.py
+++ b/packages/core/src/rattanpulley_core/interfaces.py
@@ -144,6 +144,22 @@
         """Asks on a new connection whether the target lives."""
 
 
+class CallerStream(abc.ABC):
+    """One caller's connection. No method waits for the caller."""
+
+    @abc.abstractmethod
+    def deliver(self, action: messages.DeliverTokens) -> None:
+        """Gives tokens to the caller."""
+
+    @abc.abstractmethod
+    def finish(self, action: messages.FinishAnswer) -> None:
+        """Ends the answer; nothing follows."""
+
+    @abc.abstractmethod
+    def fail(self, action: messages.FailAnswer) -> None:
+        """Ends the answer with an error; nothing follows."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServiceOrder:
     """One call to a plain service.
--- /dev/null
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/caller.py
@@ -0,0 +1,52 @@
+"""A caller's answer on its way to the connection."""
+
+import gevent.event
+
+from rattanpulley_core import generations
+from rattanpulley_core import interfaces
+
+Delivery = (
+    generations.DeliverTokens
+    | generations.FinishAnswer
+    | generations.FailAnswer
+)
+
+
+class QueuedCaller(interfaces.CallerStream):
+    """Queues an answer for the greenlet that writes to the connection.
+
+    The queue is bounded by the limit of tokens of a generation.
+    """
+
+    def __init__(self) -> None:
+        self._deliveries: list[Delivery] = []
+        self._ready = gevent.event.Event()
+
+    def deliver(self, action: generations.DeliverTokens) -> None:
+        """Queues tokens."""
+        self._put(action)
+
+    def finish(self, action: generations.FinishAnswer) -> None:
+        """Queues the end of the answer."""
+        self._put(action)
+
+    def fail(self, action: generations.FailAnswer) -> None:
+        """Queues an error."""
+        self._put(action)
+
+    def take(self, timeout_s: float) -> list[Delivery]:
+        """Returns all queued deliveries, at least one unless time runs out.
+
+        Args:
+            timeout_s: Longest time to wait.
+        """
+        if not self._deliveries:
+            self._ready.clear()
+            self._ready.wait(timeout_s)
+        taken = self._deliveries
+        self._deliveries = []
+        return taken
+
+    def _put(self, delivery: Delivery) -> None:
+        self._deliveries.append(delivery)
+        self._ready.set()
--- /dev/null
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/runtime.py
@@ -0,0 +1,196 @@
+"""Feeds events to the generation part and carries out its actions."""
+
+from collections.abc import Callable
+import itertools
+from typing import Any
+
+import gevent
+
+from rattanpulley_core import generations
+from rattanpulley_core import interfaces
+from rattanpulley_core import tables
+from rattanpulley_core import targets
+from rattanpulleyd._internal.telemetry import counters
+
+TICK_S = 0.05
+
+_Counter = counters.Counter
+
+
+class Runtime:
+    """Owns the core parts of one daemon.
+
+    All methods run in the greenlets of one thread and none of them waits, so
+    an event and its actions are never interleaved with another event.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: interfaces.Clock,
+        core: generations.GenerationCore,
+        target_table: targets.TargetTable,
+        config: tables.ConfigState,
+        engine: interfaces.EngineApi,
+        counts: counters.Counters,
+    ) -> None:
+        """Connects the parts.
+
+        Args:
+            clock: Source of time.
+            core: The generation part.
+            target_table: Targets that the generation part chooses from.
+            config: The tables in force.
+            engine: Client of the engines.
+            counts: Counters of the daemon.
+        """
+        self.clock = clock
+        self.core = core
+        self.config = config
+        self.counts = counts
+        self.target_table = target_table
+        self.draining = False
+        self._engine = engine
+        self._callers_by_id: dict[int, interfaces.CallerStream] = {}
+        self._caller_ids = itertools.count(1)
+        self._longest_gap_s = 0.0
+        self._handlers: dict[type[generations.Action], Callable[[Any], None]]
+        self._handlers = {
+            generations.StartAttempt: self._start,
+            generations.AttachAttempt: self._attach,
+            generations.CancelAttempt: engine.cancel,
+            generations.ProbeTarget: self._probe,
+            generations.DeliverTokens: self._deliver,
+            generations.FinishAnswer: self._finish,
+            generations.FailAnswer: self._fail,
+            generations.PublishCrashReport: self._publish_crash_report,
+        }
+
+    def feed(self, event: generations.Event) -> None:
+        """Handles one event.
+
+        Args:
+            event: The event.
+        """
+        if type(event) is generations.TokensReceived:
+            self.counts.count(_Counter.TOKENS_RECEIVED, len(event.tokens))
+        elif type(event) is generations.AttemptFailed:
+            self.counts.count(_Counter.ATTEMPTS_FAILED)
+        now_s = self.clock.monotonic_s()
+        self._carry_out(self.core.handle(event, now_s))
+
+    def tick(self) -> None:
+        """Runs the time-dependent work once."""
+        self._carry_out(self.core.tick(self.clock.monotonic_s()))
+
+    def next_caller_id(self) -> int:
+        """Returns an id for a caller's connection."""
+        return next(self._caller_ids)
+
+    def add_caller(
+        self,
+        caller_id: int,
+        stream: interfaces.CallerStream,
+        request: generations.GenerationRequest,
+        resume: generations.ResumePoint | None,
+    ) -> None:
+        """Starts the answer to a caller.
+
+        Args:
+            caller_id: Id from `next_caller_id`.
+            stream: Takes the answer.
+            request: The routed request.
+            resume: Where a caller that comes back goes on.
+        """
+        self._callers_by_id[caller_id] = stream
+        self.feed(generations.CallerArrived(caller_id, request, resume))
+
+    def remove_caller(self, caller_id: int, generation_id: str) -> None:
+        """Notes that a caller's connection ended.
+
+        Args:
+            caller_id: The caller.
+            generation_id: Its generation.
+        """
+        if self._callers_by_id.pop(caller_id, None) is not None:
+            self.counts.count(_Counter.CALLERS_LEFT)
+            self.feed(generations.CallerLeft(caller_id, generation_id))
+
+    def apply_table(self, kind: tables.TableKind) -> None:
+        """Brings an accepted table into force.
+
+        Args:
+            kind: The table that was accepted.
+        """
+        if kind is tables.TableKind.POOLS:
+            now_s = self.clock.monotonic_s()
+            self.target_table.apply_pools(self.config.pools, now_s)
+
+    def apply_hosts(self, entries: list[interfaces.HostEntry]) -> None:
+        """Hands the host list to the target table.
+
+        Args:
+            entries: Rows of the host list.
+        """
+        self.target_table.apply_hosts(entries, self.clock.monotonic_s())
+
+    def set_draining(self) -> None:
+        """Refuses new requests from now on."""
+        self.draining = True
+        self.core.set_draining()
+
+    def run_ticks(self) -> None:
+        """Ticks until the greenlet is killed and measures the event loop."""
+        last_s = self.clock.monotonic_s()
+        while True:
+            gevent.sleep(TICK_S)
+            now_s = self.clock.monotonic_s()
+            gap_s = now_s - last_s - TICK_S
+            self._longest_gap_s = max(self._longest_gap_s, gap_s)
+            last_s = now_s
+            self.tick()
+
+    def take_longest_gap_s(self) -> float:
+        """Returns the event loop's longest gap since the last call."""
+        gap_s = self._longest_gap_s
+        self._longest_gap_s = 0.0
+        return gap_s
+
+    def _carry_out(self, actions: list[generations.Action]) -> None:
+        """Carries out actions in their order."""
+        for action in actions:
+            self._handlers[type(action)](action)
+
+    def _start(self, action: generations.StartAttempt) -> None:
+        self._engine.start(action, self.feed)
+
+    def _attach(self, action: generations.AttachAttempt) -> None:
+        self._engine.attach(action, self.feed)
+
+    def _probe(self, action: generations.ProbeTarget) -> None:
+        self._engine.probe(action, self.feed)
+
+    def _deliver(self, action: generations.DeliverTokens) -> None:
+        stream = self._callers_by_id.get(action.caller_id)
+        if stream is not None:
+            count = len(action.tokens)
+            self.counts.count(_Counter.TOKENS_DELIVERED, count)
+            stream.deliver(action)
+
+    def _finish(self, action: generations.FinishAnswer) -> None:
+        stream = self._callers_by_id.pop(action.caller_id, None)
+        if stream is not None:
+            self.counts.count(_Counter.ANSWERS_FINISHED)
+            stream.finish(action)
+
+    def _fail(self, action: generations.FailAnswer) -> None:
+        stream = self._callers_by_id.pop(action.caller_id, None)
+        if stream is not None:
+            self.counts.count(_Counter.ANSWERS_FAILED)
+            stream.fail(action)
+
+    def _publish_crash_report(
+        self, action: generations.PublishCrashReport
+    ) -> None:
+        del action  # Daemons without peers only count the reports.
+        self.counts.count(_Counter.CRASH_REPORTS)
