Add strict stand-ins for engines, services and the platform

Cause: the daemon, the demo and the measurements need outside systems that speak the published protocol and fail on order.

Change: three processes of their own. The platform has objects with versions and revisions, long polls, and a host list that lags. Faults are validated and set at POST /faults.

--- /dev/null
+++ b/packages/standins/src/rattanpulley_standins/_internal/engine/__init__.py
@@ -0,0 +1,1 @@
+"""Internals of the engine subject."""
--- /dev/null
+++ b/packages/standins/src/rattanpulley_standins/_internal/engine/generation.py
@@ -0,0 +1,194 @@
+"""A generation that an engine holds, and its readers."""
+
+from collections.abc import Iterator
+import json
+import socket
+import threading
+from typing import Any
+
+from rattanpulley_standins._internal import serving
+from rattanpulley_standins._internal.engine import orders
+
+# A waiting reader looks this often whether its connection is still open.
+READER_CHECK_S = 0.5
+
+
+class Generation:
+    """Tokens of one answer, kept for any number of readers.
+
+    Attributes:
+        order: The order with the newest attempt.
+        tokens: All tokens of the answer so far, with the resume prefix.
+        ready_at_s: Monotonic time of the first computed token; None while the
+            generation waits for a slot.
+        finish_reason: Set when the answer is whole.
+        ended: Whether no more tokens will come.
+        unread_since_s: Monotonic time since when there is no reader.
+        changed: Notified on each change.
+    """
+
+    def __init__(self, order: orders.Order, now_s: float) -> None:
+        self.order = order
+        self.tokens = list(order.resume_tokens)
+        self.length = order.answer_length()
+        self.ready_at_s: float | None = None
+        self.finish_reason: str | None = None
+        self.ended = False
+        self.unread_since_s = now_s
+        self.changed = threading.Condition()
+        self._attempts: list[int] = []
+
+    @property
+    def generation_id(self) -> str:
+        """Id of the generation."""
+        return self.order.generation_id
+
+    @property
+    def has_reader(self) -> bool:
+        """Whether at least one reader is attached."""
+        return bool(self._attempts)
+
+    def newest_reading_attempt(self) -> int:
+        """Returns the largest attempt that is reading, or 0."""
+        return max(self._attempts, default=0)
+
+    def add_reader(self, attempt: int) -> None:
+        """Counts a reader of an attempt."""
+        self._attempts.append(attempt)
+
+    def remove_reader(self, attempt: int, now_s: float) -> None:
+        """Stops counting a reader; the last one starts the grace period."""
+        self._attempts.remove(attempt)
+        self.unread_since_s = now_s
+
+    def append(self, token: str) -> None:
+        """Adds the next token and ends the answer when it is whole."""
+        with self.changed:
+            self.tokens.append(token)
+            self._finish_when_whole()
+            self.changed.notify_all()
+
+    def finish_when_whole(self) -> None:
+        """Ends a generation whose prefix is already the whole answer."""
+        with self.changed:
+            self._finish_when_whole()
+            self.changed.notify_all()
+
+    def stop(self) -> None:
+        """Ends the generation without a final event."""
+        with self.changed:
+            self.ended = True
+            self.changed.notify_all()
+
+    def _finish_when_whole(self) -> None:
+        if len(self.tokens) < self.length:
+            return
+        by_limit = self.length == self.order.max_tokens
+        self.finish_reason = "length" if by_limit else "stop"
+        self.ended = True
+
+
+class SilenceSwitch:
+    """Makes all connections that are open at one moment silent for good."""
+
+    def __init__(self) -> None:
+        self.epoch = 0
+
+    def silence_open_connections(self) -> None:
+        """Silences the readers that exist now, not those that come later."""
+        self.epoch += 1
+
+
+class Reader:
+    """Server-sent events of a generation for one connection.
+
+    Args:
+        generation: What to read.
+        attempt: Attempt that the events name.
+        from_index: Index of the first token.
+        sock: The connection, to notice that the other end closed it.
+        silence: Shared switch of the engine.
+        clock: Returns monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        generation: Generation,
+        attempt: int,
+        from_index: int,
+        sock: socket.socket,
+        silence: SilenceSwitch,
+        clock: Any,
+    ) -> None:
+        self._generation = generation
+        self._attempt = attempt
+        self._index = from_index
+        self._sock = sock
+        self._silence = silence
+        self._epoch = silence.epoch
+        self._clock = clock
+        self._attached = True
+        generation.add_reader(attempt)
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Yields the events until the answer or the connection ends."""
+        # The comment sends the headers at once, so that the reader learns
+        # that the order was accepted before the first token.
+        yield b": accepted\n\n"
+        while self._wait():
+            # All tokens that are due leave in one write.
+            yield b"".join(self._events())
+            if self._at_end():
+                return
+
+    def close(self) -> None:
+        """Detaches from the generation."""
+        if self._attached:
+            self._attached = False
+            self._generation.remove_reader(self._attempt, self._clock())
+
+    def _wait(self) -> bool:
+        generation = self._generation
+        with generation.changed:
+            while self._silent or not self._has_news():
+                if generation.ended and not self._silent and self._at_end():
+                    return False
+                generation.changed.wait(READER_CHECK_S)
+                if serving.peer_closed(self._sock):
+                    return False
+        return True
+
+    @property
+    def _silent(self) -> bool:
+        return self._silence.epoch != self._epoch
+
+    def _has_news(self) -> bool:
+        generation = self._generation
+        if self._index < len(generation.tokens):
+            return True
+        return generation.finish_reason is not None
+
+    def _at_end(self) -> bool:
+        generation = self._generation
+        return generation.ended and self._index >= len(generation.tokens)
+
+    def _events(self) -> list[bytes]:
+        generation = self._generation
+        events = []
+        while self._index < len(generation.tokens):
+            token = generation.tokens[self._index]
+            events.append(self._event(token=token))
+            self._index += 1
+        if generation.finish_reason is not None:
+            events.append(self._event(finish_reason=generation.finish_reason))
+        return events
+
+    def _event(self, **content: str) -> bytes:
+        value = {
+            "generation_id": self._generation.generation_id,
+            "attempt": self._attempt,
+            "index": self._index,
+            **content,
+            "version": self._generation.order.version,
+        }
+        return b"data: " + json.dumps(value).encode() + b"\n\n"
--- /dev/null
+++ b/packages/standins/src/rattanpulley_standins/_internal/engine/orders.py
@@ -0,0 +1,119 @@
+"""Strict reading of the orders that an engine receives."""
+
+from collections.abc import Callable
+import dataclasses
+import re
+from typing import Any
+
+from rattanpulley_standins._internal import faults
+from rattanpulley_standins._internal import serving
+from rattanpulley_standins._internal.engine import tokens
+
+MAX_TOKENS = 65_536
+_GENERATION_ID = re.compile(r"[0-9a-f]{32}")
+_LENGTH = re.compile(r"\blength=([1-9][0-9]{0,5})\b")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """An order to compute a generation.
+
+    Attributes:
+        generation_id: 32 hex digits.
+        attempt: Number of the attempt, from 1.
+        model: Name of the model.
+        version: Version of the engine that the caller expects.
+        prompt: Prompt text.
+        max_tokens: Upper bound of the answer's length.
+        seed: Seed of the sampling.
+        temperature: Temperature of the sampling.
+        priority: Larger is more urgent.
+        resume_tokens: Tokens of the answer that exist already.
+    """
+
+    generation_id: str
+    attempt: int
+    model: str
+    version: str
+    prompt: str
+    max_tokens: int
+    seed: int
+    temperature: float
+    priority: int
+    resume_tokens: tuple[str, ...]
+
+    def answer_length(self) -> int:
+        """Returns the number of tokens of the whole answer."""
+        match = _LENGTH.search(self.prompt)
+        if match is None:
+            return self.max_tokens
+        return min(int(match[1]), self.max_tokens)
+
+
+def _is_text_list(value: Any) -> bool:
+    return isinstance(value, list) and all(isinstance(t, str) for t in value)
+
+
+def _is_whole(value: Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def _is_generation_id(value: Any) -> bool:
+    return isinstance(value, str) and bool(_GENERATION_ID.fullmatch(value))
+
+
+def _is_max_tokens(value: Any) -> bool:
+    return faults.is_count(value) and 1 <= value <= MAX_TOKENS
+
+
+_CHECKS_BY_FIELD: dict[str, Callable[[Any], bool]] = {
+    "model": faults.is_text,
+    "version": faults.is_text,
+    "prompt": lambda value: isinstance(value, str),
+    "stream": lambda value: value is True,
+    "max_tokens": _is_max_tokens,
+    "seed": _is_whole,
+    "temperature": faults.is_number,
+    "generation_id": _is_generation_id,
+    "attempt": lambda value: faults.is_count(value) and value >= 1,
+    "resume_tokens": _is_text_list,
+    "priority": _is_whole,
+}
+
+
+def parse(body: dict[str, Any], engine_version: str) -> Order:
+    """Returns the order in the body of `POST /v1/completions`.
+
+    Raises:
+        serving.RequestError: The order is malformed; status 422.
+    """
+    _check_fields(body)
+    fields = {name: body[name] for name in body if name != "stream"}
+    fields["resume_tokens"] = tuple(body["resume_tokens"])
+    order = Order(**fields)
+    if order.version != engine_version:
+        raise serving.RequestError(
+            422, f"this engine runs {engine_version}, not {order.version}"
+        )
+    fault = tokens.prefix_fault(
+        order.generation_id, order.version, body["resume_tokens"]
+    )
+    if fault is not None:
+        raise serving.RequestError(422, fault)
+    if len(order.resume_tokens) > order.answer_length():
+        raise serving.RequestError(
+            422, "there are more resume tokens than the answer has tokens"
+        )
+    return order
+
+
+def _check_fields(body: dict[str, Any]) -> None:
+    unknown = sorted(body.keys() - _CHECKS_BY_FIELD.keys())
+    missing = sorted(_CHECKS_BY_FIELD.keys() - body.keys())
+    if unknown or missing:
+        raise serving.RequestError(
+            422, f"unknown fields {unknown}, missing fields {missing}"
+        )
+    for name, check in _CHECKS_BY_FIELD.items():
+        if not check(body[name]):
+            raise serving.RequestError(422, f"{name} is not valid")
--- /dev/null
+++ b/packages/standins/src/rattanpulley_standins/_internal/engine/tokens.py
@@ -0,0 +1,55 @@
+"""Text of the tokens that engines produce.
+
+A token is `GENERATION8.VERSION.INDEX` and a space. Tokens computed under the
+fault `nondeterministic` carry `~` and random hex digits after the index.
+"""
+
+import dataclasses
+import re
+
+GENERATION8_LENGTH = 8
+_TOKEN = re.compile(
+    r"([0-9a-f]{8})\.([A-Za-z0-9_-]{1,64})\.(0|[1-9][0-9]*)(?:~[0-9a-f]+)?"
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ParsedToken:
+    """Content of a token's text."""
+
+    generation8: str
+    version: str
+    index: int
+
+
+def token_text(
+    generation_id: str, version: str, index: int, variation: str = ""
+) -> str:
+    """Returns the token with its space at the end."""
+    mark = f"~{variation}" if variation else ""
+    return f"{generation_id[:GENERATION8_LENGTH]}.{version}.{index}{mark} "
+
+
+def parse(word: str) -> ParsedToken | None:
+    """Returns the content of a token without its space, or None."""
+    match = _TOKEN.fullmatch(word)
+    if match is None:
+        return None
+    return ParsedToken(match[1], match[2], int(match[3]))
+
+
+def prefix_fault(
+    generation_id: str, version: str, tokens: list[str]
+) -> str | None:
+    """Returns why `tokens` cannot start this generation's answer, or None."""
+    generation8 = generation_id[:GENERATION8_LENGTH]
+    for index, token in enumerate(tokens):
+        parsed = parse(token[:-1]) if token.endswith(" ") else None
+        if parsed is None:
+            return f"resume token {index} is not a token: {token!r}"
+        if parsed != ParsedToken(generation8, version, index):
+            return (
+                f"resume token {index} is {token!r}; it belongs to another"
+                " generation, version or index"
+            )
+    return None
--- /dev/null
+++ b/packages/standins/src/rattanpulley_standins/_internal/faults.py
@@ -0,0 +1,83 @@
+"""Validated fault settings of the stand-ins."""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from rattanpulley_standins._internal import serving
+
+Check = Callable[[Any], bool]
+
+
+def is_flag(value: Any) -> bool:
+    """Returns whether the value is true or false."""
+    return isinstance(value, bool)
+
+
+def is_count(value: Any) -> bool:
+    """Returns whether the value is a whole number, 0 or more."""
+    return isinstance(value, int) and not isinstance(value, bool) and value >= 0
+
+
+def is_number(value: Any) -> bool:
+    """Returns whether the value is a finite number, 0 or more."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return False
+    return 0 <= value < float("inf")
+
+
+def is_factor(value: Any) -> bool:
+    """Returns whether the value is a number, 1 or more."""
+    return is_number(value) and value >= 1
+
+
+def is_text(value: Any) -> bool:
+    """Returns whether the value is text that is not empty."""
+    return isinstance(value, str) and value != ""
+
+
+class Faults:
+    """Fault settings by name; None means that a fault is off."""
+
+    def __init__(self, checks_by_name: Mapping[str, Check]) -> None:
+        self._checks_by_name = dict(checks_by_name)
+        self._values_by_name: dict[str, Any] = dict.fromkeys(checks_by_name)
+
+    def update(self, values_by_name: Mapping[str, Any]) -> None:
+        """Sets the named faults; null turns one off.
+
+        Raises:
+            serving.RequestError: A name or a value is not valid; nothing has
+                been changed. Status 422.
+        """
+        for name, value in values_by_name.items():
+            check = self._checks_by_name.get(name)
+            if check is None:
+                known = ", ".join(sorted(self._checks_by_name))
+                raise serving.RequestError(
+                    422, f"no fault is named {name}; there are: {known}"
+                )
+            if value is not None and not check(value):
+                raise serving.RequestError(
+                    422, f"the value of {name} is not valid: {value!r}"
+                )
+        self._values_by_name.update(values_by_name)
+
+    def get(self, name: str) -> Any:
+        """Returns the value of a fault, or None when it is off."""
+        return self._values_by_name[name]
+
+    def clear(self, name: str) -> None:
+        """Turns a fault off."""
+        self._values_by_name[name] = None
+
+    def take_one(self, name: str) -> bool:
+        """Uses up one of a counted fault; returns whether one was left."""
+        count = self._values_by_name[name]
+        if not count:
+            return False
+        self._values_by_name[name] = count - 1
+        return True
+
+    def as_json(self) -> dict[str, Any]:
+        """Returns all faults by name."""
+        return dict(self._values_by_name)
--- /dev/null
+++ b/packages/standins/src/rattanpulley_standins/_internal/platform/app.py
@@ -0,0 +1,195 @@
+"""HTTP interface of the platform stand-in: object API and host list."""
+
+from collections.abc import Callable
+import dataclasses
+import json
+import time
+from typing import Any
+
+import bottle
+
+from rattanpulley_standins._internal import faults
+from rattanpulley_standins._internal import serving
+from rattanpulley_standins._internal.platform import hosts as hosts_lib
+from rattanpulley_standins._internal.platform import store as store_lib
+
+MAX_WATCH_S = 60.0
+WATCH_CHECK_S = 0.5
+FAULT_CHECKS_BY_NAME: dict[str, faults.Check] = {
+    "outage": faults.is_flag,
+    "slow_ms": faults.is_number,
+    "lose_answers": faults.is_count,
+    "stale_reads": faults.is_flag,
+}
+CALL_KINDS = ("get", "put", "delete", "list", "watch", "hosts")
+
+
+def run(settings: dict[str, Any]) -> None:
+    """Runs the platform until the process ends.
+
+    Args:
+        settings: `listen` and `hosts` (rows of the host list); optional is
+            `host_list_lag_ms`.
+    """
+    rows = [hosts_lib.Host(**row) for row in settings["hosts"]]
+    lag_s = settings.get("host_list_lag_ms", 1000) / 1000
+    http = PlatformHttp(hosts_lib.LaggingHosts(rows, lag_s))
+    serving.serve(http.app, settings["listen"])
+
+
+class PlatformHttp:
+    """Routes of the platform.
+
+    Args:
+        hosts: Content of the host list.
+        clock: Returns monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        hosts: hosts_lib.LaggingHosts,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.app = serving.new_app()
+        self._hosts = hosts
+        self._clock = clock
+        self._store = store_lib.Store()
+        self._faults = faults.Faults(FAULT_CHECKS_BY_NAME)
+        self._calls_by_kind = dict.fromkeys(CALL_KINDS, 0)
+        self._add_routes()
+
+    def _add_routes(self) -> None:
+        app = self.app
+        app.get("/objects", callback=self._list)
+        app.get("/objects/<key:path>", callback=self._get)
+        app.put("/objects/<key:path>", callback=self._put)
+        app.delete("/objects/<key:path>", callback=self._delete)
+        app.get("/watch", callback=self._watch)
+        app.get("/hosts", callback=self._list_hosts)
+        app.post("/hosts/<name>/state", callback=self._set_host_state)
+        app.get("/faults", callback=self._faults.as_json)
+        app.post("/faults", callback=self._set_faults)
+        app.get("/stats", callback=self._stats)
+        app.get("/health", callback=self._health)
+
+    def _begin(self, kind: str) -> None:
+        self._calls_by_kind[kind] += 1
+        time.sleep((self._faults.get("slow_ms") or 0) / 1000)
+        if self._faults.get("outage"):
+            raise serving.RequestError(503, "the platform is down")
+
+    @property
+    def _stale(self) -> bool:
+        return bool(self._faults.get("stale_reads"))
+
+    def _get(self, key: str) -> dict[str, Any]:
+        self._begin("get")
+        entry = self._store.get(key, self._stale)
+        if entry is None:
+            raise serving.RequestError(404, f"there is no object {key}")
+        return entry.as_json()
+
+    def _list(self) -> dict[str, Any]:
+        self._begin("list")
+        prefix = bottle.request.query.get("prefix", "")
+        entries = self._store.list_objects(prefix, self._stale)
+        return {
+            "objects": [entry.as_json() for entry in entries],
+            "revision": self._store.revision,
+        }
+
+    def _put(self, key: str) -> dict[str, Any]:
+        self._begin("put")
+        expected = _expected_version(may_create=True)
+        body = bottle.request.body.read()
+        if len(body) > store_lib.MAX_VALUE_BYTES:
+            raise serving.RequestError(413, "the value is larger than 1 MB")
+        try:
+            value = json.loads(body)
+        except ValueError as error:
+            raise serving.RequestError(422, f"no JSON: {error}") from error
+        return self._write(lambda: self._store.put(key, value, expected))
+
+    def _delete(self, key: str) -> dict[str, Any]:
+        self._begin("delete")
+        expected = _expected_version(may_create=False)
+        return self._write(lambda: self._store.delete(key, expected))
+
+    def _write(self, write: Callable[[], store_lib.Entry]) -> dict[str, Any]:
+        try:
+            entry = write()
+        except store_lib.ConflictError as error:
+            raise serving.RequestError(
+                412, str(error), version=error.version
+            ) from error
+        if self._faults.take_one("lose_answers"):
+            serving.break_connection()
+        return entry.as_json()
+
+    def _watch(self) -> dict[str, Any]:
+        self._begin("watch")
+        prefix = bottle.request.query.get("prefix", "")
+        after = int(serving.query_number("after", 0))
+        timeout_s = min(serving.query_number("timeout", 30.0), MAX_WATCH_S)
+        end_s = self._clock() + timeout_s
+        events = self._wait_for_changes(prefix, after, end_s)
+        return {
+            "events": [entry.as_json() for entry in events],
+            "revision": max(after, self._store.revision),
+        }
+
+    def _wait_for_changes(
+        self, prefix: str, after: int, end_s: float
+    ) -> list[store_lib.Entry]:
+        sock = serving.connection()
+        with self._store.changed:
+            while not (events := self._store.changes(prefix, after)):
+                left_s = end_s - self._clock()
+                if left_s <= 0 or serving.peer_closed(sock):
+                    break
+                self._store.changed.wait(min(left_s, WATCH_CHECK_S))
+                if self._faults.get("outage"):
+                    raise serving.RequestError(503, "the platform is down")
+        return events
+
+    def _list_hosts(self) -> dict[str, Any]:
+        self._begin("hosts")
+        rows = self._hosts.visible(self._clock())
+        return {"hosts": [dataclasses.asdict(row) for row in rows]}
+
+    def _set_host_state(self, name: str) -> dict[str, Any]:
+        state = serving.json_object().get("state")
+        try:
+            host = self._hosts.set_state(name, str(state), self._clock())
+        except KeyError as error:
+            raise serving.RequestError(404, f"no host {name}") from error
+        except ValueError as error:
+            raise serving.RequestError(422, str(error)) from error
+        return dataclasses.asdict(host)
+
+    def _set_faults(self) -> dict[str, Any]:
+        self._faults.update(serving.json_object())
+        return self._faults.as_json()
+
+    def _stats(self) -> dict[str, Any]:
+        return {"calls": self._calls_by_kind, "revision": self._store.revision}
+
+    def _health(self) -> dict[str, Any]:
+        return {"state": "ready"}
+
+
+def _expected_version(may_create: bool) -> int:
+    """Returns the version that the headers require; 0 requires absence."""
+    request = bottle.request
+    if may_create and request.get_header("If-None-Match") == "*":
+        return 0
+    text = request.get_header("If-Match")
+    if text is None:
+        raise serving.RequestError(428, "the call needs a condition")
+    try:
+        version = int(text.strip('"'))
+    except ValueError as error:
+        raise serving.RequestError(422, "If-Match is no version") from error
+    if version < 1:
+        raise serving.RequestError(422, "If-Match is no version")
+    return version
--- /dev/null
+++ b/packages/standins/src/rattanpulley_standins/_internal/platform/store.py
@@ -0,0 +1,97 @@
+"""Objects with versions and revisions, as the platform's object API has."""
+
+import dataclasses
+import threading
+from typing import Any
+
+MAX_VALUE_BYTES = 1_000_000
+
+
+class ConflictError(Exception):
+    """A condition did not hold; `version` is the stored one, 0 when absent."""
+
+    def __init__(self, version: int) -> None:
+        super().__init__(f"the stored version is {version}")
+        self.version = version
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """One state of an object; `deleted` marks the state after a delete."""
+
+    key: str
+    value: Any
+    version: int
+    revision: int
+    deleted: bool = False
+
+    def as_json(self) -> dict[str, Any]:
+        """Returns the form that the object API answers with."""
+        fields = dataclasses.asdict(self)
+        if not self.deleted:
+            del fields["deleted"]
+        return fields
+
+
+class Store:
+    """All objects, with the state before the newest one of each."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.changed = threading.Condition()
+        self._entries_by_key: dict[str, Entry] = {}
+        self._former_by_key: dict[str, Entry] = {}
+
+    def get(self, key: str, stale: bool = False) -> Entry | None:
+        """Returns an object, or None; `stale` gives the state before."""
+        entry = self._entries_by_key.get(key)
+        if stale:
+            entry = self._former_by_key.get(key, entry)
+        return None if entry is None or entry.deleted else entry
+
+    def put(self, key: str, value: Any, expected_version: int) -> Entry:
+        """Writes when the stored version is the expected one (0: absent).
+
+        Raises:
+            ConflictError: It is not.
+        """
+        self._check(key, expected_version)
+        return self._write(key, value, deleted=False)
+
+    def delete(self, key: str, expected_version: int) -> Entry:
+        """Deletes under the same condition and error as `put`."""
+        self._check(key, expected_version)
+        return self._write(key, None, deleted=True)
+
+    def list_objects(self, prefix: str, stale: bool = False) -> list[Entry]:
+        """Returns the objects below a prefix, sorted by key."""
+        keys = sorted(k for k in self._entries_by_key if k.startswith(prefix))
+        found = [self.get(key, stale) for key in keys]
+        return [entry for entry in found if entry is not None]
+
+    def changes(self, prefix: str, after_revision: int) -> list[Entry]:
+        """Returns the newest states below a prefix after a revision."""
+        entries = [
+            entry
+            for entry in self._entries_by_key.values()
+            if entry.key.startswith(prefix) and entry.revision > after_revision
+        ]
+        return sorted(entries, key=lambda entry: entry.revision)
+
+    def _check(self, key: str, expected_version: int) -> None:
+        entry = self.get(key)
+        version = 0 if entry is None else entry.version
+        if version != expected_version:
+            raise ConflictError(version)
+
+    def _write(self, key: str, value: Any, deleted: bool) -> Entry:
+        with self.changed:
+            former = self._entries_by_key.get(key)
+            version = 1 if former is None else former.version + 1
+            self.revision += 1
+            entry = Entry(key, value, version, self.revision, deleted)
+            if former is not None:
+                self._former_by_key[key] = former
+            self._entries_by_key[key] = entry
+            self.changed.notify_all()
+        return entry
--- /dev/null
+++ b/packages/standins/src/rattanpulley_standins/engine/__init__.py
@@ -0,0 +1,1 @@
+"""Runnable stand-in of an engine that generates tokens."""
--- /dev/null
+++ b/packages/standins/src/rattanpulley_standins/service/__init__.py
@@ -0,0 +1,1 @@
+"""Runnable stand-in of a service that answers plain calls."""
