--- a/packages/adapters/src/rattanpulley_adapters/_internal/platform/object_store.py
+++ b/packages/adapters/src/rattanpulley_adapters/_internal/platform/object_store.py
@@ -35,11 +35,11 @@
         """Writes conditionally; see the base class."""
         path = _path(key)
         answer = self._client.call(
-            "PUT", path, {"value": value}, _condition(expected_version)
+            "PUT", path, value, _condition(expected_version)
         )
         _raise_on_conflict(answer, key)
         body = _checked(answer, f"PUT {path}")
-        return _object({"key": key, **body, "value": value}, f"PUT {path}")
+        return _object(body, f"PUT {path}")
 
     def delete(self, key: str, expected_version: int) -> None:
         """Deletes conditionally; see the base class."""
--- /dev/null
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/answers.py
@@ -0,0 +1,115 @@
+"""Bodies of the answers to generation requests."""
+
+from collections.abc import Iterator
+
+from rattanpulley_core import generations
+from rattanpulleyd._internal.api import caller
+from rattanpulleyd._internal.api import errors
+from rattanpulleyd._internal.api import openai_format
+from rattanpulleyd._internal.runtime import runtime as runtime_lib
+
+# Proxies on the way close connections that are silent for longer.
+KEEP_ALIVE_S = 2.0
+
+
+class Call:
+    """One caller's request from its arrival to its end."""
+
+    def __init__(
+        self,
+        runtime: runtime_lib.Runtime,
+        request: generations.GenerationRequest,
+        resume: generations.ResumePoint | None,
+    ) -> None:
+        """Starts the answer.
+
+        Args:
+            runtime: Runtime of the daemon.
+            request: The routed request.
+            resume: Where a caller that comes back goes on.
+        """
+        self._runtime = runtime
+        self._generation_id = request.generation_id
+        self._caller_id = runtime.next_caller_id()
+        self._caller = caller.QueuedCaller()
+        runtime.add_caller(self._caller_id, self._caller, request, resume)
+
+    def take(self) -> list[caller.Delivery]:
+        """Returns queued deliveries, or none after the keep-alive time."""
+        return self._caller.take(KEEP_ALIVE_S)
+
+    def close(self) -> None:
+        """Notes the end of the connection; may be called again."""
+        self._runtime.remove_caller(self._caller_id, self._generation_id)
+
+
+class StreamBody:
+    """Server-sent events of one answer.
+
+    It is not a generator, because closing a generator that was never started
+    would not run its clean-up.
+    """
+
+    def __init__(
+        self,
+        call: Call,
+        first: list[caller.Delivery],
+        stream_format: openai_format.StreamFormat,
+    ) -> None:
+        """Prepares the body.
+
+        Args:
+            call: The caller's request.
+            first: Deliveries that were taken already.
+            stream_format: Renders the deliveries.
+        """
+        self._call = call
+        self._first = first
+        self._format = stream_format
+        self._over = False
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Returns the iterator of the body's parts."""
+        return self
+
+    def __next__(self) -> bytes:
+        """Returns all queued events, or a comment when none came in time."""
+        if self._over:
+            raise StopIteration
+        deliveries = self._first or self._call.take()
+        self._first = []
+        if not deliveries:
+            return openai_format.KEEP_ALIVE
+        return b"".join([self._render(item) for item in deliveries])
+
+    def close(self) -> None:
+        """Called by the server when the connection or the body ends."""
+        self._call.close()
+
+    def _render(self, delivery: caller.Delivery) -> bytes:
+        if isinstance(delivery, generations.DeliverTokens):
+            return self._format.tokens(delivery)
+        self._over = True
+        if isinstance(delivery, generations.FinishAnswer):
+            return self._format.finish(delivery)
+        return errors.error_event(delivery)
+
+
+def read_whole(call: Call) -> tuple[str, generations.FinishAnswer]:
+    """Waits for the end of an answer and returns its text.
+
+    Args:
+        call: The caller's request.
+
+    Raises:
+        exceptions.RequestError: The answer failed.
+    """
+    tokens: list[str] = []
+    while True:
+        for delivery in call.take():
+            if isinstance(delivery, generations.DeliverTokens):
+                tokens.extend(delivery.tokens)
+            elif isinstance(delivery, generations.FinishAnswer):
+                return "".join(tokens), delivery
+            else:
+                raise errors.request_error(delivery)
--- /dev/null
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/http_io.py
@@ -0,0 +1,116 @@
+"""What all handlers of the caller API share: bodies, errors, in-flight count."""
+
+from collections.abc import Callable
+import json
+from typing import Any
+
+import bottle
+import loguru
+
+from rattanpulley_core import results
+from rattanpulleyd import exceptions
+from rattanpulleyd._internal.api import errors
+from rattanpulleyd._internal.api import request_parser
+from rattanpulleyd._internal.telemetry import counters
+
+_Code = results.ResultCode
+
+
+def new_app(counts: counters.Counters) -> bottle.Bottle:
+    """Returns an application that answers every error as JSON.
+
+    Args:
+        counts: Counters of the daemon.
+    """
+    app = bottle.Bottle(autojson=True)
+    app.default_error_handler = _default_error
+    app.install(_error_plugin(counts))
+    return app
+
+
+def read_body(limit_bytes: int) -> bytes:
+    """Returns the body of the current request.
+
+    Args:
+        limit_bytes: Longest body that is read.
+
+    Raises:
+        exceptions.RequestError: The body is too long or incomplete.
+    """
+    stream = bottle.request.environ["wsgi.input"]
+    if bottle.request.content_length > limit_bytes:
+        raise _too_long(limit_bytes)
+    try:
+        data: bytes = stream.read(limit_bytes + 1)
+    except OSError as error:
+        raise request_parser.malformed(
+            "$", "the body is incomplete"
+        ) from error
+    if len(data) > limit_bytes:
+        raise _too_long(limit_bytes)
+    return data
+
+
+def header(name: str) -> str:
+    """Returns a header of the current request, or "".
+
+    Args:
+        name: Name of the header.
+    """
+    value = bottle.request.get_header(name)
+    return str(value) if value else ""
+
+
+def _too_long(limit_bytes: int) -> exceptions.RequestError:
+    return request_parser.malformed(
+        "$", f"the body is longer than {limit_bytes} bytes"
+    )
+
+
+def _error_plugin(
+    counts: counters.Counters,
+) -> Callable[[Callable[..., Any]], Callable[..., Any]]:
+    """Returns the plug-in that answers refusals."""
+
+    def install(callback: Callable[..., Any]) -> Callable[..., Any]:
+        def answer(*args: Any, **kwargs: Any) -> Any:
+            try:
+                return callback(*args, **kwargs)
+            except exceptions.RequestError as error:
+                counts.count(counters.Counter.REQUESTS_REFUSED)
+                return _refusal(error)
+
+        return answer
+
+    return install
+
+
+def _refusal(error: exceptions.RequestError) -> dict[str, Any]:
+    """Sets status and headers for an error and returns its body."""
+    details = results.DETAILS_BY_CODE[error.code]
+    bottle.response.status = details.http_status
+    if error.retry_after_s is not None:
+        bottle.response.set_header("Retry-After", str(error.retry_after_s))
+    return errors.error_body(error.code, error.run_state, error.message)
+
+
+def _default_error(error: bottle.HTTPError) -> str:
+    """Answers errors that bottle itself finds."""
+    code = _Code.UNKNOWN_ROUTE
+    run_state = results.RunState.NOT_RUN
+    message = "There is no such path or method."
+    if error.status_code == 400:
+        code = _Code.MALFORMED_REQUEST
+        message = "The request is malformed."
+    elif error.status_code >= 500:
+        loguru.logger.error(
+            "a request handler failed: {!r}\n{}",
+            error.exception,
+            error.traceback,
+        )
+        code = _Code.OUTCOME_UNKNOWN
+        run_state = results.RunState.UNKNOWN
+        message = "The daemon failed while it handled the request."
+    error.status = results.DETAILS_BY_CODE[code].http_status
+    error.content_type = "application/json"
+    return json.dumps(errors.error_body(code, run_state, message))
