Add the claims part: calls, records, driver and settlement

Cause: routes that are not repeatable need calls that run at most once although the object API and the services lose answers (design 5.6).

Change: `claims.ClaimCall` with a table of transitions, `claims.run`, which carries the actions out over the abstract base classes, the claim record with its key and JSON form, and `claims.list_unknown` and `claims.settle`. `begin` takes the wall time besides the monotonic time, because the record holds the former and the pause check uses the latter.

Conclusion: the daemon and the command-line tool can be wired to this API.

--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once actions: claim, read-back, outcome and settlement."""
--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/claims/driver.py
@@ -0,0 +1,89 @@
+"""Carries the actions of a claimed call out, one after the other."""
+
+from collections.abc import Callable
+
+from rattanpulley_core import interfaces
+from rattanpulley_core._internal.claims import calls
+from rattanpulley_core._internal.claims import messages
+
+
+def run(
+    call: calls.ClaimCall,
+    store: interfaces.ObjectStore,
+    service: interfaces.ServiceApi,
+    clock: interfaces.Clock,
+    deliver: Callable[[messages.Answer], None] | None = None,
+) -> messages.Answer:
+    """Runs a call to its end.
+
+    Args:
+        call: New call.
+        store: Holds the claim records.
+        service: Makes the call.
+        clock: Clock of this process.
+        deliver: Is given the answer as soon as it is known; after a lost
+            answer of the store, `run` goes on to repeat the outcome write.
+
+    Returns:
+        The same answer, after the last write.
+    """
+    now_s = clock.monotonic_s()
+    pending = call.begin(now_s, clock.wall_s())
+    answer: messages.Answer | None = None
+    while pending:
+        event: messages.Event | None = None
+        for action in pending:
+            if isinstance(action, messages.Answer):
+                answer = action
+                if deliver is not None:
+                    deliver(action)
+            else:
+                event = _carry_out(action, store, service, clock)
+        if event is None:
+            break
+        pending = call.handle(event, clock.monotonic_s())
+    assert answer is not None
+    return answer
+
+
+def _carry_out(
+    action: messages.Action,
+    store: interfaces.ObjectStore,
+    service: interfaces.ServiceApi,
+    clock: interfaces.Clock,
+) -> messages.Event:
+    if isinstance(action, messages.CallService):
+        return _call_service(action, service, clock)
+    return _use_store(action, store)
+
+
+def _use_store(
+    action: messages.Action, store: interfaces.ObjectStore
+) -> messages.Event:
+    try:
+        if isinstance(action, messages.StorePut):
+            return messages.StoreAnswered(
+                store.put(action.key, action.value, action.expected_version)
+            )
+        assert isinstance(action, messages.StoreGet)
+        return messages.StoreAnswered(store.get(action.key))
+    except interfaces.StoreConflictError:
+        return messages.StoreConflict()
+    except interfaces.StoreUnavailableError:
+        return messages.StoreUnclear()
+
+
+def _call_service(
+    action: messages.CallService,
+    service: interfaces.ServiceApi,
+    clock: interfaces.Clock,
+) -> messages.Event:
+    # The process can be paused between the decision and the call.
+    if clock.monotonic_s() > action.start_by_s:
+        return messages.ServiceNotSent()
+    try:
+        return messages.ServiceAnswered(service.call(action.order))
+    except interfaces.ServiceNotSentError:
+        return messages.ServiceNotSent()
+    except interfaces.ServiceUnknownError:
+        return messages.ServiceUnknown()
--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/claims/messages.py
@@ -0,0 +1,131 @@
+"""Events into and actions out of a claimed call."""
+
+import dataclasses
+from typing import Any
+
+from rattanpulley_core import interfaces
+from rattanpulley_core import results
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimRequest:
+    """A call of a route that is not repeatable, after routing.
+
+    Attributes:
+        account: Client account.
+        idempotency_key: Value of the header, or None when it is absent.
+        fingerprint: Hex digest of the request, see `request_fingerprint`.
+        token: Unique, unguessable token of this call (32 hex digits). Each
+            call gets a new one, also when it repeats an earlier call.
+        daemon: Name of the daemon.
+        max_call_s: Longest time from the claim to the end of the call.
+        order: Call to the service. A claimed call always uses a fresh
+            connection and at most the time that the claim leaves.
+    """
+
+    account: str
+    idempotency_key: str | None
+    fingerprint: str
+    token: str
+    daemon: str
+    max_call_s: float
+    order: interfaces.ServiceOrder
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Event:
+    """Base of what a claimed call is told."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreAnswered(Event):
+    """The store carried out the action.
+
+    Attributes:
+        stored: The object written or read; None when a read found none.
+    """
+
+    stored: interfaces.StoredObject | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreConflict(Event):
+    """The store refused a write because it holds another version."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreUnclear(Event):
+    """The store gave no clear answer; a write may have taken effect."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceAnswered(Event):
+    """The service answered, with any status."""
+
+    answer: interfaces.ServiceAnswer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceNotSent(Event):
+    """No byte of the request reached the service."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceUnknown(Event):
+    """The call failed after bytes were sent."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Action:
+    """Base of what the caller of the part carries out, in order."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreGet(Action):
+    """Reads an object; answered by `StoreAnswered` or `StoreUnclear`."""
+
+    key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StorePut(Action):
+    """Writes an object; answered by any of the three store events."""
+
+    key: str
+    value: Any
+    expected_version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallService(Action):
+    """Makes the call once; answered by one of the three service events.
+
+    Attributes:
+        order: The call.
+        start_by_s: Monotonic time after which the first byte must not be
+            sent. The event is then `ServiceNotSent`.
+    """
+
+    order: interfaces.ServiceOrder
+    start_by_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer(Action):
+    """Answers the caller; occurs exactly once in each call.
+
+    Attributes:
+        code: Result code.
+        run_state: Whether the action ran; differs from the code's usual state
+            where the claim record says more.
+        message: What happened, for the caller.
+        response: Answer of the service, to be passed on; set exactly when
+            `code` is `OK`.
+        replayed: Whether `response` was recorded by an earlier call.
+    """
+
+    code: results.ResultCode
+    run_state: results.RunState
+    message: str
+    response: interfaces.ServiceAnswer | None = None
+    replayed: bool = False
--- /dev/null
+++ b/packages/core/src/rattanpulley_core/claims.py
@@ -0,0 +1,59 @@
+"""Public names of the at-most-once subject.
+
+A daemon builds one `ClaimCall` for each call of a route that is not repeatable
+and either hands it to `run` or carries its actions out itself. Operators list
+open claims with `list_unknown` and settle them with `settle`.
+"""
+
+from rattanpulley_core._internal.claims import answers
+from rattanpulley_core._internal.claims import calls
+from rattanpulley_core._internal.claims import driver
+from rattanpulley_core._internal.claims import messages
+from rattanpulley_core._internal.claims import records
+from rattanpulley_core._internal.claims import settlement
+
+ClaimRequest = messages.ClaimRequest
+ClaimCall = calls.ClaimCall
+CallState = calls.CallState
+TRANSITIONS = calls.TRANSITIONS
+run = driver.run
+
+Event = messages.Event
+StoreAnswered = messages.StoreAnswered
+StoreConflict = messages.StoreConflict
+StoreUnclear = messages.StoreUnclear
+ServiceAnswered = messages.ServiceAnswered
+ServiceNotSent = messages.ServiceNotSent
+ServiceUnknown = messages.ServiceUnknown
+
+Action = messages.Action
+StoreGet = messages.StoreGet
+StorePut = messages.StorePut
+CallService = messages.CallService
+Answer = messages.Answer
+REPLAYED_HEADER = answers.REPLAYED_HEADER
+
+ClaimState = records.ClaimState
+ClaimRecord = records.ClaimRecord
+Outcome = records.Outcome
+AuditEntry = records.AuditEntry
+RecordError = records.RecordError
+KEY_PREFIX = records.KEY_PREFIX
+OUTCOME_LIMIT_BYTES = records.OUTCOME_LIMIT_BYTES
+claim_key = records.claim_key
+request_fingerprint = records.request_fingerprint
+to_json = records.to_json
+from_json = records.from_json
+
+CLAIM_ATTEMPTS = calls.CLAIM_ATTEMPTS
+READ_ATTEMPTS = calls.READ_ATTEMPTS
+OUTCOME_ATTEMPTS = calls.OUTCOME_ATTEMPTS
+START_SHARE = calls.START_SHARE
+SETTLE_MARGIN_S = settlement.SETTLE_MARGIN_S
+UnknownClaim = settlement.UnknownClaim
+SettlementError = settlement.SettlementError
+SettlementRefusedError = settlement.SettlementRefusedError
+SettlementUnclearError = settlement.SettlementUnclearError
+list_unknown = settlement.list_unknown
+settle = settlement.settle
+settle_from_wall_s = settlement.settle_from_wall_s
