--- a/packages/daemon/src/rattanpulleyd/_internal/api/answers.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/answers.py
@@ -113,3 +113,18 @@
                 return "".join(tokens), delivery
             else:
                 raise errors.request_error(delivery)
+
+
+def take_first(call: Call) -> list[caller.Delivery]:
+    """Waits for the first deliveries, at most for the keep-alive time.
+
+    Args:
+        call: The caller's request.
+
+    Raises:
+        exceptions.RequestError: The answer failed before its first byte.
+    """
+    first = call.take()
+    if first and isinstance(first[0], generations.FailAnswer):
+        raise errors.request_error(first[0])
+    return first
--- /dev/null
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/app.py
@@ -0,0 +1,205 @@
+"""Caller API."""
+
+import time
+from typing import Any
+
+import bottle
+
+from rattanpulley_core import generations
+from rattanpulley_core import results
+from rattanpulley_core import resume_token
+from rattanpulley_core import tables
+from rattanpulleyd import exceptions
+from rattanpulleyd._internal.api import answers
+from rattanpulleyd._internal.api import http_io
+from rattanpulleyd._internal.api import identity
+from rattanpulleyd._internal.api import openai_format
+from rattanpulleyd._internal.api import request_parser
+from rattanpulleyd._internal.api import router
+from rattanpulleyd._internal.api import service_calls
+from rattanpulleyd._internal.api import status
+from rattanpulleyd._internal.runtime import runtime as runtime_lib
+from rattanpulleyd._internal.settings import model
+from rattanpulleyd._internal.telemetry import counters
+
+_Counter = counters.Counter
+
+
+class CallerApi:
+    """Handlers of the caller API.
+
+    Attributes:
+        app: The WSGI application.
+    """
+
+    def __init__(
+        self,
+        settings: model.Settings,
+        runtime: runtime_lib.Runtime,
+        signer: resume_token.Signer,
+        services: service_calls.ServiceCalls,
+    ) -> None:
+        """Builds the application.
+
+        Args:
+            settings: Settings of the daemon.
+            runtime: Runtime of the daemon.
+            signer: Signs and verifies event ids.
+            services: Calls to plain services.
+        """
+        self.app = http_io.new_app(runtime.counts)
+        self._settings = settings
+        self._runtime = runtime
+        self._signer = signer
+        self._services = services
+        self._add_routes()
+
+    def _add_routes(self) -> None:
+        app = self.app
+        app.post("/v1/chat/completions", callback=self._chat)
+        app.post("/v1/completions", callback=self._completion)
+        app.get("/v1/models", callback=self._models)
+        service_path = "/services/<service>/<path:path>"
+        app.route(service_path, ["GET", "POST"], callback=self._service)
+        app.get("/ready", callback=self._ready)
+        app.get("/status", callback=self._status)
+
+    def _chat(self) -> Any:
+        return self._generate(is_chat=True)
+
+    def _completion(self) -> Any:
+        return self._generate(is_chat=False)
+
+    def _models(self) -> dict[str, Any]:
+        self._account()
+        routes = self._runtime.config.routes
+        return openai_format.model_list(router.models(routes))
+
+    def _service(self, service: str, path: str) -> bytes:
+        account = self._accept()
+        route = router.service_route(self._runtime.config.routes, service)
+        return self._services.answer(route, account, path)
+
+    def _ready(self) -> dict[str, Any]:
+        ready = status.is_ready(self._runtime)
+        bottle.response.status = 200 if ready else 503
+        return {"ready": ready, "draining": self._runtime.draining}
+
+    def _status(self) -> dict[str, Any]:
+        return status.report(self._settings, self._runtime)
+
+    def _account(self) -> str:
+        """Returns the account of the current request."""
+        return identity.account_of(
+            http_io.header("Authorization"), self._settings.account_keys
+        )
+
+    def _accept(self) -> str:
+        """Counts a new request and returns its account."""
+        self._runtime.counts.count(_Counter.REQUESTS)
+        if self._runtime.draining:
+            raise exceptions.RequestError(
+                results.ResultCode.DRAINING, "This daemon is stopping."
+            )
+        return self._account()
+
+    def _generate(self, is_chat: bool) -> Any:
+        """Answers a generation request."""
+        account = self._accept()
+        data = http_io.read_body(request_parser.MAX_BODY_BYTES)
+        parsed = request_parser.parse(request_parser.decode(data), is_chat)
+        request, resume = self._request(account, parsed)
+        if resume is not None:
+            self._runtime.counts.count(_Counter.CALLERS_RECONNECTED)
+        head = openai_format.AnswerHead(
+            generation_id=request.generation_id,
+            model=parsed.model,
+            created_s=int(time.time()),
+            is_chat=is_chat,
+            include_usage=parsed.include_usage,
+        )
+        call = answers.Call(self._runtime, request, resume)
+        if parsed.stream:
+            return self._stream(call, head, request)
+        try:
+            text, finish = answers.read_whole(call)
+        finally:
+            call.close()
+        return openai_format.whole_answer(head, text, finish)
+
+    def _stream(
+        self,
+        call: answers.Call,
+        head: openai_format.AnswerHead,
+        request: generations.GenerationRequest,
+    ) -> answers.StreamBody:
+        """Returns the body of a stream; an early error has its own status."""
+        try:
+            first = answers.take_first(call)
+        except BaseException:
+            call.close()
+            raise
+        stream_format = openai_format.StreamFormat(
+            head,
+            answers.event_ids(self._signer, request),
+            http_io.header("Last-Event-ID"),
+        )
+        bottle.response.content_type = "text/event-stream; charset=utf-8"
+        bottle.response.set_header("Cache-Control", "no-cache")
+        return answers.StreamBody(call, first, stream_format)
+
+    def _request(
+        self, account: str, parsed: request_parser.ParsedRequest
+    ) -> tuple[generations.GenerationRequest, generations.ResumePoint | None]:
+        """Routes a request and verifies its event id."""
+        routes = self._runtime.config.routes
+        route = router.generation_route(
+            routes, parsed.model, http_io.header("X-Route")
+        )
+        fingerprint = identity.fingerprint_of(
+            route.name, parsed.model, parsed.canonical
+        )
+        generation_id = identity.generation_id_of(
+            self._settings.resume_keys[0],
+            account,
+            http_io.header("Idempotency-Key"),
+            fingerprint,
+        )
+        resume = None
+        event_id = http_io.header("Last-Event-ID")
+        if event_id:
+            generation_id, resume = self._verify(
+                event_id, account, fingerprint, parsed.stream
+            )
+        now_s = self._runtime.clock.monotonic_s()
+        request = _generation_request(
+            route, account, parsed, fingerprint, generation_id, now_s
+        )
+        return request, resume
+
+
+def _generation_request(
+    route: tables.Route,
+    account: str,
+    parsed: request_parser.ParsedRequest,
+    fingerprint: str,
+    generation_id: str,
+    now_s: float,
+) -> generations.GenerationRequest:
+    """Returns the routed request."""
+    seed = parsed.seed
+    if seed is None:
+        seed = identity.seed_of(generation_id)
+    max_tokens = min(parsed.max_tokens or route.max_tokens, route.max_tokens)
+    return generations.GenerationRequest(
+        generation_id=generation_id,
+        account=account,
+        route=route.name,
+        pool=route.pool,
+        model=parsed.model,
+        fingerprint=fingerprint,
+        prompt=parsed.prompt,
+        sampling=generations.Sampling(max_tokens, seed, parsed.temperature),
+        priority=route.priority,
+        deadline_s=now_s + route.deadline_s,
+    )
--- a/packages/daemon/src/rattanpulleyd/_internal/api/http_io.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/http_io.py
@@ -1,4 +1,4 @@
-"""What all handlers of the caller API share: bodies, errors, in-flight count."""
+"""What all handlers of the caller API share: bodies, headers and errors."""
 
 from collections.abc import Callable
 import json
@@ -43,9 +43,7 @@
     try:
         data: bytes = stream.read(limit_bytes + 1)
     except OSError as error:
-        raise request_parser.malformed(
-            "$", "the body is incomplete"
-        ) from error
+        raise request_parser.malformed("$", "the body is incomplete") from error
     if len(data) > limit_bytes:
         raise _too_long(limit_bytes)
     return data
--- a/packages/daemon/src/rattanpulleyd/_internal/api/openai_format.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/openai_format.py
@@ -157,7 +157,12 @@
         models: Names of the models.
     """
     rows = [
-        {"id": name, "object": "model", "created": 0, "owned_by": "rattanpulley"}
+        {
+            "id": name,
+            "object": "model",
+            "created": 0,
+            "owned_by": "rattanpulley",
+        }
         for name in models
     ]
     return {"object": "list", "data": rows}
--- a/packages/daemon/src/rattanpulleyd/_internal/api/request_parser.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/request_parser.py
@@ -192,7 +192,9 @@
     return _text(part, "text", path)
 
 
-def _whole(fields: dict[str, Any], name: str, low: int, high: int) -> int | None:
+def _whole(
+    fields: dict[str, Any], name: str, low: int, high: int
+) -> int | None:
     value = fields.get(name)
     if value is None:
         return None
--- /dev/null
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/status.py
@@ -0,0 +1,56 @@
+"""Answers of GET /ready and GET /status."""
+
+from typing import Any
+
+from rattanpulley_core import tables
+from rattanpulleyd._internal.runtime import runtime as runtime_lib
+from rattanpulleyd._internal.settings import model
+
+
+def is_ready(runtime: runtime_lib.Runtime) -> bool:
+    """Returns whether the daemon can serve new requests.
+
+    Args:
+        runtime: Runtime of the daemon.
+    """
+    config = runtime.config
+    has_tables = all(config.version(kind) for kind in tables.TableKind)
+    return has_tables and not runtime.draining
+
+
+def report(
+    settings: model.Settings, runtime: runtime_lib.Runtime
+) -> dict[str, Any]:
+    """Returns the state of the daemon for operators.
+
+    Args:
+        settings: Settings of the daemon.
+        runtime: Runtime of the daemon.
+    """
+    now_s = runtime.clock.monotonic_s()
+    return {
+        "name": settings.name,
+        "failure_domain": settings.failure_domain,
+        "ready": is_ready(runtime),
+        "draining": runtime.draining,
+        "tables": {
+            kind.value: _table_report(runtime.config, kind, now_s)
+            for kind in tables.TableKind
+        },
+        "generations": runtime.core.status(now_s),
+        "counters": runtime.counts.totals_by_name(),
+    }
+
+
+def _table_report(
+    config: tables.ConfigState, kind: tables.TableKind, now_s: float
+) -> dict[str, Any]:
+    """Returns version, source and age of a table in force."""
+    in_force = config.in_force(kind)
+    if in_force is None:
+        return {"version": 0, "source": None, "age_s": None}
+    return {
+        "version": in_force.version,
+        "source": in_force.source,
+        "age_s": round(now_s - in_force.accepted_at_s, 3),
+    }
--- /dev/null
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/daemon.py
@@ -0,0 +1,165 @@
+"""Builds the daemon's parts, runs them and stops them."""
+
+import random
+import signal
+
+import gevent
+import gevent.event
+import loguru
+
+from rattanpulley_adapters import platform
+from rattanpulley_core import generations
+from rattanpulley_core import resume_token
+from rattanpulley_core import suspects
+from rattanpulley_core import tables
+from rattanpulley_core import targets
+from rattanpulleyd import exceptions
+from rattanpulleyd._internal.api import app
+from rattanpulleyd._internal.api import service_calls
+from rattanpulleyd._internal.config import host_poll
+from rattanpulleyd._internal.config import table_watch
+from rattanpulleyd._internal.engine import http_engine
+from rattanpulleyd._internal.runtime import clock as clock_lib
+from rattanpulleyd._internal.runtime import http_server
+from rattanpulleyd._internal.runtime import runtime as runtime_lib
+from rattanpulleyd._internal.services import http_service
+from rattanpulleyd._internal.settings import model
+from rattanpulleyd._internal.telemetry import counters
+from rattanpulleyd._internal.telemetry import logs
+
+FLUSH_S = 1.0
+DRAIN_CHECK_S = 0.05
+
+_Counter = counters.Counter
+
+
+class Daemon:
+    """All parts of one daemon."""
+
+    def __init__(self, settings: model.Settings) -> None:
+        """Builds the parts; nothing is started.
+
+        Args:
+            settings: Settings of the daemon.
+
+        Raises:
+            exceptions.SettingsError: The listening address is not available.
+        """
+        self._rng = random.Random()
+        self._settings = settings
+        self._counts = counters.Counters(settings.statsd)
+        self._clock = clock_lib.SystemClock()
+        self._store = platform.HttpObjectStore(settings.platform.url)
+        self._stopping = gevent.event.Event()
+        self._greenlets: list[gevent.Greenlet] = []
+        signer = resume_token.Signer(settings.resume_keys)
+        self._runtime = self._build_runtime(signer)
+        api = app.CallerApi(
+            settings, self._runtime, signer, self._build_services()
+        )
+        try:
+            self._server = http_server.HttpServer(settings.listen, api.app)
+        except OSError as error:
+            raise exceptions.SettingsError(
+                "$.listen", f"cannot listen: {error}", "use a free address"
+            ) from error
+
+    def _build_runtime(
+        self, signer: resume_token.Signer
+    ) -> runtime_lib.Runtime:
+        """Builds the core parts and the engine client."""
+        target_table = targets.TargetTable(self._settings.failure_domain)
+        core = generations.GenerationCore(
+            target_table=target_table,
+            chooser=targets.LeastOutstandingChooser(target_table, self._rng),
+            signer=signer,
+            suspect_table=suspects.SuspectTable(),
+            rng=self._rng,
+        )
+        return runtime_lib.Runtime(
+            clock=self._clock,
+            core=core,
+            target_table=target_table,
+            config=tables.ConfigState(),
+            engine=http_engine.HttpEngineApi(self._counts),
+            counts=self._counts,
+        )
+
+    def _build_services(self) -> service_calls.ServiceCalls:
+        """Builds the calls to plain services."""
+        return service_calls.ServiceCalls(
+            name=self._settings.name,
+            runtime=self._runtime,
+            service=http_service.HttpServiceApi(),
+            store=self._store,
+            rng=self._rng,
+        )
+
+    def start(self) -> None:
+        """Starts the background work and accepts connections."""
+        runtime = self._runtime
+        watch = table_watch.TableWatch(
+            self._store,
+            runtime.config,
+            self._clock,
+            self._counts,
+            self._rng,
+            runtime.apply_table,
+        )
+        poll = host_poll.HostPoll(
+            platform.HttpHostList(self._settings.platform.url),
+            self._counts,
+            runtime.apply_hosts,
+        )
+        jobs = (watch.run, poll.run, runtime.run_ticks, self._flush)
+        self._greenlets = [gevent.spawn(job) for job in jobs]
+        self._server.start()
+        loguru.logger.info(
+            "{}: listening on {}:{}",
+            self._settings.name,
+            self._settings.listen.host,
+            self._settings.listen.port,
+        )
+
+    def stop_gracefully(self) -> None:
+        """Refuses new requests; `wait` returns when the others are done."""
+        self._runtime.set_draining()
+        self._stopping.set()
+
+    def wait(self) -> None:
+        """Waits for a stop and then for the answers in flight."""
+        self._stopping.wait()
+        loguru.logger.info("{}: draining", self._settings.name)
+        while self._server.in_flight:
+            gevent.sleep(DRAIN_CHECK_S)
+        self._server.stop()
+        gevent.killall(self._greenlets)
+        self._counts.flush()
+        loguru.logger.info("{}: stopped", self._settings.name)
+
+    def _flush(self) -> None:
+        """Sends the counters each second."""
+        while True:
+            gevent.sleep(FLUSH_S)
+            gap_ms = round(self._runtime.take_longest_gap_s() * 1000)
+            self._counts.gauge(_Counter.LOOP_LONGEST_GAP_MS, gap_ms)
+            active = self._runtime.core.active_count
+            self._counts.gauge(_Counter.GENERATIONS_ACTIVE, active)
+            self._counts.flush()
+
+
+def serve(settings: model.Settings) -> None:
+    """Runs a daemon until SIGTERM and the end of its answers in flight.
+
+    Args:
+        settings: Settings of the daemon.
+
+    Raises:
+        exceptions.SettingsError: The listening address is not available.
+    """
+    logs.configure(settings.log_level)
+    daemon = Daemon(settings)
+    gevent.signal_handler(signal.SIGTERM, daemon.stop_gracefully)
+    gevent.signal_handler(signal.SIGINT, daemon.stop_gracefully)
+    daemon.start()
+    daemon.wait()
--- /dev/null
+++ b/packages/daemon/tests/settings/test_parser.py
@@ -0,0 +1,90 @@
+"""Tests of the settings parser."""
+
+import copy
+import json
+from typing import Any
+
+import pytest
+
+from rattanpulleyd import exceptions
+from rattanpulleyd._internal.settings import parser
+
+VALID: dict[str, Any] = {
+    "name": "entry-1",
+    "failure_domain": "north",
+    "listen": {"host": "127.0.0.1", "port": 8000},
+    "platform": {"url": "http://127.0.0.1:9000"},
+    "statsd": {"host": "127.0.0.1", "port": 8125},
+    "resume_keys": ["00112233445566778899aabbccddeeff"],
+    "account_keys": [],
+    "peers": {
+        "listen": {"host": "127.0.0.1", "port": 8100},
+        "addresses": ["127.0.0.1:8101"],
+        "keys": ["ffeeddccbbaa99887766554433221100"],
+    },
+    "log_level": "INFO",
+}
+
+
+def _changed(path: list[str | int], value: Any) -> Any:
+    settings = copy.deepcopy(VALID)
+    holder: Any = settings
+    for key in path[:-1]:
+        holder = holder[key]
+    holder[path[-1]] = value
+    return settings
+
+
+def test_example_of_the_design_page_is_valid() -> None:
+    """Guards against a parser that refuses the documented form."""
+    settings = parser.parse(json.loads(json.dumps(VALID)))
+    assert settings.listen.port == 8000
+    assert settings.resume_keys == (bytes(range(0, 256, 17)),)
+    assert settings.peers is not None
+    assert settings.peers.addresses[0].port == 8101
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "fault_path"),
+    [
+        (["name"], "", "$.name"),
+        (["name"], "a b", "$.name"),
+        (["listen", "port"], 0, "$.listen.port"),
+        (["listen", "port"], True, "$.listen.port"),
+        (["listen", "prot"], 1, "$.listen.prot"),
+        (["listen"], [], "$.listen"),
+        (["statsd", "host"], "localhost", "$.statsd.host"),
+        (["platform", "url"], "http://platform:9000", "$.platform.url"),
+        (["platform", "url"], "http://127.0.0.1:9000/x", "$.platform.url"),
+        (["platform", "url"], "http://127.0.0.1", "$.platform.url"),
+        (["resume_keys"], [], "$.resume_keys"),
+        (["resume_keys", 0], "0011", "$.resume_keys[0]"),
+        (["account_keys"], ["zz"], "$.account_keys[0]"),
+        (["peers", "addresses", 0], "127.0.0.1", "$.peers.addresses[0]"),
+        (["log_level"], "LOUD", "$.log_level"),
+        (["extra"], 1, "$.extra"),
+    ],
+)
+def test_fault_is_reported_with_its_path(
+    path: list[str | int], value: Any, fault_path: str
+) -> None:
+    """Guards against accepted faults and messages without a position."""
+    with pytest.raises(exceptions.SettingsError) as caught:
+        parser.parse(_changed(path, value))
+    assert caught.value.path == fault_path
+    assert caught.value.hint
+
+
+def test_missing_field_is_reported() -> None:
+    """Guards against a default that the operator did not choose."""
+    settings = copy.deepcopy(VALID)
+    del settings["peers"]
+    with pytest.raises(exceptions.SettingsError, match=r"\$\.peers"):
+        parser.parse(settings)
+
+
+def test_message_does_not_show_keys() -> None:
+    """Guards against secrets in error messages."""
+    with pytest.raises(exceptions.SettingsError) as caught:
+        parser.parse(_changed(["resume_keys", 0], "secret-text"))
+    assert "secret-text" not in str(caught.value)
