--- a/packages/standins/src/rattanpulley_standins/_internal/platform/app.py
+++ b/packages/standins/src/rattanpulley_standins/_internal/platform/app.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 import dataclasses
-import json
 import time
 from typing import Any
 
@@ -101,13 +100,13 @@
     def _put(self, key: str) -> dict[str, Any]:
         self._begin("put")
         expected = _expected_version(may_create=True)
-        body = bottle.request.body.read()
-        if len(body) > store_lib.MAX_VALUE_BYTES:
+        length = bottle.request.content_length
+        if length > store_lib.MAX_VALUE_BYTES:
             raise serving.RequestError(413, "the value is larger than 1 MB")
-        try:
-            value = json.loads(body)
-        except ValueError as error:
-            raise serving.RequestError(422, f"no JSON: {error}") from error
+        body = serving.json_object()
+        if body.keys() != {"value"}:
+            raise serving.RequestError(422, 'the body is not {"value": ...}')
+        value = body["value"]
         return self._write(lambda: self._store.put(key, value, expected))
 
     def _delete(self, key: str) -> dict[str, Any]:
