--- a/packages/standins/src/rattanpulley_standins/_internal/engine/engine.py
+++ b/packages/standins/src/rattanpulley_standins/_internal/engine/engine.py
@@ -181,6 +181,8 @@
             self._next_step_s = now_s + self._interval_s()
         for generation in self.running():
             self._step_generation(generation, now_s, decode)
+        # Slots that became free in this step are used at once.
+        self._admit(now_s)
 
     def next_wake_s(self) -> float:
         """Returns the time of the next work; infinity when there is none."""
