--- a/packages/adapters/src/rattanpulley_adapters/_internal/platform/object_store.py
+++ b/packages/adapters/src/rattanpulley_adapters/_internal/platform/object_store.py
@@ -35,7 +35,7 @@
         """Writes conditionally; see the base class."""
         path = _path(key)
         answer = self._client.call(
-            "PUT", path, value, _condition(expected_version)
+            "PUT", path, {"value": value}, _condition(expected_version)
         )
         _raise_on_conflict(answer, key)
         body = _checked(answer, f"PUT {path}")
