--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/detection/__init__.py
@@ -0,0 +1,1 @@
+"""Detection of stalled streams and of lost targets."""
--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/generations/core.py
@@ -0,0 +1,175 @@
+"""Entry points of the generation subject."""
+
+from collections.abc import Callable
+import dataclasses
+import random
+from typing import Any
+
+from rattanpulley_core._internal.generations import arrivals
+from rattanpulley_core._internal.generations import checks
+from rattanpulley_core._internal.generations import context
+from rattanpulley_core._internal.generations import crashes
+from rattanpulley_core._internal.generations import expiry
+from rattanpulley_core._internal.generations import leaving
+from rattanpulley_core._internal.generations import messages
+from rattanpulley_core._internal.generations import placement
+from rattanpulley_core._internal.generations import probes
+from rattanpulley_core._internal.generations import rows
+from rattanpulley_core._internal.generations import stalls
+from rattanpulley_core._internal.generations import streams
+from rattanpulley_core._internal.resume_token import signer as token_signer
+from rattanpulley_core._internal.suspects import reports
+from rattanpulley_core._internal.targets import choosers
+from rattanpulley_core._internal.targets import table as target_table
+
+_State = rows.GenerationState
+
+_AttemptHandler = Callable[
+    [context.Context, rows.Generation, rows.Attempt, Any, float], None
+]
+_Handler = Callable[[context.Context, Any, float], None]
+
+# Handlers of attempt events by state. Events without a row are counted and
+# ignored; generations without an attempt have none.
+_ATTEMPT_HANDLERS: dict[
+    tuple[_State, type[messages.AttemptEvent]], _AttemptHandler
+] = {
+    (_State.STARTING, messages.AttemptAccepted): streams.on_accepted,
+    (_State.STARTING, messages.TokensReceived): streams.on_tokens,
+    (_State.STARTING, messages.AttemptFinished): streams.on_finished,
+    (_State.STARTING, messages.AttemptFailed): streams.on_failed,
+    (_State.ATTACHING, messages.AttemptAccepted): streams.on_accepted,
+    (_State.ATTACHING, messages.TokensReceived): streams.on_tokens,
+    (_State.ATTACHING, messages.AttemptFinished): streams.on_finished,
+    (_State.ATTACHING, messages.AttemptFailed): streams.on_failed,
+    (_State.PREFILLING, messages.TokensReceived): streams.on_tokens,
+    (_State.PREFILLING, messages.AttemptFinished): streams.on_finished,
+    (_State.PREFILLING, messages.AttemptFailed): streams.on_failed,
+    (_State.STREAMING, messages.AttemptAccepted): streams.on_accepted_late,
+    (_State.STREAMING, messages.TokensReceived): streams.on_tokens,
+    (_State.STREAMING, messages.AttemptFinished): streams.on_finished,
+    (_State.STREAMING, messages.AttemptFailed): streams.on_failed,
+}
+
+_HANDLERS: dict[type[messages.Event], _Handler] = {
+    messages.CallerArrived: arrivals.on_arrived,
+    messages.CallerLeft: arrivals.on_left,
+    messages.ProbeAnswered: probes.on_answered,
+    messages.ProbeFailed: probes.on_failed,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CoreStatus:
+    """What operators may want to know.
+
+    Attributes:
+        active_count: Generations that a caller waits for.
+        generations_by_state: Number of generations by state name.
+        counters_by_name: Counts since the start.
+        journal_bytes: Bytes of all journals.
+        suspect_count: Requests with a crash report.
+    """
+
+    active_count: int
+    generations_by_state: dict[str, int]
+    counters_by_name: dict[str, int]
+    journal_bytes: int
+    suspect_count: int
+
+
+class GenerationCore:
+    """Turns events of callers and targets into actions.
+
+    The core does no I/O. The program carries out the actions in order and
+    passes on what happens as events.
+    """
+
+    def __init__(
+        self,
+        *,
+        target_table: target_table.TargetTable,
+        chooser: choosers.TargetChooser,
+        signer: token_signer.Signer,
+        suspect_table: reports.SuspectTable,
+        rng: random.Random,
+    ) -> None:
+        self._ctx = context.Context(
+            target_table=target_table,
+            chooser=chooser,
+            signer=signer,
+            suspect_table=suspect_table,
+            rng=rng,
+        )
+
+    @property
+    def active_count(self) -> int:
+        """Generations that a caller waits for."""
+        return sum(
+            bool(generation.callers)
+            for generation in self._ctx.generations_by_id.values()
+        )
+
+    def handle(
+        self, event: messages.Event, now_s: float
+    ) -> list[messages.Action]:
+        """Takes an event at monotonic `now_s` and returns what to do."""
+        ctx = self._ctx
+        if isinstance(event, messages.AttemptEvent):
+            self._handle_attempt_event(event, now_s)
+        else:
+            _HANDLERS[type(event)](ctx, event, now_s)
+        return ctx.take_actions()
+
+    def tick(self, now_s: float) -> list[messages.Action]:
+        """Does what is due at monotonic `now_s`; called every 50 ms."""
+        ctx = self._ctx
+        probes.expire(ctx, now_s)
+        probes.probe_lost_targets(ctx, now_s)
+        stalls.run(ctx, now_s)
+        leaving.run(ctx, now_s)
+        crashes.run(ctx, now_s)
+        expiry.run(ctx, now_s)
+        placement.place_waiting(ctx, now_s)
+        placement.expire_waiting(ctx, now_s)
+        ctx.suspects.expire(now_s)
+        return ctx.take_actions()
+
+    def set_draining(self) -> None:
+        """Refuses new requests from now on; running ones finish."""
+        self._ctx.draining = True
+
+    def status(self, now_s: float) -> CoreStatus:
+        """Returns counts for operators at monotonic `now_s`."""
+        ctx = self._ctx
+        by_state = {state.name.lower(): 0 for state in _State}
+        journal_bytes = 0
+        for generation in ctx.generations_by_id.values():
+            by_state[generation.state.name.lower()] += 1
+            journal_bytes += generation.journal.size_bytes()
+        return CoreStatus(
+            active_count=self.active_count,
+            generations_by_state=by_state,
+            counters_by_name=dataclasses.asdict(ctx.counters),
+            journal_bytes=journal_bytes,
+            suspect_count=len(ctx.suspects),
+        )
+
+    def _handle_attempt_event(
+        self, event: messages.AttemptEvent, now_s: float
+    ) -> None:
+        ctx = self._ctx
+        generation = ctx.generations_by_id.get(event.generation_id)
+        attempt = generation.attempt if generation is not None else None
+        if (
+            generation is None
+            or attempt is None
+            or not checks.is_current_attempt(attempt, event.attempt)
+        ):
+            ctx.counters.stale_events += 1
+            return
+        handler = _ATTEMPT_HANDLERS.get((generation.state, type(event)))
+        if handler is None:
+            ctx.counters.unexpected_events += 1
+            return
+        handler(ctx, generation, attempt, event, now_s)
--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/generations/expiry.py
@@ -0,0 +1,62 @@
+"""Deadlines, the reconnect grace and the removal of finished answers."""
+
+from rattanpulley_core import results
+from rattanpulley_core._internal.generations import context
+from rattanpulley_core._internal.generations import delivery
+from rattanpulley_core._internal.generations import lifecycle
+from rattanpulley_core._internal.generations import rows
+
+# Time for a caller to come back after its connection was lost.
+RECONNECT_GRACE_S = 15.0
+
+_State = rows.GenerationState
+_Code = results.ResultCode
+
+
+def run(ctx: context.Context, now_s: float) -> None:
+    """Ends what is past its time."""
+    due: list[rows.Generation] = []
+    for generation in ctx.generations_by_id.values():
+        if generation.next_expiry_s <= now_s:
+            due.append(generation)
+    for generation in due:
+        _expire(ctx, generation, now_s)
+
+
+def schedule(generation: rows.Generation) -> None:
+    """Derives the next time at which a generation has to be looked at."""
+    if generation.callers:
+        deadlines_s = [caller.deadline_s for caller in generation.callers]
+        generation.next_expiry_s = min(deadlines_s)
+    elif generation.state is _State.DONE:
+        generation.next_expiry_s = generation.done_at_s + RECONNECT_GRACE_S
+    elif generation.orphaned_at_s is not None:
+        generation.next_expiry_s = generation.orphaned_at_s + RECONNECT_GRACE_S
+
+
+def _expire(
+    ctx: context.Context, generation: rows.Generation, now_s: float
+) -> None:
+    schedule(generation)
+    if generation.next_expiry_s > now_s:
+        return
+    if not generation.callers:
+        ctx.counters.expired += 1
+        lifecycle.drop(ctx, generation)
+        return
+    code = _deadline_code(generation)
+    for caller in list(generation.callers):
+        if caller.deadline_s <= now_s:
+            delivery.fail_caller(ctx, generation, caller, code)
+    if generation.callers:
+        schedule(generation)
+    else:
+        lifecycle.drop(ctx, generation)
+
+
+def _deadline_code(generation: rows.Generation) -> results.ResultCode:
+    if generation.state is not _State.QUEUED:
+        return _Code.DEADLINE_EXCEEDED
+    if generation.is_resume:
+        return _Code.GENERATION_LOST
+    return _Code.NO_TARGET
--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/generations/lifecycle.py
@@ -0,0 +1,65 @@
+"""Transitions that end or interrupt a generation."""
+
+from rattanpulley_core import results
+from rattanpulley_core._internal.generations import attempts
+from rattanpulley_core._internal.generations import context
+from rattanpulley_core._internal.generations import delivery
+from rattanpulley_core._internal.generations import rows
+
+_State = rows.GenerationState
+
+
+def enqueue(
+    ctx: context.Context, generation: rows.Generation, now_s: float
+) -> None:
+    """Lets a generation without an attempt wait for a target.
+
+    A generation that nobody reads waits for a caller instead, and is removed
+    when no target has worked on it.
+    """
+    if generation.callers:
+        generation.state = _State.QUEUED
+        ctx.queued_by_id[generation.generation_id] = generation
+        if generation.waiting_since_s == 0.0:
+            generation.waiting_since_s = now_s
+        return
+    ctx.queued_by_id.pop(generation.generation_id, None)
+    if generation.is_resume:
+        generation.state = _State.PARKED
+    else:
+        remove(ctx, generation)
+
+
+def interrupt(
+    ctx: context.Context, generation: rows.Generation, now_s: float
+) -> None:
+    """Ends the current attempt, whose connection is closed, and goes on."""
+    attempts.release(ctx, generation)
+    enqueue(ctx, generation, now_s)
+
+
+def end(
+    ctx: context.Context,
+    generation: rows.Generation,
+    code: results.ResultCode,
+    message: str = "",
+) -> None:
+    """Ends a generation with an error for all its callers."""
+    for caller in list(generation.callers):
+        delivery.fail_caller(ctx, generation, caller, code, message)
+    drop(ctx, generation)
+
+
+def drop(ctx: context.Context, generation: rows.Generation) -> None:
+    """Cancels the current attempt and removes the generation."""
+    if generation.attempt is not None:
+        attempts.cancel(ctx, generation)
+    remove(ctx, generation)
+
+
+def remove(ctx: context.Context, generation: rows.Generation) -> None:
+    """Removes a generation from the tables."""
+    if generation.attempt is not None:
+        attempts.release(ctx, generation)
+    ctx.queued_by_id.pop(generation.generation_id, None)
+    ctx.generations_by_id.pop(generation.generation_id, None)
--- a/packages/core/src/rattanpulley_core/_internal/generations/messages.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/messages.py
@@ -60,6 +60,7 @@
         version: Version that the generation is pinned to.
         index: Index of the last token that the caller received; -1 for none.
         chain: Keyed digest over the tokens up to `index`.
+        key_id: Key that signed the event id; empty for the first key.
     """
 
     attempt: int
@@ -67,6 +68,7 @@
     version: str
     index: int
     chain: bytes
+    key_id: str = ""
 
 
 class FailureReason(enum.Enum):
@@ -160,6 +162,7 @@
         leaving: Whether the target says that it is leaving.
         next_index_by_generation_id: Progress of the generations that the probe
             named and the target holds.
+        finished_generation_ids: Those among them whose answer is whole.
     """
 
     target: str
@@ -167,6 +170,7 @@
     boot_id: str
     leaving: bool
     next_index_by_generation_id: dict[str, int]
+    finished_generation_ids: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/generations/placement.py
@@ -0,0 +1,189 @@
+"""The queue of generations that wait for a target.
+
+Resumes come first, by deadline and then by age. New requests wait behind
+queued resumes for the same targets.
+"""
+
+from rattanpulley_core import results
+from rattanpulley_core._internal.generations import attempts
+from rattanpulley_core._internal.generations import context
+from rattanpulley_core._internal.generations import delivery
+from rattanpulley_core._internal.generations import lifecycle
+from rattanpulley_core._internal.generations import rows
+from rattanpulley_core._internal.targets import choosers
+from rattanpulley_core._internal.targets import rows as target_rows
+
+# Longest wait of a new request; afterwards another daemon may do better.
+NEW_REQUEST_WAIT_S = 2.0
+
+_Code = results.ResultCode
+# Pool and version, or None for any version.
+_Group = tuple[str, str | None]
+
+
+def place_waiting(ctx: context.Context, now_s: float) -> None:
+    """Starts as many waiting generations as the targets take."""
+    if not ctx.queued_by_id:
+        return
+    full_groups: set[_Group] = set()
+    for generation in _ordered(ctx):
+        group = (generation.request.pool, generation.version)
+        if group in full_groups:
+            continue
+        excluded = generation.excluded(now_s)
+        if not generation.is_resume:
+            excluded |= _reserved(ctx, generation, full_groups)
+        if place(ctx, generation, now_s, excluded):
+            continue
+        if generation.is_resume and not excluded:
+            full_groups.add(group)
+
+
+def place_new(
+    ctx: context.Context, generation: rows.Generation, now_s: float
+) -> None:
+    """Starts one generation at once unless others wait."""
+    if len(ctx.queued_by_id) > 1:
+        place_waiting(ctx, now_s)
+    else:
+        place(ctx, generation, now_s, generation.excluded(now_s))
+
+
+def place(
+    ctx: context.Context,
+    generation: rows.Generation,
+    now_s: float,
+    excluded: frozenset[str],
+) -> bool:
+    """Starts one generation, or ends it; returns False when it must wait."""
+    fingerprint = generation.request.fingerprint
+    if ctx.suspects.is_refused(fingerprint, now_s):
+        lifecycle.end(ctx, generation, _Code.REQUEST_CRASHES_TARGETS)
+        return True
+    if _is_whole(generation):
+        _leave_queue(ctx, generation)
+        delivery.finish(ctx, generation, "length", now_s)
+        return True
+    if ctx.ledger.is_on_hold(fingerprint, now_s):
+        return False
+    if generation.attach_to is not None and _attach(ctx, generation, now_s):
+        return True
+    if _version_is_gone(ctx, generation):
+        lifecycle.end(ctx, generation, _Code.VERSION_GONE)
+        return True
+    target = _choose(ctx, generation, now_s, excluded)
+    if target is None:
+        return False
+    if generation.needs_permit:
+        ctx.counters.retries += 1
+        generation.needs_permit = False
+    _leave_queue(ctx, generation)
+    attempts.start(ctx, generation, target, now_s)
+    return True
+
+
+def expire_waiting(ctx: context.Context, now_s: float) -> None:
+    """Refuses new requests that have waited too long."""
+    for generation in list(ctx.queued_by_id.values()):
+        if generation.is_resume:
+            continue
+        if now_s - generation.waiting_since_s >= NEW_REQUEST_WAIT_S:
+            lifecycle.end(ctx, generation, _Code.NO_TARGET)
+
+
+def _ordered(ctx: context.Context) -> list[rows.Generation]:
+    return sorted(
+        ctx.queued_by_id.values(),
+        key=lambda generation: (
+            not generation.is_resume,
+            generation.deadline_s,
+            generation.arrived_at_s,
+        ),
+    )
+
+
+def _reserved(
+    ctx: context.Context,
+    generation: rows.Generation,
+    full_groups: set[_Group],
+) -> frozenset[str]:
+    """Returns the targets that queued resumes wait for."""
+    pool = generation.request.pool
+    versions = {version for name, version in full_groups if name == pool}
+    if not versions:
+        return frozenset()
+    return frozenset(
+        target.name
+        for target in ctx.targets.targets_by_name.values()
+        if target.pool == pool
+        and (None in versions or target.version in versions)
+    )
+
+
+def _is_whole(generation: rows.Generation) -> bool:
+    """Returns whether only the final event of the answer is missing."""
+    length = len(generation.journal)
+    return length > 0 and length >= generation.request.sampling.max_tokens
+
+
+def _leave_queue(ctx: context.Context, generation: rows.Generation) -> None:
+    ctx.queued_by_id.pop(generation.generation_id, None)
+
+
+def _attach(
+    ctx: context.Context, generation: rows.Generation, now_s: float
+) -> bool:
+    """Attaches at the target that may hold the generation."""
+    name = generation.attach_to
+    generation.attach_to = None
+    target = ctx.targets.get(name) if name is not None else None
+    if target is None or target.state is target_rows.TargetState.LOST:
+        return False
+    _leave_queue(ctx, generation)
+    attempts.attach(ctx, generation, target, now_s)
+    return True
+
+
+def _version_is_gone(ctx: context.Context, generation: rows.Generation) -> bool:
+    version = generation.version
+    pool = generation.request.pool
+    if version is None or not ctx.targets.knows_pool(pool):
+        return False
+    return not ctx.targets.has_version(pool, version)
+
+
+def _choose(
+    ctx: context.Context,
+    generation: rows.Generation,
+    now_s: float,
+    excluded: frozenset[str],
+) -> target_rows.Target | None:
+    if generation.needs_permit and ctx.retry_budget.available(now_s) < 1.0:
+        return None
+    name = ctx.chooser.choose(
+        query_for(ctx, generation, now_s, excluded), now_s
+    )
+    if name is None:
+        return None
+    if generation.needs_permit:
+        ctx.retry_budget.take_retry(now_s)
+    return ctx.targets.get(name)
+
+
+def query_for(
+    ctx: context.Context,
+    generation: rows.Generation,
+    now_s: float,
+    excluded: frozenset[str],
+) -> choosers.TargetQuery:
+    """Returns what the next attempt of a generation needs."""
+    request = generation.request
+    return choosers.TargetQuery(
+        pool=request.pool,
+        version=generation.version,
+        prefix_block_hashes=generation.prefix_block_hashes,
+        excluded=excluded,
+        is_resume=generation.is_resume,
+        suspect=ctx.suspects.is_suspect(request.fingerprint, now_s),
+        prefix_tokens=len(generation.journal),
+    )
--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/generations/rows.py
@@ -0,0 +1,151 @@
+"""Rows of the generation table."""
+
+import dataclasses
+import enum
+import math
+
+from rattanpulley_core._internal.detection import estimator
+from rattanpulley_core._internal.generations import journal as journals
+from rattanpulley_core._internal.generations import messages
+from rattanpulley_core._internal.targets import rows as target_rows
+
+
+class GenerationState(enum.IntEnum):
+    """Where a generation stands; an integer, so that lookups are cheap."""
+
+    QUEUED = 1  # Waits for a target.
+    STARTING = 2  # An order was sent; the target has not answered.
+    PREFILLING = 3  # The target accepted; no token of the attempt arrived.
+    STREAMING = 4  # Tokens of the attempt arrive.
+    ATTACHING = 5  # An attach was sent; the target has not answered.
+    PARKED = 6  # Has neither a caller nor an attempt.
+    DONE = 7  # The answer is whole and kept for callers that come back.
+
+
+@dataclasses.dataclass(slots=True)
+class Caller:
+    """One reader of a generation.
+
+    Attributes:
+        caller_id: Identifies the connection.
+        deadline_s: Monotonic time by which it must have the whole answer.
+        resume: Position that is not verified yet, or None.
+    """
+
+    caller_id: int
+    deadline_s: float
+    resume: messages.ResumePoint | None
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """The current run of a generation on a target.
+
+    Attributes:
+        number: Number of the attempt, from 1.
+        target: Row of the target.
+        version: Version that the target must answer with.
+        started_at_s: Monotonic time of the order.
+        first_index: Journal length at the start.
+        estimator: Stall threshold.
+        is_resume: Whether it takes a resume slot of the target.
+        is_attach: Whether it reads a generation that the target holds.
+        suspect: Whether the request was a suspect at the start.
+        accepted: Whether the target accepted the order.
+        has_token: Whether a token of the attempt arrived.
+        boot_id: Process of the target; empty when not known.
+        idle_probes: Probes in a row that showed no progress in the engine.
+    """
+
+    number: int
+    target: target_rows.Target
+    version: str
+    started_at_s: float
+    first_index: int
+    estimator: estimator.IntervalEstimator
+    is_resume: bool = False
+    is_attach: bool = False
+    suspect: bool = False
+    accepted: bool = False
+    has_token: bool = False
+    boot_id: str = ""
+    idle_probes: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Generation:
+    """One answer to one request.
+
+    Attributes:
+        request: The request of the first caller.
+        arrived_at_s: Monotonic time of arrival.
+        deadline_s: Latest deadline of its callers.
+        state: Where it stands.
+        journal: Tokens so far.
+        version: Pinned version, or None before the first token.
+        attempt: Current attempt, or None.
+        last_attempt: Number of the newest attempt of any daemon.
+        callers: Readers.
+        may_have_run: Whether a target may have worked on it.
+        was_accepted: Whether a target accepted it, here or at another daemon.
+        needs_permit: Whether the next attempt is a retry that needs a permit.
+        waiting_since_s: Time since which a new request waits for a target.
+        excluded_until_s: Times until which targets are not used for it.
+        last_target: Target of the newest attempt that produced a token.
+        prefix_block_hashes: Hashes of the prompt's prefix blocks.
+        attach_to: Target that may hold the generation, or None.
+        orphaned_at_s: Time since which it has no caller, or None.
+        next_expiry_s: Next time at which a deadline or grace may end.
+        done_at_s: Time at which the answer was whole.
+        finish_reason: Reason of the target.
+    """
+
+    request: messages.GenerationRequest
+    arrived_at_s: float
+    deadline_s: float
+    state: GenerationState = GenerationState.QUEUED
+    journal: journals.Journal = dataclasses.field(
+        default_factory=journals.Journal
+    )
+    version: str | None = None
+    attempt: Attempt | None = None
+    last_attempt: int = 0
+    callers: list[Caller] = dataclasses.field(default_factory=list)
+    may_have_run: bool = False
+    was_accepted: bool = False
+    needs_permit: bool = False
+    waiting_since_s: float = 0.0
+    excluded_until_s: dict[str, float] | None = None
+    last_target: str = ""
+    prefix_block_hashes: tuple[int, ...] = ()
+    attach_to: str | None = None
+    orphaned_at_s: float | None = None
+    next_expiry_s: float = math.inf
+    done_at_s: float = 0.0
+    finish_reason: str = ""
+
+    @property
+    def generation_id(self) -> str:
+        """Identifier of the generation."""
+        return self.request.generation_id
+
+    @property
+    def is_resume(self) -> bool:
+        """Whether the next attempt continues work that a target accepted."""
+        return self.was_accepted or self.may_have_run
+
+    def exclude(self, target: str, until_s: float) -> None:
+        """Keeps the generation off a target until `until_s`."""
+        if self.excluded_until_s is None:
+            self.excluded_until_s = {}
+        self.excluded_until_s[target] = until_s
+
+    def excluded(self, now_s: float) -> frozenset[str]:
+        """Returns the targets that must not be chosen at `now_s`."""
+        if not self.excluded_until_s:
+            return frozenset()
+        return frozenset(
+            name
+            for name, until_s in self.excluded_until_s.items()
+            if until_s > now_s
+        )
--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/generations/stalls.py
@@ -0,0 +1,34 @@
+"""Detection of silent streams, run over the table on each tick."""
+
+from rattanpulley_core._internal.detection import estimator
+from rattanpulley_core._internal.generations import context
+from rattanpulley_core._internal.generations import probes
+from rattanpulley_core._internal.generations import rows
+
+
+def run(ctx: context.Context, now_s: float) -> None:
+    """Probes the targets of streams that have been silent for too long."""
+    stalled_by_target: dict[str, list[rows.Generation]] = {}
+    quiet_since_s = now_s - estimator.MIN_THRESHOLD_S
+    for generation in ctx.generations_by_id.values():
+        attempt = generation.attempt
+        # No threshold is below the minimum, so most streams end here.
+        if attempt is None or attempt.estimator.last_event_s > quiet_since_s:
+            continue
+        if now_s - attempt.estimator.last_event_s > _threshold_s(attempt):
+            stalled = stalled_by_target.setdefault(attempt.target.name, [])
+            stalled.append(generation)
+    for name, stalled in stalled_by_target.items():
+        if name not in ctx.probes_by_target:
+            ctx.counters.stalls += len(stalled)
+            target = stalled[0].attempt
+            assert target is not None
+            probes.send(ctx, target.target, stalled, now_s)
+
+
+def _threshold_s(attempt: rows.Attempt) -> float:
+    if attempt.has_token or attempt.is_attach:
+        return attempt.estimator.threshold_s()
+    return attempt.estimator.first_token_threshold_s(
+        attempt.target.first_token_s
+    )
--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/generations/streams.py
@@ -0,0 +1,299 @@
+"""Handlers of the events of the current attempt."""
+
+from collections.abc import Callable
+
+from rattanpulley_core import results
+from rattanpulley_core._internal.generations import attempts
+from rattanpulley_core._internal.generations import checks
+from rattanpulley_core._internal.generations import context
+from rattanpulley_core._internal.generations import delivery
+from rattanpulley_core._internal.generations import journal as journals
+from rattanpulley_core._internal.generations import lifecycle
+from rattanpulley_core._internal.generations import messages
+from rattanpulley_core._internal.generations import placement
+from rattanpulley_core._internal.generations import probes
+from rattanpulley_core._internal.generations import rows
+
+# A target that refused may have room again soon.
+REFUSED_EXCLUSION_S = 0.5
+# A target whose connection failed is examined by a probe meanwhile.
+FAILED_EXCLUSION_S = 1.0
+# A target that broke the protocol is likely to do so again.
+CORRUPT_EXCLUSION_S = 10.0
+
+_State = rows.GenerationState
+_Reason = messages.FailureReason
+
+
+def on_accepted(
+    ctx: context.Context,
+    generation: rows.Generation,
+    attempt: rows.Attempt,
+    event: messages.AttemptAccepted,
+    now_s: float,
+) -> None:
+    """The target took the order."""
+    attempts.record_accepted(generation, attempt)
+    attempt.boot_id = event.boot_id
+    attempt.target.boot_id = event.boot_id
+    if attempt.is_attach:
+        attempt.estimator.restart(now_s)
+    generation.state = _State.PREFILLING
+
+
+def on_accepted_late(
+    ctx: context.Context,
+    generation: rows.Generation,
+    attempt: rows.Attempt,
+    event: messages.AttemptAccepted,
+    now_s: float,
+) -> None:
+    """The report of the acceptance was overtaken by tokens."""
+    attempt.boot_id = event.boot_id
+
+
+def on_tokens(
+    ctx: context.Context,
+    generation: rows.Generation,
+    attempt: rows.Attempt,
+    event: messages.TokensReceived,
+    now_s: float,
+) -> None:
+    """Tokens arrived."""
+    if not checks.is_pinned_version(attempt, event.version):
+        ctx.counters.version_mismatches += 1
+        end_corrupt(ctx, generation, attempt, now_s)
+        return
+    duplicates = checks.count_duplicates(
+        len(generation.journal), event.first_index
+    )
+    if duplicates is None:
+        ctx.counters.gaps += 1
+        end_corrupt(ctx, generation, attempt, now_s)
+        return
+    tokens = event.tokens
+    if duplicates:
+        ctx.counters.duplicate_tokens += min(duplicates, len(tokens))
+        tokens = tokens[duplicates:]
+        if not tokens:
+            return
+    if len(generation.journal) + len(tokens) > journals.MAX_TOKENS:
+        attempts.cancel(ctx, generation)
+        lifecycle.end(
+            ctx,
+            generation,
+            results.ResultCode.TARGET_ERROR,
+            f"The answer has more than {journals.MAX_TOKENS} tokens.",
+        )
+        return
+    if not attempt.has_token:
+        _begin_stream(ctx, generation, attempt, now_s)
+    attempt.estimator.record(now_s)
+    delivery.append_tokens(ctx, generation, attempt, tokens)
+    if not generation.callers:
+        _drop_if_rejected(ctx, generation)
+
+
+def on_finished(
+    ctx: context.Context,
+    generation: rows.Generation,
+    attempt: rows.Attempt,
+    event: messages.AttemptFinished,
+    now_s: float,
+) -> None:
+    """The target says that the answer is whole."""
+    is_pinned = checks.is_pinned_version(attempt, event.version)
+    ctx.counters.version_mismatches += not is_pinned
+    if not is_pinned or event.token_count != len(generation.journal):
+        end_corrupt(ctx, generation, attempt, now_s)
+        return
+    attempts.record_accepted(generation, attempt)
+    attempts.release(ctx, generation)
+    delivery.finish(ctx, generation, event.finish_reason, now_s)
+    placement.place_waiting(ctx, now_s)
+
+
+def on_failed(
+    ctx: context.Context,
+    generation: rows.Generation,
+    attempt: rows.Attempt,
+    event: messages.AttemptFailed,
+    now_s: float,
+) -> None:
+    """The attempt ended before the answer was whole."""
+    if event.reason not in _WITHOUT_EFFECT:
+        generation.may_have_run = True
+    _FAILURE_HANDLERS[event.reason](ctx, generation, attempt, event, now_s)
+    placement.place_waiting(ctx, now_s)
+
+
+def end_corrupt(
+    ctx: context.Context,
+    generation: rows.Generation,
+    attempt: rows.Attempt,
+    now_s: float,
+) -> None:
+    """Ends an attempt whose events break the protocol."""
+    ctx.counters.corrupt_attempts += 1
+    generation.may_have_run = True
+    generation.exclude(attempt.target.name, now_s + CORRUPT_EXCLUSION_S)
+    attempt.target.consecutive_failures += 1
+    attempts.cancel(ctx, generation)
+    lifecycle.interrupt(ctx, generation, now_s)
+    placement.place_waiting(ctx, now_s)
+
+
+def _begin_stream(
+    ctx: context.Context,
+    generation: rows.Generation,
+    attempt: rows.Attempt,
+    now_s: float,
+) -> None:
+    """Handles the first token of an attempt."""
+    attempts.record_accepted(generation, attempt)
+    attempts.record_first_token(attempt, now_s)
+    attempt.estimator.restart(now_s)
+    generation.state = _State.STREAMING
+    generation.last_target = attempt.target.name
+    if len(generation.journal) == 0:
+        _pin(ctx, generation, attempt.version)
+    if attempt.is_resume:
+        placement.place_waiting(ctx, now_s)
+
+
+def _pin(
+    ctx: context.Context, generation: rows.Generation, version: str
+) -> None:
+    request = generation.request
+    generation.version = version
+    binding = ctx.signer.binding(
+        request.generation_id, request.account, request.fingerprint, version
+    )
+    generation.journal.start_chain(ctx.signer, binding)
+
+
+def _drop_if_rejected(
+    ctx: context.Context, generation: rows.Generation
+) -> None:
+    """Removes a generation whose last caller was rejected just now."""
+    if generation.orphaned_at_s is None:
+        lifecycle.drop(ctx, generation)
+
+
+def _on_not_connected(
+    ctx: context.Context,
+    generation: rows.Generation,
+    attempt: rows.Attempt,
+    event: messages.AttemptFailed,
+    now_s: float,
+) -> None:
+    generation.exclude(attempt.target.name, now_s + FAILED_EXCLUSION_S)
+    _retry(ctx, generation, attempt, now_s)
+    probes.examine(ctx, attempt.target, now_s)
+
+
+def _on_refused(
+    ctx: context.Context,
+    generation: rows.Generation,
+    attempt: rows.Attempt,
+    event: messages.AttemptFailed,
+    now_s: float,
+) -> None:
+    generation.exclude(attempt.target.name, now_s + REFUSED_EXCLUSION_S)
+    _retry(ctx, generation, attempt, now_s)
+
+
+def _on_rejected(
+    ctx: context.Context,
+    generation: rows.Generation,
+    attempt: rows.Attempt,
+    event: messages.AttemptFailed,
+    now_s: float,
+) -> None:
+    attempts.release(ctx, generation)
+    lifecycle.end(
+        ctx, generation, results.ResultCode.TARGET_ERROR, event.message
+    )
+
+
+def _on_not_held(
+    ctx: context.Context,
+    generation: rows.Generation,
+    attempt: rows.Attempt,
+    event: messages.AttemptFailed,
+    now_s: float,
+) -> None:
+    lifecycle.interrupt(ctx, generation, now_s)
+
+
+def _on_reset(
+    ctx: context.Context,
+    generation: rows.Generation,
+    attempt: rows.Attempt,
+    event: messages.AttemptFailed,
+    now_s: float,
+) -> None:
+    target = attempt.target
+    generation.exclude(target.name, now_s + FAILED_EXCLUSION_S)
+    target.consecutive_failures += 1
+    if attempt.accepted:
+        ctx.ledger.record_reset(
+            target.name,
+            target.failure_domain,
+            attempt.boot_id or target.boot_id,
+            generation.request.fingerprint,
+            attempt.has_token,
+            now_s,
+        )
+    attempts.cancel(ctx, generation)
+    probes.examine(ctx, target, now_s)
+    lifecycle.interrupt(ctx, generation, now_s)
+
+
+def _on_corrupt(
+    ctx: context.Context,
+    generation: rows.Generation,
+    attempt: rows.Attempt,
+    event: messages.AttemptFailed,
+    now_s: float,
+) -> None:
+    end_corrupt(ctx, generation, attempt, now_s)
+
+
+def _retry(
+    ctx: context.Context,
+    generation: rows.Generation,
+    attempt: rows.Attempt,
+    now_s: float,
+) -> None:
+    """Retries a request that the target has not accepted."""
+    attempt.target.consecutive_failures += 1
+    if not generation.is_resume:
+        generation.needs_permit = True
+    lifecycle.interrupt(ctx, generation, now_s)
+
+
+_WITHOUT_EFFECT = frozenset(
+    {_Reason.NOT_CONNECTED, _Reason.REFUSED, _Reason.REJECTED, _Reason.NOT_HELD}
+)
+
+_FAILURE_HANDLERS: dict[
+    messages.FailureReason,
+    Callable[
+        [
+            context.Context,
+            rows.Generation,
+            rows.Attempt,
+            messages.AttemptFailed,
+            float,
+        ],
+        None,
+    ],
+] = {
+    _Reason.NOT_CONNECTED: _on_not_connected,
+    _Reason.REFUSED: _on_refused,
+    _Reason.REJECTED: _on_rejected,
+    _Reason.NOT_HELD: _on_not_held,
+    _Reason.RESET: _on_reset,
+    _Reason.CORRUPT: _on_corrupt,
+}
--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/resume_token/signer.py
@@ -0,0 +1,255 @@
+"""Event ids that let a caller reconnect through any daemon.
+
+An event id is the text
+
+    KEY:GENERATION:ATTEMPT:TARGET:VERSION:INDEX:CHAIN:TAG
+
+where target and version are percent-encoded. CHAIN is the keyed digest over
+the tokens up to INDEX. TAG is a keyed digest over the binding of the generation
+to account, fingerprint and version and over the text before it, so that no
+field can be exchanged.
+"""
+
+from collections.abc import Sequence
+import dataclasses
+import hashlib
+import hmac
+import re
+from urllib import parse
+
+DIGEST_BYTES = 16
+# Event ids are request headers; longer ones are refused before any hashing.
+MAX_EVENT_ID_CHARS = 1024
+_MAX_KEY_BYTES = hashlib.blake2b.MAX_KEY_SIZE
+_KEY_ID_BYTES = 4
+
+_PERSON_KEY_ID = b"rp key id"
+_PERSON_BINDING = b"rp binding"
+_PERSON_CHAIN = b"rp chain"
+_PERSON_TAG = b"rp event id"
+
+_EVENT_ID = re.compile(
+    r"(?P<key_id>[0-9a-f]{8}):(?P<generation_id>[0-9a-f]{32})"
+    r":(?P<attempt>[1-9][0-9]{0,8}):(?P<target>[!-9;-~]+)"
+    r":(?P<version>[!-9;-~]+):(?P<index>0|[1-9][0-9]{0,8})"
+    r":(?P<chain>[0-9a-f]{32}):(?P<tag>[0-9a-f]{32})",
+    re.ASCII,
+)
+
+
+class ResumeTokenError(Exception):
+    """An event id is malformed, altered, or belongs to another request."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DecodedEventId:
+    """A verified event id.
+
+    Attributes:
+        key_id: Names the key that signed; chains must be computed with it.
+        generation_id: The generation.
+        attempt: Attempt that delivered the token.
+        target: Target of that attempt.
+        version: Version that the generation is pinned to.
+        index: Index of the token.
+        chain: Keyed digest over the tokens up to `index`.
+    """
+
+    key_id: str
+    generation_id: str
+    attempt: int
+    target: str
+    version: str
+    index: int
+    chain: bytes
+
+
+class EventIdEncoder:
+    """Encodes the event ids of one attempt; its constant part is prepared."""
+
+    __slots__ = ("_hasher", "_prefix")
+
+    def __init__(self, key: bytes, binding: bytes, prefix: str) -> None:
+        self._prefix = prefix
+        self._hasher = hashlib.blake2b(
+            binding + prefix.encode("ascii"),
+            key=key,
+            digest_size=DIGEST_BYTES,
+            person=_PERSON_TAG,
+        )
+
+    def encode(self, index: int, chain: bytes) -> str:
+        """Returns the event id of the token at `index`."""
+        position = f"{index}:{chain.hex()}"
+        hasher = self._hasher.copy()
+        hasher.update(position.encode("ascii"))
+        return f"{self._prefix}{position}:{hasher.hexdigest()}"
+
+
+class Signer:
+    """Computes and verifies event ids and token chains."""
+
+    def __init__(self, keys: Sequence[bytes]) -> None:
+        """Creates a signer.
+
+        Args:
+            keys: Secret keys. The first signs, all verify.
+
+        Raises:
+            ValueError: There is no key, or a key is empty.
+        """
+        if not keys or not all(keys):
+            raise ValueError("at least one key is needed and none may be empty")
+        self._keys_by_id = {
+            _key_id(key): _usable(key) for key in reversed(keys)
+        }
+        self._key_id = _key_id(keys[0])
+        self._key = _usable(keys[0])
+
+    @property
+    def key_id(self) -> str:
+        """Identifier of the key that signs."""
+        return self._key_id
+
+    def for_key(self, key_id: str) -> "Signer":
+        """Returns a signer that signs with the key named `key_id`.
+
+        Raises:
+            ResumeTokenError: The key is not known, for instance rotated out.
+        """
+        if key_id in ("", self._key_id):
+            return self
+        key = self._keys_by_id.get(key_id)
+        if key is None:
+            raise ResumeTokenError(
+                "the event id was signed with an unknown key"
+            )
+        other = Signer.__new__(Signer)
+        other._keys_by_id = self._keys_by_id
+        other._key_id = key_id
+        other._key = key
+        return other
+
+    def binding(
+        self, generation_id: str, account: str, fingerprint: str, version: str
+    ) -> bytes:
+        """Returns the digest that binds a generation to its request."""
+        hasher = hashlib.blake2b(
+            key=self._key, digest_size=DIGEST_BYTES, person=_PERSON_BINDING
+        )
+        for field in (generation_id, account, fingerprint, version):
+            data = field.encode("utf-8", "surrogatepass")
+            hasher.update(len(data).to_bytes(8, "big"))
+            hasher.update(data)
+        return hasher.digest()
+
+    def start_chain(self, binding: bytes) -> bytes:
+        """Returns the chain before the first token."""
+        return hashlib.blake2b(
+            binding,
+            key=self._key,
+            digest_size=DIGEST_BYTES,
+            person=_PERSON_CHAIN,
+        ).digest()
+
+    def extend_chain(self, chain: bytes, token: str) -> bytes:
+        """Returns the chain after one more token."""
+        return hashlib.blake2b(
+            chain + token.encode("utf-8", "surrogatepass"),
+            key=self._key,
+            digest_size=DIGEST_BYTES,
+            person=_PERSON_CHAIN,
+        ).digest()
+
+    def encoder(
+        self,
+        binding: bytes,
+        generation_id: str,
+        attempt: int,
+        target: str,
+        version: str,
+    ) -> EventIdEncoder:
+        """Prepares the event ids of one attempt.
+
+        `binding` must come from this signer's `binding` for the same version.
+        """
+        prefix = (
+            f"{self._key_id}:{generation_id}:{attempt}"
+            f":{parse.quote(target, safe='')}:{parse.quote(version, safe='')}:"
+        )
+        return EventIdEncoder(self._key, binding, prefix)
+
+    def encode(
+        self,
+        binding: bytes,
+        generation_id: str,
+        attempt: int,
+        target: str,
+        version: str,
+        index: int,
+        chain: bytes,
+    ) -> str:
+        """Returns one event id; `encoder` is cheaper for many."""
+        prepared = self.encoder(
+            binding, generation_id, attempt, target, version
+        )
+        return prepared.encode(index, chain)
+
+    def decode(
+        self, text: str, account: str, fingerprint: str
+    ) -> DecodedEventId:
+        """Verifies an event id for the request that carries it.
+
+        Raises:
+            ResumeTokenError: The text is malformed, was altered, was signed
+                with an unknown key, or belongs to another request.
+        """
+        if len(text) > MAX_EVENT_ID_CHARS:
+            raise ResumeTokenError("the event id is too long")
+        found = _EVENT_ID.fullmatch(text)
+        if found is None:
+            raise ResumeTokenError("the event id is malformed")
+        decoded = DecodedEventId(
+            key_id=found["key_id"],
+            generation_id=found["generation_id"],
+            attempt=int(found["attempt"]),
+            target=parse.unquote(found["target"]),
+            version=parse.unquote(found["version"]),
+            index=int(found["index"]),
+            chain=bytes.fromhex(found["chain"]),
+        )
+        expected = self.for_key(decoded.key_id)._reencode(
+            decoded, account, fingerprint
+        )
+        if not hmac.compare_digest(expected, text):
+            raise ResumeTokenError("the event id belongs to another request")
+        return decoded
+
+    def _reencode(
+        self, decoded: DecodedEventId, account: str, fingerprint: str
+    ) -> str:
+        binding = self.binding(
+            decoded.generation_id, account, fingerprint, decoded.version
+        )
+        return self.encode(
+            binding,
+            decoded.generation_id,
+            decoded.attempt,
+            decoded.target,
+            decoded.version,
+            decoded.index,
+            decoded.chain,
+        )
+
+
+def _usable(key: bytes) -> bytes:
+    """Returns the key, hashed when it is longer than BLAKE2b accepts."""
+    if len(key) <= _MAX_KEY_BYTES:
+        return key
+    return hashlib.blake2b(key).digest()
+
+
+def _key_id(key: bytes) -> str:
+    return hashlib.blake2b(
+        key, digest_size=_KEY_ID_BYTES, person=_PERSON_KEY_ID
+    ).hexdigest()
--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/suspects/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of the public module `suspects`."""
--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/suspects/attribution.py
@@ -0,0 +1,206 @@
+"""Which request caused the crash of a target."""
+
+from collections.abc import Iterable
+import dataclasses
+
+from rattanpulley_core._internal.suspects import reports
+
+# Losses of this many targets of one failure domain within the window have a
+# common cause, such as the loss of a rack.
+COMMON_CAUSE_TARGETS = 3
+COMMON_CAUSE_WINDOW_S = 1.0
+# A loss at the end of the window is known after one more probe.
+REPORT_DELAY_S = COMMON_CAUSE_WINDOW_S + 0.25
+
+
+@dataclasses.dataclass(slots=True)
+class CrashCase:
+    """Accepted attempts of one target that were reset, while a probe runs.
+
+    Attributes:
+        target: Name of the target.
+        failure_domain: Its failure domain.
+        boot_id: Process of the target.
+        opened_at_s: Monotonic time of the first reset.
+        has_token_by_fingerprint: Whether every attempt of the request had
+            produced a token on the target.
+    """
+
+    target: str
+    failure_domain: str
+    boot_id: str
+    opened_at_s: float
+    has_token_by_fingerprint: dict[str, bool] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfirmedReport:
+    """A report that peers shall know."""
+
+    fingerprint: str
+    target: str
+    boot_id: str
+
+
+@dataclasses.dataclass(slots=True)
+class _Pending:
+    """Provisional reports of one crash."""
+
+    case: CrashCase
+    fingerprints: tuple[str, ...]
+    decide_at_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Loss:
+    """Loss of a target at a time."""
+
+    target: str
+    failure_domain: str
+    at_s: float
+
+
+class CrashLedger:
+    """Turns resets and probe results into crash reports."""
+
+    def __init__(self, suspect_table: reports.SuspectTable) -> None:
+        self._suspects = suspect_table
+        self._cases_by_target: dict[str, CrashCase] = {}
+        self._pending: list[_Pending] = []
+        self._losses: list[_Loss] = []
+
+    def record_reset(
+        self,
+        target: str,
+        failure_domain: str,
+        boot_id: str,
+        fingerprint: str,
+        has_token: bool,
+        now_s: float,
+    ) -> None:
+        """Records that an accepted attempt was reset."""
+        case = self._cases_by_target.get(target)
+        if case is None:
+            case = CrashCase(target, failure_domain, boot_id, now_s)
+            self._cases_by_target[target] = case
+        had_token = case.has_token_by_fingerprint.get(fingerprint, True)
+        case.has_token_by_fingerprint[fingerprint] = had_token and has_token
+
+    def has_case(self, target: str) -> bool:
+        """Returns whether resets of the target wait for a probe."""
+        return target in self._cases_by_target
+
+    def case_boot_id(self, target: str) -> str:
+        """Returns the process of the resets, or an empty text."""
+        case = self._cases_by_target.get(target)
+        return case.boot_id if case is not None else ""
+
+    def dismiss(self, target: str) -> None:
+        """Records that the target did not crash."""
+        self._cases_by_target.pop(target, None)
+
+    def record_loss(
+        self, target: str, failure_domain: str, now_s: float
+    ) -> None:
+        """Records that a target stopped to answer."""
+        case = self._cases_by_target.get(target)
+        at_s = case.opened_at_s if case is not None else now_s
+        self._losses.append(_Loss(target, failure_domain, at_s))
+
+    def confirm_crash(self, target: str, now_s: float) -> bool:
+        """Attributes the crash; returns whether resets were waiting for it."""
+        case = self._cases_by_target.pop(target, None)
+        if case is None:
+            return False
+        causes = self._causes(case, now_s)
+        for fingerprint in causes:
+            self._suspects.report(
+                fingerprint, target, case.boot_id, now_s, provisional=True
+            )
+        decide_at_s = case.opened_at_s + REPORT_DELAY_S
+        self._pending.append(_Pending(case, causes, max(decide_at_s, now_s)))
+        return True
+
+    def is_on_hold(self, fingerprint: str, now_s: float) -> bool:
+        """Returns whether a second crash of the request is being examined.
+
+        Until then another attempt could cost a third target.
+        """
+        crashes = self._suspects.crash_count(fingerprint, now_s)
+        open_cases = sum(
+            fingerprint in case.has_token_by_fingerprint
+            for case in self._cases_by_target.values()
+        )
+        return crashes + open_cases >= reports.REFUSED_AT_CRASHES
+
+    def settle(self, now_s: float) -> list[ConfirmedReport]:
+        """Confirms or withdraws the provisional reports that are due."""
+        confirmed: list[ConfirmedReport] = []
+        waiting: list[_Pending] = []
+        for pending in self._pending:
+            if pending.decide_at_s > now_s:
+                waiting.append(pending)
+            else:
+                confirmed.extend(self._settle_one(pending, now_s))
+        self._pending = waiting
+        keep_after_s = now_s - 2 * REPORT_DELAY_S
+        self._losses = [
+            loss for loss in self._losses if loss.at_s > keep_after_s
+        ]
+        return confirmed
+
+    def _settle_one(
+        self, pending: _Pending, now_s: float
+    ) -> Iterable[ConfirmedReport]:
+        case = pending.case
+        common_cause = self._has_common_cause(case)
+        for fingerprint in pending.fingerprints:
+            if common_cause:
+                self._suspects.withdraw(fingerprint, case.target, case.boot_id)
+                continue
+            self._suspects.confirm(
+                fingerprint, case.target, case.boot_id, now_s
+            )
+            yield ConfirmedReport(fingerprint, case.target, case.boot_id)
+
+    def _causes(self, case: CrashCase, now_s: float) -> tuple[str, ...]:
+        """Returns the requests that get a report for the crash."""
+        running = case.has_token_by_fingerprint
+        suspects = [
+            fingerprint
+            for fingerprint in running
+            if self._suspects.is_suspect(fingerprint, now_s)
+        ]
+        if not suspects:
+            return tuple(running)
+        if len(suspects) == 1:
+            return tuple(suspects)
+        return tuple(
+            fingerprint for fingerprint in suspects if not running[fingerprint]
+        )
+
+    def _has_common_cause(self, case: CrashCase) -> bool:
+        """Returns whether other targets were lost with this one."""
+        times_s = [
+            loss.at_s
+            for loss in self._losses
+            if loss.failure_domain == case.failure_domain
+        ]
+        return any(
+            self._lost_between(case, start_s) >= COMMON_CAUSE_TARGETS
+            for start_s in times_s
+            if start_s <= case.opened_at_s <= start_s + COMMON_CAUSE_WINDOW_S
+        )
+
+    def _lost_between(self, case: CrashCase, start_s: float) -> int:
+        end_s = start_s + COMMON_CAUSE_WINDOW_S
+        return len(
+            {
+                loss.target
+                for loss in self._losses
+                if loss.failure_domain == case.failure_domain
+                and start_s <= loss.at_s <= end_s
+            }
+        )
--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/suspects/reports.py
@@ -0,0 +1,163 @@
+"""Crash reports by request fingerprint."""
+
+import dataclasses
+
+REPORT_TTL_S = 3600.0
+# A request that was the cause of this many crashes is refused.
+REFUSED_AT_CRASHES = 2
+
+
+@dataclasses.dataclass(slots=True)
+class CrashReport:
+    """One crash that a request is held responsible for.
+
+    Attributes:
+        expires_at_s: Monotonic time at which the report stops counting.
+        provisional: Whether a common cause may still withdraw the report.
+        cleared: Whether the request has since run without a crash.
+    """
+
+    expires_at_s: float
+    provisional: bool = False
+    cleared: bool = False
+
+
+# A crash is identified by the target's name and the boot id that it ended.
+CrashKey = tuple[str, str]
+
+
+class SuspectTable:
+    """Crash reports of this daemon and of its peers.
+
+    A report is identified by fingerprint, target and boot id, so that several
+    reports of one crash count once. One report makes a request a suspect; two
+    make it refused.
+    """
+
+    def __init__(self) -> None:
+        self._reports_by_fingerprint: dict[
+            str, dict[CrashKey, CrashReport]
+        ] = {}
+        self._newly_refused: list[str] = []
+
+    def __len__(self) -> int:
+        return len(self._reports_by_fingerprint)
+
+    def report(
+        self,
+        fingerprint: str,
+        target: str,
+        boot_id: str,
+        now_s: float,
+        provisional: bool = False,
+    ) -> None:
+        """Adds a report of this daemon.
+
+        Args:
+            fingerprint: Content fingerprint of the request.
+            target: Name of the target that crashed.
+            boot_id: Process of the target that crashed.
+            now_s: Monotonic time.
+            provisional: Whether `confirm` or `withdraw` will follow.
+        """
+        expires_at_s = now_s + REPORT_TTL_S
+        self._add(fingerprint, (target, boot_id), expires_at_s, provisional)
+        self._note_refusal(fingerprint, now_s)
+
+    def apply_remote(
+        self,
+        fingerprint: str,
+        target: str,
+        boot_id: str,
+        now_s: float,
+        ttl_s: float = REPORT_TTL_S,
+    ) -> None:
+        """Adds a report of a peer that is valid for `ttl_s` from `now_s`."""
+        ttl_s = min(ttl_s, REPORT_TTL_S)
+        if ttl_s <= 0:
+            return
+        self._add(fingerprint, (target, boot_id), now_s + ttl_s, False)
+        self._note_refusal(fingerprint, now_s)
+
+    def confirm(
+        self, fingerprint: str, target: str, boot_id: str, now_s: float
+    ) -> None:
+        """Makes a provisional report final."""
+        reports = self._reports_by_fingerprint.get(fingerprint, {})
+        found = reports.get((target, boot_id))
+        if found is not None and found.provisional:
+            found.provisional = False
+            self._note_refusal(fingerprint, now_s)
+
+    def withdraw(self, fingerprint: str, target: str, boot_id: str) -> None:
+        """Removes a provisional report."""
+        reports = self._reports_by_fingerprint.get(fingerprint, {})
+        found = reports.get((target, boot_id))
+        if found is not None and found.provisional:
+            del reports[target, boot_id]
+            if not reports:
+                del self._reports_by_fingerprint[fingerprint]
+
+    def clear(self, fingerprint: str) -> None:
+        """Ends the suspicion; the same reports do not count again."""
+        for found in self._reports_by_fingerprint.get(fingerprint, {}).values():
+            found.cleared = True
+
+    def crash_count(self, fingerprint: str, now_s: float) -> int:
+        """Returns how many crashes count, provisional ones included."""
+        return len(self._counting(fingerprint, now_s))
+
+    def is_suspect(self, fingerprint: str, now_s: float) -> bool:
+        """Returns whether a report counts, provisional ones included."""
+        return bool(self._counting(fingerprint, now_s))
+
+    def is_refused(self, fingerprint: str, now_s: float) -> bool:
+        """Returns whether the request is known to crash targets."""
+        counting = self._counting(fingerprint, now_s)
+        final = [found for found in counting if not found.provisional]
+        return len(final) >= REFUSED_AT_CRASHES
+
+    def take_newly_refused(self) -> list[str]:
+        """Returns the fingerprints refused since the last call."""
+        taken = self._newly_refused
+        self._newly_refused = []
+        return taken
+
+    def expire(self, now_s: float) -> None:
+        """Removes reports that have expired."""
+        for fingerprint in list(self._reports_by_fingerprint):
+            reports = self._reports_by_fingerprint[fingerprint]
+            for key in [
+                k for k, r in reports.items() if r.expires_at_s <= now_s
+            ]:
+                del reports[key]
+            if not reports:
+                del self._reports_by_fingerprint[fingerprint]
+
+    def _add(
+        self,
+        fingerprint: str,
+        key: CrashKey,
+        expires_at_s: float,
+        provisional: bool,
+    ) -> None:
+        reports = self._reports_by_fingerprint.setdefault(fingerprint, {})
+        found = reports.get(key)
+        if found is None:
+            reports[key] = CrashReport(expires_at_s, provisional)
+        elif not provisional:
+            found.provisional = False
+
+    def _counting(self, fingerprint: str, now_s: float) -> list[CrashReport]:
+        reports = self._reports_by_fingerprint.get(fingerprint)
+        if not reports:
+            return []
+        return [
+            found
+            for found in reports.values()
+            if not found.cleared and found.expires_at_s > now_s
+        ]
+
+    def _note_refusal(self, fingerprint: str, now_s: float) -> None:
+        if self.is_refused(fingerprint, now_s):
+            self._newly_refused.append(fingerprint)
--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/targets/rows.py
@@ -0,0 +1,98 @@
+"""Rows of the target table."""
+
+import dataclasses
+import enum
+
+from rattanpulley_core._internal.tables import rows as table_rows
+
+# Weight of a new sample in the smoothed time to the first token.
+FIRST_TOKEN_WEIGHT = 0.125
+
+
+class TargetState(enum.Enum):
+    """Whether a target may receive new work."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+    LOST = "lost"
+
+
+@dataclasses.dataclass(slots=True)
+class Target:
+    """What this daemon knows about one target.
+
+    Attributes:
+        name: Unique name.
+        url: Base URL.
+        failure_domain: Failure domain of its host.
+        kind: Engine or service.
+        pool: Pool that it belongs to.
+        version: Version that it runs.
+        state: Whether it may receive new work.
+        in_pool: Whether the pools table still has it. A removed target finishes
+            its work and receives no more.
+        boot_id: Last known process of the target; empty when not known.
+        in_flight: Attempts of this daemon on the target.
+        awaiting_first_token: Those that have not produced a token yet.
+        resumes_awaiting_first_token: Those among them that are resumes.
+        suspects_in_flight: Attempts of requests suspected of crashing targets.
+        first_token_s: Smoothed time to the first token; 0 when not measured.
+        consecutive_failures: Failed attempts since the last token.
+        doubtful: Whether a failed connection is being examined by a probe.
+        leaving_since_s: Monotonic time since which it is leaving, or None.
+        leaving_by_list: Whether the host list says that it is leaving.
+        leaving_by_health: Whether its health answer says so.
+    """
+
+    name: str
+    url: str
+    failure_domain: str
+    kind: table_rows.TargetKind
+    pool: str
+    version: str
+    state: TargetState = TargetState.LIVE
+    in_pool: bool = True
+    boot_id: str = ""
+    in_flight: int = 0
+    awaiting_first_token: int = 0
+    resumes_awaiting_first_token: int = 0
+    suspects_in_flight: int = 0
+    first_token_s: float = 0.0
+    consecutive_failures: int = 0
+    doubtful: bool = False
+    leaving_since_s: float | None = None
+    leaving_by_list: bool = False
+    leaving_by_health: bool = False
+
+    def record_first_token(self, elapsed_s: float) -> None:
+        """Adds a sample of the time to the first token."""
+        if self.first_token_s == 0.0:
+            self.first_token_s = elapsed_s
+            return
+        self.first_token_s += FIRST_TOKEN_WEIGHT * (
+            elapsed_s - self.first_token_s
+        )
+
+    def update_leaving(self, now_s: float) -> None:
+        """Derives state and leaving time from the two sources."""
+        if not (self.leaving_by_list or self.leaving_by_health):
+            self.leaving_since_s = None
+            if self.state is TargetState.LEAVING:
+                self.state = TargetState.LIVE
+            return
+        if self.leaving_since_s is None:
+            self.leaving_since_s = now_s
+        if self.state is TargetState.LIVE:
+            self.state = TargetState.LEAVING
+
+    def mark_lost(self) -> None:
+        """Records that a probe found the target dead or unreachable."""
+        self.state = TargetState.LOST
+        self.doubtful = False
+
+    def mark_alive(self, now_s: float) -> None:
+        """Records that a probe was answered."""
+        self.doubtful = False
+        if self.state is TargetState.LOST:
+            self.state = TargetState.LIVE
+        self.update_leaving(now_s)
--- a/packages/core/src/rattanpulley_core/generations.py
+++ b/packages/core/src/rattanpulley_core/generations.py
@@ -1,6 +1,10 @@
 """Public names of the generation subject."""
 
+from rattanpulley_core._internal.generations import core
+from rattanpulley_core._internal.generations import expiry
+from rattanpulley_core._internal.generations import journal
 from rattanpulley_core._internal.generations import messages
+from rattanpulley_core._internal.generations import rows
 
 Sampling = messages.Sampling
 GenerationRequest = messages.GenerationRequest
@@ -26,3 +30,9 @@
 FinishAnswer = messages.FinishAnswer
 FailAnswer = messages.FailAnswer
 PublishCrashReport = messages.PublishCrashReport
+
+GenerationCore = core.GenerationCore
+CoreStatus = core.CoreStatus
+GenerationState = rows.GenerationState
+RECONNECT_GRACE_S = expiry.RECONNECT_GRACE_S
+MAX_TOKENS = journal.MAX_TOKENS
--- /dev/null
+++ b/packages/core/src/rattanpulley_core/suspects.py
@@ -0,0 +1,6 @@
+"""Public names of the suspects subject."""
+
+from rattanpulley_core._internal.suspects import reports
+
+REPORT_TTL_S = reports.REPORT_TTL_S
+SuspectTable = reports.SuspectTable
