--- a/packages/adapters/src/rattanpulley_adapters/_internal/platform/host_list.py
+++ b/packages/adapters/src/rattanpulley_adapters/_internal/platform/host_list.py
@@ -4,7 +4,6 @@
 
 from rattanpulley_adapters._internal.platform import http_json
 from rattanpulley_core import interfaces
-from rattanpulley_core._internal.targets import hosts
 
 
 class HttpHostList(interfaces.HostList):
@@ -40,5 +39,5 @@
         url=row["url"],
         kind=row["kind"],
         version=row["version"],
-        state=hosts.HostState(row["state"]),
+        state=interfaces.HostState(row["state"]),
     )
--- a/packages/core/src/rattanpulley_core/interfaces.py
+++ b/packages/core/src/rattanpulley_core/interfaces.py
@@ -107,6 +107,7 @@
 
 
 HostEntry = hosts.HostEntry
+HostState = hosts.HostState
 
 
 class HostList(abc.ABC):
--- a/packages/daemon/src/rattanpulleyd/_internal/api/answers.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/answers.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 from rattanpulley_core import generations
+from rattanpulley_core import resume_token
 from rattanpulleyd._internal.api import caller
 from rattanpulleyd._internal.api import errors
 from rattanpulleyd._internal.api import openai_format
@@ -95,6 +96,43 @@
         return errors.error_event(delivery)
 
 
+def event_ids(
+    signer: resume_token.Signer, request: generations.GenerationRequest
+) -> openai_format.EventIdOf:
+    """Returns a function that encodes event ids of one answer.
+
+    The part of an event id that is constant for an attempt is prepared once.
+
+    Args:
+        signer: Signs the event ids.
+        request: The routed request.
+    """
+    encoders: dict[tuple[int, str, str], resume_token.EventIdEncoder] = {}
+
+    def encoder_of(
+        action: generations.DeliverTokens,
+    ) -> resume_token.EventIdEncoder:
+        key = (action.attempt, action.target, action.version)
+        encoder = encoders.get(key)
+        if encoder is None:
+            binding = signer.binding(
+                request.generation_id,
+                request.account,
+                request.fingerprint,
+                action.version,
+            )
+            encoder = signer.encoder(binding, request.generation_id, *key)
+            encoders[key] = encoder
+        return encoder
+
+    def event_id_of(action: generations.DeliverTokens, position: int) -> str:
+        return encoder_of(action).encode(
+            action.first_index + position, action.chains[position]
+        )
+
+    return event_id_of
+
+
 def read_whole(call: Call) -> tuple[str, generations.FinishAnswer]:
     """Waits for the end of an answer and returns its text.
 
--- a/packages/daemon/src/rattanpulleyd/_internal/api/app.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/app.py
@@ -77,6 +77,10 @@
 
     def _service(self, service: str, path: str) -> bytes:
         account = self._accept()
+        if self._runtime.draining:
+            raise exceptions.RequestError(
+                results.ResultCode.DRAINING, "This daemon is stopping."
+            )
         route = router.service_route(self._runtime.config.routes, service)
         return self._services.answer(route, account, path)
 
@@ -97,10 +101,6 @@
     def _accept(self) -> str:
         """Counts a new request and returns its account."""
         self._runtime.counts.count(_Counter.REQUESTS)
-        if self._runtime.draining:
-            raise exceptions.RequestError(
-                results.ResultCode.DRAINING, "This daemon is stopping."
-            )
         return self._account()
 
     def _generate(self, is_chat: bool) -> Any:
@@ -148,6 +148,30 @@
         bottle.response.set_header("Cache-Control", "no-cache")
         return answers.StreamBody(call, first, stream_format)
 
+    def _verify(
+        self, event_id: str, account: str, fingerprint: str, stream: bool
+    ) -> tuple[str, generations.ResumePoint]:
+        """Returns the generation and the position that an event id proves."""
+        if not stream:
+            raise request_parser.malformed(
+                "$.stream", "must be true with Last-Event-ID"
+            )
+        try:
+            found = self._signer.decode(event_id, account, fingerprint)
+        except resume_token.ResumeTokenError as error:
+            raise exceptions.RequestError(
+                results.ResultCode.RESUME_TOKEN_INVALID, str(error)
+            ) from error
+        resume = generations.ResumePoint(
+            attempt=found.attempt,
+            target=found.target,
+            version=found.version,
+            index=found.index,
+            chain=found.chain,
+            key_id=found.key_id,
+        )
+        return found.generation_id, resume
+
     def _request(
         self, account: str, parsed: request_parser.ParsedRequest
     ) -> tuple[generations.GenerationRequest, generations.ResumePoint | None]:
--- a/packages/daemon/src/rattanpulleyd/_internal/api/service_calls.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/service_calls.py
@@ -1,6 +1,9 @@
 """Calls to plain services."""
 
-import random
+from collections.abc import Iterator
+import contextlib
+import secrets
+import urllib.parse
 
 import bottle
 
@@ -8,6 +11,7 @@
 from rattanpulley_core import interfaces
 from rattanpulley_core import results
 from rattanpulley_core import tables
+from rattanpulley_core import targets
 from rattanpulleyd import exceptions
 from rattanpulleyd._internal.api import http_io
 from rattanpulleyd._internal.runtime import runtime as runtime_lib
@@ -35,7 +39,7 @@
         runtime: runtime_lib.Runtime,
         service: interfaces.ServiceApi,
         store: interfaces.ObjectStore,
-        rng: random.Random,
+        chooser: targets.TargetChooser,
     ) -> None:
         """Prepares the calls.
 
@@ -44,13 +48,13 @@
             runtime: Runtime of the daemon.
             service: Makes the calls.
             store: Holds the claims of calls that must run at most once.
-            rng: Source of the choice between targets.
+            chooser: Chooses between the targets.
         """
         self._name = name
         self._runtime = runtime
         self._service = service
         self._store = store
-        self._rng = rng
+        self._chooser = chooser
 
     def answer(self, route: tables.Route, account: str, path: str) -> bytes:
         """Answers the current request.
@@ -84,7 +88,8 @@
             tried.add(target.name)
             order = _order(route, target, path, body, fresh=False)
             try:
-                return self._service.call(order)
+                with self._in_flight(target):
+                    return self._service.call(order)
             except interfaces.ServiceNotSentError:
                 self._runtime.counts.count(_Counter.SERVICE_CALLS_FAILED)
             except interfaces.ServiceUnknownError:
@@ -116,18 +121,77 @@
                 fingerprint=claims.request_fingerprint(
                     route.name, method, order.path, body
                 ),
-                token=_token(),
+                token=secrets.token_hex(TOKEN_BYTES),
                 daemon=self._name,
                 max_call_s=route.max_call_s,
                 order=order,
             )
         )
-        answer = claims.run(
-            call, self._store, self._service, self._runtime.clock
-        )
+        with self._in_flight(target):
+            answer = claims.run(
+                call, self._store, self._service, self._runtime.clock
+            )
         if answer.response is None:
             self._runtime.counts.count(_Counter.SERVICE_CALLS_FAILED)
             raise exceptions.RequestError(
                 answer.code, answer.message, answer.run_state
             )
         return answer.response
+
+    def _choose(
+        self, route: tables.Route, excluded: set[str]
+    ) -> targets.Target | None:
+        """Returns a target of the route's pool that may take a call."""
+        query = targets.TargetQuery(
+            pool=route.pool,
+            excluded=frozenset(excluded),
+            kind=tables.TargetKind.SERVICE,
+        )
+        now_s = self._runtime.clock.monotonic_s()
+        name = self._chooser.choose(query, now_s)
+        return self._runtime.target_table.get(name) if name else None
+
+    @contextlib.contextmanager
+    def _in_flight(self, target: targets.Target) -> Iterator[None]:
+        """Counts a call on a target, so that calls spread over the targets."""
+        target.in_flight += 1
+        try:
+            yield
+        finally:
+            target.in_flight -= 1
+            self._runtime.target_table.remove_unused(target)
+
+
+def _order(
+    route: tables.Route,
+    target: targets.Target,
+    path: str,
+    body: bytes,
+    fresh: bool,
+) -> interfaces.ServiceOrder:
+    """Returns the call to a target for the current request."""
+    headers = tuple(
+        (name, http_io.header(name))
+        for name in _PASSED_HEADERS
+        if http_io.header(name)
+    )
+    query = bottle.request.query_string
+    suffix = f"?{query}" if query else ""
+    return interfaces.ServiceOrder(
+        target=target.name,
+        url=target.url,
+        path=f"/{urllib.parse.quote(path)}{suffix}",
+        method=bottle.request.method,
+        headers=headers,
+        body=body,
+        timeout_s=route.max_call_s,
+        fresh_connection=fresh,
+    )
+
+
+def _passed_on(answer: interfaces.ServiceAnswer) -> bytes:
+    """Sets status and headers of a service's answer and returns its body."""
+    bottle.response.status = answer.status
+    for name, value in answer.headers:
+        bottle.response.set_header(name, value)
+    return answer.body
--- a/packages/daemon/src/rattanpulleyd/_internal/api/status.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/status.py
@@ -1,5 +1,6 @@
 """Answers of GET /ready and GET /status."""
 
+import dataclasses
 from typing import Any
 
 from rattanpulley_core import tables
@@ -37,7 +38,7 @@
             kind.value: _table_report(runtime.config, kind, now_s)
             for kind in tables.TableKind
         },
-        "generations": runtime.core.status(now_s),
+        "generations": dataclasses.asdict(runtime.core.status(now_s)),
         "counters": runtime.counts.totals_by_name(),
     }
 
--- a/packages/daemon/src/rattanpulleyd/_internal/engine/http_engine.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/engine/http_engine.py
@@ -78,6 +78,9 @@
     def _spawn(self, order: orders.Order, sink: interfaces.EventSink) -> None:
         """Starts the greenlet of an attempt."""
         key = (order.generation_id, order.attempt)
+        earlier = self._attempts_by_key.pop(key, None)
+        if earlier is not None:
+            _stop(*earlier)
         run = attempt.Attempt(order, sink)
         self._attempts_by_key[key] = (run, gevent.spawn(self._run, key, run))
 
--- a/packages/daemon/src/rattanpulleyd/_internal/engine/prober.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/engine/prober.py
@@ -1,15 +1,21 @@
 """Asks a target on a new connection whether it lives."""
 
+import contextlib
 from http import client
 import json
+from typing import Any
 
 import gevent
+import urllib3.connection
 
 from rattanpulley_core import generations
 from rattanpulley_core import interfaces
 from rattanpulleyd._internal.engine import connection
 from rattanpulleyd._internal.engine import orders
 
+# The generation part waits 0.75 s for the report of a probe.
+PROGRESS_TIMEOUT_S = 0.4
+
 _BROKEN = (*connection.CallError, client.HTTPException)
 
 
@@ -29,8 +35,7 @@
     refused = False
     event: generations.ProbeAnswered | generations.ProbeFailed | None = None
     try:
-        with gevent.Timeout(order.timeout_s):
-            event = _ask(order)
+        event = _ask(order)
     except gevent.Timeout:
         refused = False
     except (*_BROKEN, ProbeRefusedError) as error:
@@ -54,25 +59,11 @@
 
 def _ask(order: generations.ProbeTarget) -> generations.ProbeAnswered:
     """Reads the target's state and the progress of the generations."""
-    opened = connection.connect(order.url, order.timeout_s)
+    with gevent.Timeout(order.timeout_s):
+        opened, health = _health(order)
     try:
-        response = connection.send(
-            opened,
-            orders.HttpRequest("GET", "/health", None),
-            order.timeout_s,
-        )
-        health = connection.read_json(response)
-        if not isinstance(health, dict) or "boot_id" not in health:
-            raise ProbeRefusedError(json.dumps(health)[:200])
-        progress: dict[str, int] = {}
-        for generation_id in order.generation_ids:
-            request = orders.HttpRequest(
-                "GET", orders.progress_path(generation_id), None
-            )
-            response = connection.send(opened, request, order.timeout_s)
-            row = connection.read_json(response)
-            if response.status == 200 and isinstance(row, dict):
-                progress[generation_id] = int(row.get("next_index", 0))
+        progress = _Progress()
+        progress.read(opened, order.generation_ids)
     finally:
         opened.close()
     return generations.ProbeAnswered(
@@ -80,5 +71,67 @@
         probe_id=order.probe_id,
         boot_id=str(health["boot_id"]),
         leaving=health.get("state") == "leaving",
-        next_index_by_generation_id=progress,
+        next_index_by_generation_id=progress.next_index_by_generation_id,
+        finished_generation_ids=frozenset(progress.finished),
     )
+
+
+def _health(
+    order: generations.ProbeTarget,
+) -> tuple[urllib3.connection.HTTPConnection, dict[str, Any]]:
+    """Returns a new connection and the target's state."""
+    opened = connection.connect(order.url, order.timeout_s)
+    try:
+        request = orders.HttpRequest("GET", "/health", None)
+        response = connection.send(opened, request, order.timeout_s)
+        health = connection.read_json(response)
+        if not isinstance(health, dict) or "boot_id" not in health:
+            raise ProbeRefusedError(json.dumps(health)[:200])
+    except BaseException:
+        opened.close()
+        raise
+    return opened, health
+
+
+class _Progress:
+    """Progress of generations on a target that is alive."""
+
+    def __init__(self) -> None:
+        self.next_index_by_generation_id: dict[str, int] = {}
+        self.finished: set[str] = set()
+
+    def read(
+        self,
+        opened: urllib3.connection.HTTPConnection,
+        generation_ids: tuple[str, ...],
+    ) -> None:
+        """Asks for each generation until time runs out.
+
+        A generation without an answer counts as held without progress: the
+        target is alive, and a missing entry would say that it holds nothing.
+        """
+        self.next_index_by_generation_id = dict.fromkeys(generation_ids, 0)
+        with (
+            contextlib.suppress(*_BROKEN, gevent.Timeout),
+            gevent.Timeout(PROGRESS_TIMEOUT_S),
+        ):
+            for generation_id in generation_ids:
+                self._read_one(opened, generation_id)
+
+    def _read_one(
+        self, opened: urllib3.connection.HTTPConnection, generation_id: str
+    ) -> None:
+        """Asks for one generation."""
+        request = orders.HttpRequest(
+            "GET", orders.progress_path(generation_id), None
+        )
+        response = connection.send(opened, request, PROGRESS_TIMEOUT_S)
+        row = connection.read_json(response)
+        if response.status == 404:
+            del self.next_index_by_generation_id[generation_id]
+            return
+        if isinstance(row, dict) and type(row.get("next_index")) is int:
+            next_index = row["next_index"]
+            self.next_index_by_generation_id[generation_id] = next_index
+            if row.get("finished"):
+                self.finished.add(generation_id)
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/daemon.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/daemon.py
@@ -53,7 +53,9 @@
         self._stopping = gevent.event.Event()
         self._greenlets: list[gevent.Greenlet] = []
         signer = resume_token.Signer(settings.resume_keys)
-        self._runtime = self._build_runtime(signer)
+        target_table = targets.TargetTable(settings.failure_domain)
+        self._chooser = targets.LeastOutstandingChooser(target_table, self._rng)
+        self._runtime = self._build_runtime(signer, target_table)
         api = app.CallerApi(
             settings, self._runtime, signer, self._build_services()
         )
@@ -65,13 +67,12 @@
             ) from error
 
     def _build_runtime(
-        self, signer: resume_token.Signer
+        self, signer: resume_token.Signer, target_table: targets.TargetTable
     ) -> runtime_lib.Runtime:
         """Builds the core parts and the engine client."""
-        target_table = targets.TargetTable(self._settings.failure_domain)
         core = generations.GenerationCore(
             target_table=target_table,
-            chooser=targets.LeastOutstandingChooser(target_table, self._rng),
+            chooser=self._chooser,
             signer=signer,
             suspect_table=suspects.SuspectTable(),
             rng=self._rng,
@@ -92,7 +93,7 @@
             runtime=self._runtime,
             service=http_service.HttpServiceApi(),
             store=self._store,
-            rng=self._rng,
+            chooser=self._chooser,
         )
 
     def start(self) -> None:
