Keep background jobs running and notice callers that left

Cause: a failed watch or tick would leave a daemon that looks healthy, and a caller of a whole answer was not missed before the end.

--- a/packages/daemon/src/rattanpulleyd/_internal/api/answers.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/answers.py
@@ -1,9 +1,11 @@
 """Bodies of the answers to generation requests."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from rattanpulley_core import generations
+from rattanpulley_core import results
 from rattanpulley_core import resume_token
+from rattanpulleyd import exceptions
 from rattanpulleyd._internal.api import caller
 from rattanpulleyd._internal.api import errors
 from rattanpulleyd._internal.api import openai_format
@@ -133,18 +135,29 @@
     return event_id_of
 
 
-def read_whole(call: Call) -> tuple[str, generations.FinishAnswer]:
+def read_whole(
+    call: Call, is_connected: Callable[[], bool]
+) -> tuple[str, generations.FinishAnswer]:
     """Waits for the end of an answer and returns its text.
 
+    Nothing is written before the end, so that the loss of the caller has to be
+    looked for.
+
     Args:
         call: The caller's request.
+        is_connected: Returns whether the caller still waits.
 
     Raises:
-        exceptions.RequestError: The answer failed.
+        exceptions.RequestError: The answer failed or the caller left.
     """
     tokens: list[str] = []
     while True:
-        for delivery in call.take():
+        deliveries = call.take()
+        if not deliveries and not is_connected():
+            raise exceptions.RequestError(
+                results.ResultCode.OUTCOME_UNKNOWN, "The caller left."
+            )
+        for delivery in deliveries:
             if isinstance(delivery, generations.DeliverTokens):
                 tokens.extend(delivery.tokens)
             elif isinstance(delivery, generations.FinishAnswer):
--- a/packages/daemon/src/rattanpulleyd/_internal/api/app.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/app.py
@@ -1,6 +1,5 @@
 """Caller API."""
 
-import time
 from typing import Any
 
 import bottle
@@ -114,7 +113,7 @@
         head = openai_format.AnswerHead(
             generation_id=request.generation_id,
             model=parsed.model,
-            created_s=int(time.time()),
+            created_s=int(self._runtime.clock.wall_s()),
             is_chat=is_chat,
             include_usage=parsed.include_usage,
         )
@@ -122,7 +121,7 @@
         if parsed.stream:
             return self._stream(call, head, request)
         try:
-            text, finish = answers.read_whole(call)
+            text, finish = answers.read_whole(call, http_io.is_connected)
         finally:
             call.close()
         return openai_format.whole_answer(head, text, finish)
--- a/packages/daemon/src/rattanpulleyd/_internal/api/http_io.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/http_io.py
@@ -2,15 +2,18 @@
 
 from collections.abc import Callable
 import json
+import socket
 from typing import Any
 
 import bottle
+import gevent.select
 import loguru
 
 from rattanpulley_core import results
 from rattanpulleyd import exceptions
 from rattanpulleyd._internal.api import errors
 from rattanpulleyd._internal.api import request_parser
+from rattanpulleyd._internal.runtime import http_server
 from rattanpulleyd._internal.telemetry import counters
 
 _Code = results.ResultCode
@@ -59,6 +62,16 @@
     return str(value) if value else ""
 
 
+def is_connected() -> bool:
+    """Returns whether the caller of the current request still waits."""
+    connection = bottle.request.environ[http_server.SOCKET_KEY]
+    try:
+        readable, _, _ = gevent.select.select([connection], [], [], 0)
+        return not readable or bool(connection.recv(1, socket.MSG_PEEK))
+    except (OSError, ValueError):
+        return False
+
+
 def _too_long(limit_bytes: int) -> exceptions.RequestError:
     return request_parser.malformed(
         "$", f"the body is longer than {limit_bytes} bytes"
--- a/packages/daemon/src/rattanpulleyd/_internal/api/openai_format.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/openai_format.py
@@ -64,7 +64,11 @@
             '"choices":['
         )
         field = '"delta":{"content":' if head.is_chat else '"text":'
+        first_field = '"delta":{"role":"assistant","content":'
         close = "}" if head.is_chat else ""
+        self._first_token_start = (
+            f'data: {self._start}{{"index":0,{first_field}'
+        )
         self._token_start = f'data: {self._start}{{"index":0,{field}'
         self._token_end = (
             f'{close},"logprobs":null,"finish_reason":null}}]}}\n\n'
@@ -80,9 +84,11 @@
         event_id = self._last_event_id
         for position, token in enumerate(action.tokens):
             event_id = self._event_id_of(action, position)
+            start = self._token_start
+            if self._head.is_chat and action.first_index + position == 0:
+                start = self._first_token_start
             parts.append(
-                f"id: {event_id}\n{self._token_start}{_quote(token)}"
-                f"{self._token_end}"
+                f"id: {event_id}\n{start}{_quote(token)}{self._token_end}"
             )
         self._last_event_id = event_id
         return "".join(parts).encode()
--- a/packages/daemon/src/rattanpulleyd/_internal/api/service_calls.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/service_calls.py
@@ -1,6 +1,6 @@
 """Calls to plain services."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 import contextlib
 import secrets
 import urllib.parse
@@ -29,6 +29,10 @@
 _PASSED_HEADERS = ("Accept", "Content-Type", "Idempotency-Key")
 
 
+def _new_token() -> str:
+    return secrets.token_hex(TOKEN_BYTES)
+
+
 class ServiceCalls:
     """Answers the requests for plain services."""
 
@@ -40,6 +44,7 @@
         service: interfaces.ServiceApi,
         store: interfaces.ObjectStore,
         chooser: targets.TargetChooser,
+        new_token: Callable[[], str] = _new_token,
     ) -> None:
         """Prepares the calls.
 
@@ -49,12 +54,14 @@
             service: Makes the calls.
             store: Holds the claims of calls that must run at most once.
             chooser: Chooses between the targets.
+            new_token: Returns a unique token for a claim.
         """
         self._name = name
         self._runtime = runtime
         self._service = service
         self._store = store
         self._chooser = chooser
+        self._new_token = new_token
 
     def answer(self, route: tables.Route, account: str, path: str) -> bytes:
         """Answers the current request.
@@ -106,12 +113,41 @@
     def _call_claimed(
         self, route: tables.Route, account: str, path: str, body: bytes
     ) -> interfaces.ServiceAnswer:
-        """Makes a call that must run at most once."""
-        target = self._choose(route, set())
-        if target is None:
+        """Makes a call that must run at most once.
+
+        A call that reached no target is recorded as not run and may be claimed
+        again, for another target.
+        """
+        tried: set[str] = set()
+        answer: claims.Answer | None = None
+        for _ in range(MAX_TRIES):
+            target = self._choose(route, tried)
+            if target is None:
+                break
+            tried.add(target.name)
+            answer = self._claim(route, account, target, path, body)
+            if answer.code is not _Code.NO_TARGET:
+                break
+        if answer is None:
             raise exceptions.RequestError(
                 _Code.NO_TARGET, "No target of the service stands ready."
             )
+        if answer.response is None:
+            self._runtime.counts.count(_Counter.SERVICE_CALLS_FAILED)
+            raise exceptions.RequestError(
+                answer.code, answer.message, answer.run_state
+            )
+        return answer.response
+
+    def _claim(
+        self,
+        route: tables.Route,
+        account: str,
+        target: targets.Target,
+        path: str,
+        body: bytes,
+    ) -> claims.Answer:
+        """Claims a call and makes it on one target."""
         method = bottle.request.method
         order = _order(route, target, path, body, fresh=True)
         call = claims.ClaimCall(
@@ -121,22 +157,16 @@
                 fingerprint=claims.request_fingerprint(
                     route.name, method, order.path, body
                 ),
-                token=secrets.token_hex(TOKEN_BYTES),
+                token=self._new_token(),
                 daemon=self._name,
                 max_call_s=route.max_call_s,
                 order=order,
             )
         )
         with self._in_flight(target):
-            answer = claims.run(
+            return claims.run(
                 call, self._store, self._service, self._runtime.clock
             )
-        if answer.response is None:
-            self._runtime.counts.count(_Counter.SERVICE_CALLS_FAILED)
-            raise exceptions.RequestError(
-                answer.code, answer.message, answer.run_state
-            )
-        return answer.response
 
     def _choose(
         self, route: tables.Route, excluded: set[str]
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/daemon.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/daemon.py
@@ -1,5 +1,6 @@
 """Builds the daemon's parts, runs them and stops them."""
 
+from collections.abc import Callable
 import random
 import signal
 
@@ -29,6 +30,11 @@
 
 FLUSH_S = 1.0
 DRAIN_CHECK_S = 0.05
+# Requests that were on their way when the listening socket closed are still
+# refused with an answer.
+LINGER_S = 0.25
+JOB_RESTART_S = 1.0
+CORE_PREFIX = "generation"
 
 _Counter = counters.Counter
 
@@ -113,7 +119,7 @@
             runtime.apply_hosts,
         )
         jobs = (watch.run, poll.run, runtime.run_ticks, self._flush)
-        self._greenlets = [gevent.spawn(job) for job in jobs]
+        self._greenlets = [gevent.spawn(self._keep_running, j) for j in jobs]
         self._server.start()
         loguru.logger.info(
             "{}: listening on {}:{}",
@@ -122,6 +128,26 @@
             self._settings.listen.port,
         )
 
+    def _keep_running(self, job: Callable[[], None]) -> None:
+        """Starts a job again when it fails.
+
+        A daemon whose watch or tick ended would look healthy and serve with
+        old tables.
+        """
+        while True:
+            greenlet = gevent.spawn(job)
+            try:
+                greenlet.join()
+            finally:
+                greenlet.kill(block=False)
+            self._counts.count(_Counter.JOBS_FAILED)
+            loguru.logger.error(
+                "{}: a background job failed: {!r}",
+                self._settings.name,
+                greenlet.exception,
+            )
+            gevent.sleep(JOB_RESTART_S)
+
     def stop_gracefully(self) -> None:
         """Refuses new requests; `wait` returns when the others are done."""
         self._runtime.set_draining()
@@ -131,21 +157,29 @@
         """Waits for a stop and then for the answers in flight."""
         self._stopping.wait()
         loguru.logger.info("{}: draining", self._settings.name)
-        while self._server.in_flight:
-            gevent.sleep(DRAIN_CHECK_S)
+        self._wait_for_answers()
+        self._server.stop_accepting()
+        gevent.sleep(LINGER_S)
+        self._wait_for_answers()
         self._server.stop()
         gevent.killall(self._greenlets)
         self._counts.flush()
         loguru.logger.info("{}: stopped", self._settings.name)
 
+    def _wait_for_answers(self) -> None:
+        while self._server.in_flight:
+            gevent.sleep(DRAIN_CHECK_S)
+
     def _flush(self) -> None:
         """Sends the counters each second."""
         while True:
             gevent.sleep(FLUSH_S)
             gap_ms = round(self._runtime.take_longest_gap_s() * 1000)
             self._counts.gauge(_Counter.LOOP_LONGEST_GAP_MS, gap_ms)
-            active = self._runtime.core.active_count
-            self._counts.gauge(_Counter.GENERATIONS_ACTIVE, active)
+            status = self._runtime.core.status(self._clock.monotonic_s())
+            self._counts.gauge(_Counter.GENERATIONS_ACTIVE, status.active_count)
+            self._counts.gauge(_Counter.JOURNAL_BYTES, status.journal_bytes)
+            self._counts.absorb(CORE_PREFIX, status.counters_by_name)
             self._counts.flush()
 
 
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/http_server.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/http_server.py
@@ -51,8 +51,12 @@
         """Accepts connections from now on."""
         self._server.start()
 
+    def stop_accepting(self) -> None:
+        """Closes the listening socket; open connections go on."""
+        self._server.close()
+
     def stop(self) -> None:
-        """Closes the listening socket and idle connections."""
+        """Closes all connections."""
         self._server.stop(timeout=0)
 
     def _answer(self, environ: dict[str, Any], start_response: Any) -> Any:
--- a/packages/daemon/src/rattanpulleyd/_internal/telemetry/counters.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/telemetry/counters.py
@@ -43,7 +43,9 @@
     TABLES_CONFLICTING = "tables.conflicting"
     WATCH_FAILURES = "watch.failures"
     HOST_LIST_FAILURES = "host_list.failures"
+    JOBS_FAILED = "jobs.failed"
     GENERATIONS_ACTIVE = "generations.active"
+    JOURNAL_BYTES = "journal.bytes"
     LOOP_LONGEST_GAP_MS = "loop.longest_gap_ms"
 
 
@@ -57,46 +59,59 @@
             address: Numeric address of the statsd server, or None to keep the
                 values in memory only.
         """
-        self._changes_by_counter: dict[Counter, int] = {}
-        self._totals_by_counter: dict[Counter, int] = {}
-        self._gauges_by_counter: dict[Counter, int] = {}
+        self._changes_by_name: dict[str, int] = {}
+        self._totals_by_name: dict[str, int] = {}
+        self._gauges_by_name: dict[str, int] = {}
         self._client = _client(address)
 
     def count(self, counter: Counter, amount: int = 1) -> None:
         """Adds to a counter."""
-        changes = self._changes_by_counter
-        changes[counter] = changes.get(counter, 0) + amount
+        changes = self._changes_by_name
+        name = counter.value
+        changes[name] = changes.get(name, 0) + amount
 
     def gauge(self, counter: Counter, value: int) -> None:
         """Sets a gauge."""
-        self._gauges_by_counter[counter] = value
+        self._gauges_by_name[counter.value] = value
+
+    def absorb(self, prefix: str, totals_by_name: dict[str, int]) -> None:
+        """Takes over totals that another part counts.
+
+        Args:
+            prefix: Put before the names, with a dot.
+            totals_by_name: Totals since the start.
+        """
+        for name, total in totals_by_name.items():
+            full_name = f"{prefix}.{name}"
+            change = total - self._totals_by_name.get(full_name, 0)
+            if change:
+                self._changes_by_name[full_name] = change
 
     def flush(self) -> None:
         """Sends the changes since the last flush; called once a second."""
-        changes = self._changes_by_counter
-        self._changes_by_counter = {}
-        for counter, amount in changes.items():
-            total = self._totals_by_counter.get(counter, 0)
-            self._totals_by_counter[counter] = total + amount
+        changes = self._changes_by_name
+        self._changes_by_name = {}
+        for name, amount in changes.items():
+            total = self._totals_by_name.get(name, 0)
+            self._totals_by_name[name] = total + amount
         if self._client is not None:
             self._send(changes)
 
     def totals_by_name(self) -> dict[str, int]:
         """Returns the totals and the gauges by name, sorted."""
-        totals = dict(self._totals_by_counter)
-        for counter, amount in self._changes_by_counter.items():
-            totals[counter] = totals.get(counter, 0) + amount
-        totals.update(self._gauges_by_counter)
-        by_name = {counter.value: total for counter, total in totals.items()}
-        return dict(sorted(by_name.items()))
-
-    def _send(self, changes_by_counter: dict[Counter, int]) -> None:
+        totals = dict(self._totals_by_name)
+        for name, amount in self._changes_by_name.items():
+            totals[name] = totals.get(name, 0) + amount
+        totals.update(self._gauges_by_name)
+        return dict(sorted(totals.items()))
+
+    def _send(self, changes_by_name: dict[str, int]) -> None:
         """Sends one batch; statsd ignores failures of the datagrams."""
         with self._client.pipeline() as batch:
-            for counter, amount in changes_by_counter.items():
-                batch.incr(counter.value, amount)
-            for counter, value in self._gauges_by_counter.items():
-                batch.gauge(counter.value, value)
+            for name, amount in changes_by_name.items():
+                batch.incr(name, amount)
+            for name, value in self._gauges_by_name.items():
+                batch.gauge(name, value)
 
 
 def _client(address: model.Address | None) -> Any:
--- a/packages/daemon/tests/telemetry/test_counters.py
+++ b/packages/daemon/tests/telemetry/test_counters.py
@@ -1,9 +1,14 @@
 """Tests of the counters."""
 
 import pathlib
+import random
 import re
 import socket
 
+from rattanpulley_core import generations
+from rattanpulley_core import resume_token
+from rattanpulley_core import suspects
+from rattanpulley_core import targets
 from rattanpulleyd._internal.settings import model
 from rattanpulleyd._internal.telemetry import counters
 
@@ -13,7 +18,26 @@
 def test_page_lists_every_counter() -> None:
     """Guards against counters that operators do not know of."""
     listed = re.findall(r"^\| `([a-z_.]+)` \|", PAGE.read_text(), re.MULTILINE)
-    assert listed == [counter.value for counter in counters.Counter]
+    table = targets.TargetTable("north")
+    rng = random.Random(0)
+    core = generations.GenerationCore(
+        target_table=table,
+        chooser=targets.LeastOutstandingChooser(table, rng),
+        signer=resume_token.Signer([b"k" * 16]),
+        suspect_table=suspects.SuspectTable(),
+        rng=rng,
+    )
+    names = [counter.value for counter in counters.Counter]
+    assert listed == names + list(core.status(0.0).counters_by_name)
+
+
+def test_totals_of_another_part_are_sent_as_changes() -> None:
+    """Guards against totals that are added again at each flush."""
+    counts = counters.Counters(None)
+    for total in (3, 3, 5):
+        counts.absorb("part", {"x": total})
+        counts.flush()
+    assert counts.totals_by_name() == {"part.x": 5}
 
 
 def test_flush_sends_changes_once() -> None:
