Add golden files of whole sessions

Cause: the caller's bytes, the calls to targets, the log lines and the counters must not change unnoticed. Change: ten sessions run in-process daemons with fakes behind the abstract base classes and a clock that the session advances; state changes of targets are logged once.

--- a/packages/daemon/src/rattanpulleyd/_internal/api/service_calls.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/service_calls.py
@@ -22,6 +22,8 @@
 # when a service fails as a whole.
 MAX_TRIES = 2
 TOKEN_BYTES = 16
+# Without a type of the service, a browser must not guess one.
+DEFAULT_CONTENT_TYPE = "application/octet-stream"
 
 _Code = results.ResultCode
 _Counter = counters.Counter
@@ -222,6 +224,7 @@
 def _passed_on(answer: interfaces.ServiceAnswer) -> bytes:
     """Sets status and headers of a service's answer and returns its body."""
     bottle.response.status = answer.status
+    bottle.response.content_type = DEFAULT_CONTENT_TYPE
     for name, value in answer.headers:
         bottle.response.set_header(name, value)
     return answer.body
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/daemon.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/daemon.py
@@ -181,6 +181,7 @@
             self._counts.gauge(_Counter.JOURNAL_BYTES, status.journal_bytes)
             self._counts.absorb(CORE_PREFIX, status.counters_by_name)
             self._counts.flush()
+            self._runtime.log_target_states()
 
 
 def serve(settings: model.Settings) -> None:
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/runtime.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/runtime.py
@@ -11,6 +11,7 @@
 from rattanpulley_core import tables
 from rattanpulley_core import targets
 from rattanpulleyd._internal.telemetry import counters
+from rattanpulleyd._internal.telemetry import logs
 
 TICK_S = 0.05
 
@@ -54,6 +55,9 @@
         self._callers_by_id: dict[int, interfaces.CallerStream] = {}
         self._caller_ids = itertools.count(1)
         self._longest_gap_s = 0.0
+        self._log = logs.StateLog()
+        # Targets that once were not live; the others need no line.
+        self._logged_targets: set[str] = set()
         self._handlers: dict[type[generations.Action], Callable[[Any], None]]
         self._handlers = {
             generations.StartAttempt: self._start,
@@ -156,6 +160,14 @@
         self._longest_gap_s = 0.0
         return gap_s
 
+    def log_target_states(self) -> None:
+        """Logs the targets whose state changed since the last call."""
+        live = targets.TargetState.LIVE
+        for target in self.target_table.targets_by_name.values():
+            if target.state is not live or target.name in self._logged_targets:
+                self._logged_targets.add(target.name)
+                self._log.note(f"target {target.name}", target.state.value)
+
     def _carry_out(self, actions: list[generations.Action]) -> None:
         """Carries out actions in their order."""
         for action in actions:
--- /dev/null
+++ b/packages/daemon/tests/golden/test_sessions.py
@@ -0,0 +1,195 @@
+"""Whole sessions, compared with golden files.
+
+Each file has the caller's bytes, the calls to targets, the log lines and the
+counters. Running with RATTANPULLEY_WRITE_GOLDEN=1 writes the files anew.
+"""
+
+from typing import Any
+
+from rattanpulley_core import interfaces
+from rattanpulleyd._internal.config import table_watch
+
+COMPLETION = {"model": "m", "prompt": "p", "seed": 7, "stream": True}
+CHAT = {
+    "model": "m",
+    "messages": [{"role": "user", "content": "hi"}],
+    "max_tokens": 9,
+}
+
+
+def _completion(daemon: Any, **headers: str) -> Any:
+    return daemon.request(
+        "/v1/completions", COMPLETION, idempotency_key="k", **headers
+    )
+
+
+def test_stream(session: Any) -> None:
+    """Guards against changes of the bytes of a streamed completion."""
+    daemon = session.daemon()
+    _completion(daemon)
+    daemon.engines.accept()
+    daemon.engines.tokens(0, "one ", "two ")
+    daemon.engines.tokens(2, 'three "\n')
+    daemon.engines.finish(3)
+    session.check("stream")
+
+
+def test_chat(session: Any) -> None:
+    """Guards against changes of chat answers, whole and streamed."""
+    daemon = session.daemon()
+    daemon.request("/v1/chat/completions", CHAT, idempotency_key="a")
+    daemon.engines.tokens(0, "one ", "two ")
+    daemon.engines.finish(2)
+    options = {"stream": True, "stream_options": {"include_usage": True}}
+    daemon.request("/v1/chat/completions", CHAT | options, idempotency_key="b")
+    daemon.engines.tokens(0, "one ", "two ")
+    daemon.engines.finish(2)
+    session.check("chat")
+
+
+def test_target_lost(session: Any) -> None:
+    """Guards against lost or repeated tokens when a target fails."""
+    daemon = session.daemon()
+    _completion(daemon)
+    daemon.engines.accept()
+    daemon.engines.tokens(0, "one ", "two ")
+    daemon.engines.fail("reset")
+    daemon.engines.accept("boot-2")
+    daemon.engines.tokens(2, "three ")
+    daemon.engines.tokens(2, "three ", "four ")
+    daemon.engines.finish(4)
+    daemon.engines.fail_probe()
+    session.advance(1.0)
+    daemon.engines.answer_probe("boot-3", {})
+    session.advance(0.05)
+    session.check("target_lost")
+
+
+def test_silent_connection(session: Any) -> None:
+    """Guards against recomputation when only the connection is silent."""
+    daemon = session.daemon()
+    _completion(daemon)
+    daemon.engines.accept()
+    daemon.engines.tokens(0, "one ")
+    session.advance(0.1)
+    daemon.engines.tokens(1, "two ")
+    session.advance(1.0)
+    generation_id = daemon.engines._order.generation_id
+    daemon.engines.answer_probe("boot-1", {generation_id: 3})
+    daemon.engines.accept()
+    daemon.engines.tokens(2, "three ")
+    daemon.engines.finish(3)
+    session.check("silent_connection")
+
+
+def test_reconnect(session: Any) -> None:
+    """Guards against lost tokens when a caller comes back elsewhere."""
+    first = session.daemon("entry-1")
+    caller = _completion(first)
+    first.engines.accept()
+    first.engines.tokens(0, "one ", "two ")
+    caller.leave()
+    second = session.daemon("entry-2")
+    _completion(second, last_event_id=caller.last_event_id())
+    second.engines.accept()
+    second.engines.tokens(0, "one ", "two ", "three ")
+    second.engines.finish(3)
+    altered = caller.last_event_id().replace("engine-", "engine%2D")
+    _completion(second, last_event_id=altered)
+    session.check("reconnect")
+
+
+def test_double_failure(session: Any) -> None:
+    """Guards against an answer that mixes two generations."""
+    first = session.daemon("entry-1")
+    caller = _completion(first)
+    first.engines.accept()
+    first.engines.tokens(0, "one ", "two ")
+    caller.leave()
+    for name, token in (("entry-2", "two "), ("entry-3", "other ")):
+        other = session.daemon(name)
+        _completion(other, last_event_id=caller.last_event_id())
+        other.engines.fail("not_held")
+        other.engines.accept()
+        other.engines.tokens(0, "one ", token, "three ")
+        if token == "two ":
+            other.engines.finish(3)
+    session.check("double_failure")
+
+
+def test_refusals(session: Any) -> None:
+    """Guards against errors without code, run state or hint."""
+    daemon = session.daemon()
+    path = "/v1/completions"
+    daemon.request(path, b"{")
+    daemon.request(path, COMPLETION | {"n": 2})
+    daemon.request(path, COMPLETION | {"model": "x"})
+    daemon.request(path, COMPLETION, x_route="other")
+    daemon.request(path, COMPLETION, authorization="")
+    daemon.request(path, COMPLETION, last_event_id="1:2")
+    daemon.request("/v1/nothing", {})
+    daemon.request("/services/none/x", {})
+    daemon.request(path, COMPLETION, idempotency_key="r")
+    daemon.engines.fail("rejected", "the prompt is too long")
+    daemon.runtime.set_draining()
+    daemon.request(path, COMPLETION)
+    daemon.request("/services/stock/x", {})
+    daemon.request("/ready", method="GET")
+    session.check("refusals")
+
+
+def test_error_after_first_byte(session: Any) -> None:
+    """Guards against a stream that ends like a whole answer."""
+    daemon = session.daemon()
+    _completion(daemon)
+    daemon.engines.accept()
+    daemon.engines.tokens(0, "one ")
+    session.advance(0.2)
+    daemon.engines.fail("rejected", "the context is full")
+    session.check("error_after_first_byte")
+
+
+def test_configuration(session: Any) -> None:
+    """Guards against tables that revert, and against repeated log lines."""
+    daemon = session.daemon()
+    key = "tables/routes"
+    objects = session.store.objects
+    newest = objects[key]
+    for version, value in (
+        (3, {"schema": 1, "rows": {}}),
+        (1, newest.value),
+        (3, newest.value),
+        (4, {"schema": 1, "rows": []}),
+    ):
+        objects[key] = interfaces.StoredObject(key, value, version, version)
+        daemon.watch.list_once()
+    for is_down in (True, True, False):
+        session.store.down = is_down
+        daemon.poll.poll_once()
+    assert daemon.runtime.config.routes.version == 3
+    assert table_watch.PREFIX == "tables/"
+    session.check("configuration")
+
+
+def test_services(session: Any) -> None:
+    """Guards against a second run of a call that must run once."""
+    daemon = session.daemon()
+    results = daemon.services.results
+    not_sent = interfaces.ServiceNotSentError("refused")
+    lost = interfaces.ServiceUnknownError("reset")
+    results += [lost, b"stock"]
+    daemon.request("/services/stock/a", {"q": 1}, QUERY_STRING="x")
+    results += [not_sent, not_sent]
+    daemon.request("/services/stock/a", {"q": 1})
+    pay = "/services/pay/order/7"
+    daemon.request(pay, {"q": 1})
+    results += [not_sent, b"paid"]
+    daemon.request(pay, {"q": 1}, idempotency_key="k1")
+    daemon.request(pay, {"q": 1}, idempotency_key="k1")
+    daemon.request(pay, {"q": 2}, idempotency_key="k1")
+    results += [lost]
+    daemon.request(pay, {"q": 1}, idempotency_key="k2")
+    daemon.request(pay, {"q": 1}, idempotency_key="k2")
+    session.store.down = True
+    daemon.request(pay, {"q": 1}, idempotency_key="k3")
+    session.check("services")
