Report crashes for all attempts of a target and cheapen the chain

Change: attempts still running on a crashed target join its crash case; an unread generation behind its caller is replaced by an attach; the chain copies a prepared hasher; finished answers leave after the grace.

--- a/packages/core/src/rattanpulley_core/_internal/generations/arrivals.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/arrivals.py
@@ -3,7 +3,6 @@
 from rattanpulley_core import results
 from rattanpulley_core._internal.generations import context
 from rattanpulley_core._internal.generations import delivery
-from rattanpulley_core._internal.generations import expiry
 from rattanpulley_core._internal.generations import lifecycle
 from rattanpulley_core._internal.generations import messages
 from rattanpulley_core._internal.generations import placement
@@ -28,7 +27,8 @@
         _refuse(ctx, event, code)
         return
     if generation is not None and _is_superseded(ctx, event, generation):
-        lifecycle.drop(ctx, generation)
+        # The caller's attempt may be on the same target.
+        lifecycle.drop(ctx, generation, keep_at_target=True)
         generation = None
     if generation is None:
         _admit(ctx, event, now_s)
@@ -53,7 +53,7 @@
     generation.orphaned_at_s = now_s
     if generation.state is _State.QUEUED:
         lifecycle.enqueue(ctx, generation, now_s)
-    expiry.schedule(generation)
+    generation.schedule_expiry()
 
 
 def _refusal(
@@ -125,7 +125,7 @@
     if generation.callers or resume is None:
         return False
     if resume.index >= len(generation.journal):
-        return generation.version not in (None, resume.version)
+        return True
     return not delivery.matches(ctx, generation, resume)
 
 
@@ -163,11 +163,8 @@
         return
     if generation.state is _State.DONE:
         delivery.finish_caller(ctx, generation, caller)
-        expiry.schedule(generation)
+        generation.schedule_expiry()
     elif generation.state is _State.PARKED:
-        if resume is not None and resume.index >= len(generation.journal):
-            generation.attach_to = resume.target
-            generation.version = resume.version
         lifecycle.enqueue(ctx, generation, now_s)
         placement.place_new(ctx, generation, now_s)
 
@@ -194,5 +191,5 @@
     generation.orphaned_at_s = None
     deadline_s = event.request.deadline_s
     generation.deadline_s = max(generation.deadline_s, deadline_s)
-    expiry.schedule(generation)
+    generation.schedule_expiry()
     return caller
--- a/packages/core/src/rattanpulley_core/_internal/generations/core.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/core.py
@@ -115,10 +115,12 @@
     ) -> list[messages.Action]:
         """Takes an event at monotonic `now_s` and returns what to do."""
         ctx = self._ctx
-        if isinstance(event, messages.AttemptEvent):
+        handler = _HANDLERS.get(type(event))
+        if handler is None:
+            assert isinstance(event, messages.AttemptEvent)
             self._handle_attempt_event(event, now_s)
         else:
-            _HANDLERS[type(event)](ctx, event, now_s)
+            handler(ctx, event, now_s)
         return ctx.take_actions()
 
     def tick(self, now_s: float) -> list[messages.Action]:
--- a/packages/core/src/rattanpulley_core/_internal/generations/delivery.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/delivery.py
@@ -124,6 +124,7 @@
     ctx.counters.finished += 1
     for caller in list(generation.callers):
         finish_caller(ctx, generation, caller)
+    generation.schedule_expiry()
 
 
 def finish_caller(
--- a/packages/core/src/rattanpulley_core/_internal/generations/expiry.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/expiry.py
@@ -6,9 +6,6 @@
 from rattanpulley_core._internal.generations import lifecycle
 from rattanpulley_core._internal.generations import rows
 
-# Time for a caller to come back after its connection was lost.
-RECONNECT_GRACE_S = 15.0
-
 _State = rows.GenerationState
 _Code = results.ResultCode
 
@@ -23,21 +20,10 @@
         _expire(ctx, generation, now_s)
 
 
-def schedule(generation: rows.Generation) -> None:
-    """Derives the next time at which a generation has to be looked at."""
-    if generation.callers:
-        deadlines_s = [caller.deadline_s for caller in generation.callers]
-        generation.next_expiry_s = min(deadlines_s)
-    elif generation.state is _State.DONE:
-        generation.next_expiry_s = generation.done_at_s + RECONNECT_GRACE_S
-    elif generation.orphaned_at_s is not None:
-        generation.next_expiry_s = generation.orphaned_at_s + RECONNECT_GRACE_S
-
-
 def _expire(
     ctx: context.Context, generation: rows.Generation, now_s: float
 ) -> None:
-    schedule(generation)
+    generation.schedule_expiry()
     if generation.next_expiry_s > now_s:
         return
     if not generation.callers:
@@ -49,7 +35,7 @@
         if caller.deadline_s <= now_s:
             delivery.fail_caller(ctx, generation, caller, code)
     if generation.callers:
-        schedule(generation)
+        generation.schedule_expiry()
     else:
         lifecycle.drop(ctx, generation)
 
--- a/packages/core/src/rattanpulley_core/_internal/generations/lifecycle.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/lifecycle.py
@@ -20,7 +20,7 @@
     if generation.callers:
         generation.state = _State.QUEUED
         ctx.queued_by_id[generation.generation_id] = generation
-        if generation.waiting_since_s == 0.0:
+        if generation.waiting_since_s is None:
             generation.waiting_since_s = now_s
         return
     ctx.queued_by_id.pop(generation.generation_id, None)
@@ -50,10 +50,14 @@
     drop(ctx, generation)
 
 
-def drop(ctx: context.Context, generation: rows.Generation) -> None:
+def drop(
+    ctx: context.Context,
+    generation: rows.Generation,
+    keep_at_target: bool = False,
+) -> None:
     """Cancels the current attempt and removes the generation."""
     if generation.attempt is not None:
-        attempts.cancel(ctx, generation)
+        attempts.cancel(ctx, generation, keep_at_target)
     remove(ctx, generation)
 
 
--- a/packages/core/src/rattanpulley_core/_internal/generations/placement.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/placement.py
@@ -35,7 +35,7 @@
             excluded |= _reserved(ctx, generation, full_groups)
         if place(ctx, generation, now_s, excluded):
             continue
-        if generation.is_resume and not excluded:
+        if not excluded and _waits_for_slot(ctx, generation, now_s):
             full_groups.add(group)
 
 
@@ -87,7 +87,8 @@
     for generation in list(ctx.queued_by_id.values()):
         if generation.is_resume:
             continue
-        if now_s - generation.waiting_since_s >= NEW_REQUEST_WAIT_S:
+        since_s = generation.waiting_since_s
+        if since_s is not None and now_s - since_s >= NEW_REQUEST_WAIT_S:
             lifecycle.end(ctx, generation, _Code.NO_TARGET)
 
 
@@ -102,6 +103,16 @@
     )
 
 
+def _waits_for_slot(
+    ctx: context.Context, generation: rows.Generation, now_s: float
+) -> bool:
+    """Returns whether a resume waits because no target has a free slot."""
+    fingerprint = generation.request.fingerprint
+    return generation.is_resume and not ctx.ledger.is_on_hold(
+        fingerprint, now_s
+    )
+
+
 def _reserved(
     ctx: context.Context,
     generation: rows.Generation,
--- a/packages/core/src/rattanpulley_core/_internal/generations/probes.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/probes.py
@@ -80,15 +80,18 @@
     target.boot_id = event.boot_id
     target.leaving_by_health = event.leaving
     target.mark_alive(now_s)
-    _end_attempts_of_other_process(ctx, run, event, now_s)
+    earlier = _running_on_earlier_process(ctx, run, event)
     if case_boot_id and case_boot_id != event.boot_id:
         ctx.ledger.record_loss(target.name, target.failure_domain, now_s)
-        ctx.counters.crashes += ctx.ledger.confirm_crash(target.name, now_s)
+        _confirm_crash(ctx, target, earlier, now_s)
     elif run.repeat:
         target.doubtful = True
         send(ctx, target, (), now_s)
     else:
         ctx.ledger.dismiss(target.name)
+    ctx.counters.target_restarts += bool(earlier)
+    for generation in earlier:
+        _abandon(ctx, generation, now_s, keep_at_target=True)
     if not was_lost:
         for key, next_index in run.next_index_by_attempt.items():
             _judge_stream(ctx, run, event, key, next_index, now_s)
@@ -139,32 +142,65 @@
         ctx.counters.targets_lost += 1
         ctx.ledger.record_loss(target.name, target.failure_domain, now_s)
     target.mark_lost()
-    ctx.counters.crashes += ctx.ledger.confirm_crash(target.name, now_s)
-    for generation in list(ctx.running_by_target.get(target.name, {}).values()):
+    running = list(ctx.running_by_target.get(target.name, {}).values())
+    _confirm_crash(ctx, target, running, now_s)
+    for generation in running:
         # Nothing listens there, so the target is not told to stop.
         _abandon(ctx, generation, now_s, keep_at_target=True)
     placement.place_waiting(ctx, now_s)
 
 
-def _end_attempts_of_other_process(
-    ctx: context.Context,
-    run: context.ProbeRun,
-    event: messages.ProbeAnswered,
-    now_s: float,
-) -> None:
-    """Ends attempts that ran on an earlier process of the target."""
-    is_restart = False
-    running = ctx.running_by_target.get(event.target, {})
-    for generation in list(running.values()):
+def _running_on_earlier_process(
+    ctx: context.Context, run: context.ProbeRun, event: messages.ProbeAnswered
+) -> list[rows.Generation]:
+    """Returns the generations whose process of the target is gone."""
+    found: list[rows.Generation] = []
+    for generation in ctx.running_by_target.get(event.target, {}).values():
         attempt = generation.attempt
         assert attempt is not None
         if attempt.started_at_s > run.sent_at_s:
             continue
-        if attempt.boot_id in ("", event.boot_id):
-            continue
-        is_restart = True
-        _abandon(ctx, generation, now_s, keep_at_target=True)
-    ctx.counters.target_restarts += is_restart
+        if attempt.boot_id not in ("", event.boot_id):
+            found.append(generation)
+    return found
+
+
+def record_reset(
+    ctx: context.Context,
+    generation: rows.Generation,
+    attempt: rows.Attempt,
+    now_s: float,
+) -> None:
+    """Records that an accepted attempt ended with its connection."""
+    target = attempt.target
+    ctx.ledger.record_reset(
+        target.name,
+        target.failure_domain,
+        attempt.boot_id or target.boot_id,
+        generation.request.fingerprint,
+        attempt.has_token,
+        now_s,
+    )
+
+
+def _confirm_crash(
+    ctx: context.Context,
+    target: target_rows.Target,
+    running: Iterable[rows.Generation],
+    now_s: float,
+) -> None:
+    """Attributes a crash to the attempts that were reset or still run there.
+
+    The resets of one crash are reported one by one, and a probe may overtake
+    some of them.
+    """
+    if not ctx.ledger.has_case(target.name):
+        return
+    for generation in running:
+        attempt = generation.attempt
+        if attempt is not None and attempt.accepted:
+            record_reset(ctx, generation, attempt, now_s)
+    ctx.counters.crashes += ctx.ledger.confirm_crash(target.name, now_s)
 
 
 def _judge_stream(
--- a/packages/core/src/rattanpulley_core/_internal/generations/rows.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/rows.py
@@ -9,6 +9,9 @@
 from rattanpulley_core._internal.generations import messages
 from rattanpulley_core._internal.targets import rows as target_rows
 
+# Time for a caller to come back after its connection was lost.
+RECONNECT_GRACE_S = 15.0
+
 
 class GenerationState(enum.IntEnum):
     """Where a generation stands; an integer, so that lookups are cheap."""
@@ -89,7 +92,7 @@
         may_have_run: Whether a target may have worked on it.
         was_accepted: Whether a target accepted it, here or at another daemon.
         needs_permit: Whether the next attempt is a retry that needs a permit.
-        waiting_since_s: Time since which a new request waits for a target.
+        waiting_since_s: Time at which it first waited for a target, or None.
         excluded_until_s: Times until which targets are not used for it.
         last_target: Target of the newest attempt that produced a token.
         prefix_block_hashes: Hashes of the prompt's prefix blocks.
@@ -114,7 +117,7 @@
     may_have_run: bool = False
     was_accepted: bool = False
     needs_permit: bool = False
-    waiting_since_s: float = 0.0
+    waiting_since_s: float | None = None
     excluded_until_s: dict[str, float] | None = None
     last_target: str = ""
     prefix_block_hashes: tuple[int, ...] = ()
@@ -134,6 +137,17 @@
         """Whether the next attempt continues work that a target accepted."""
         return self.was_accepted or self.may_have_run
 
+    def schedule_expiry(self) -> None:
+        """Derives the next time at which a deadline or grace may end."""
+        if self.callers:
+            self.next_expiry_s = min(
+                caller.deadline_s for caller in self.callers
+            )
+        elif self.state is GenerationState.DONE:
+            self.next_expiry_s = self.done_at_s + RECONNECT_GRACE_S
+        elif self.orphaned_at_s is not None:
+            self.next_expiry_s = self.orphaned_at_s + RECONNECT_GRACE_S
+
     def exclude(self, target: str, until_s: float) -> None:
         """Keeps the generation off a target until `until_s`."""
         if self.excluded_until_s is None:
--- a/packages/core/src/rattanpulley_core/_internal/generations/streams.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/streams.py
@@ -237,14 +237,7 @@
     generation.exclude(target.name, now_s + FAILED_EXCLUSION_S)
     target.consecutive_failures += 1
     if attempt.accepted:
-        ctx.ledger.record_reset(
-            target.name,
-            target.failure_domain,
-            attempt.boot_id or target.boot_id,
-            generation.request.fingerprint,
-            attempt.has_token,
-            now_s,
-        )
+        probes.record_reset(ctx, generation, attempt, now_s)
     attempts.cancel(ctx, generation)
     probes.examine(ctx, target, now_s)
     lifecycle.interrupt(ctx, generation, now_s)
--- a/packages/core/src/rattanpulley_core/_internal/resume_token/signer.py
+++ b/packages/core/src/rattanpulley_core/_internal/resume_token/signer.py
@@ -11,6 +11,7 @@
 """
 
 from collections.abc import Sequence
+import copy
 import dataclasses
 import hashlib
 import hmac
@@ -103,8 +104,7 @@
         self._keys_by_id = {
             _key_id(key): _usable(key) for key in reversed(keys)
         }
-        self._key_id = _key_id(keys[0])
-        self._key = _usable(keys[0])
+        self._select(_key_id(keys[0]))
 
     @property
     def key_id(self) -> str:
@@ -119,15 +119,10 @@
         """
         if key_id in ("", self._key_id):
             return self
-        key = self._keys_by_id.get(key_id)
-        if key is None:
-            raise ResumeTokenError(
-                "the event id was signed with an unknown key"
-            )
-        other = Signer.__new__(Signer)
-        other._keys_by_id = self._keys_by_id
-        other._key_id = key_id
-        other._key = key
+        if key_id not in self._keys_by_id:
+            raise ResumeTokenError("the key of the event id is unknown")
+        other = copy.copy(self)
+        other._select(key_id)
         return other
 
     def binding(
@@ -145,21 +140,17 @@
 
     def start_chain(self, binding: bytes) -> bytes:
         """Returns the chain before the first token."""
-        return hashlib.blake2b(
-            binding,
-            key=self._key,
-            digest_size=DIGEST_BYTES,
-            person=_PERSON_CHAIN,
-        ).digest()
+        hasher = self._chain_hasher.copy()
+        hasher.update(binding)
+        return hasher.digest()
 
     def extend_chain(self, chain: bytes, token: str) -> bytes:
         """Returns the chain after one more token."""
-        return hashlib.blake2b(
-            chain + token.encode("utf-8", "surrogatepass"),
-            key=self._key,
-            digest_size=DIGEST_BYTES,
-            person=_PERSON_CHAIN,
-        ).digest()
+        # A copy is cheaper than a new hasher with parameters.
+        hasher = self._chain_hasher.copy()
+        hasher.update(chain)
+        hasher.update(token.encode("utf-8", "surrogatepass"))
+        return hasher.digest()
 
     def encoder(
         self,
@@ -225,6 +216,14 @@
             raise ResumeTokenError("the event id belongs to another request")
         return decoded
 
+    def _select(self, key_id: str) -> None:
+        """Makes a known key the one that signs."""
+        self._key_id = key_id
+        self._key = self._keys_by_id[key_id]
+        self._chain_hasher = hashlib.blake2b(
+            key=self._key, digest_size=DIGEST_BYTES, person=_PERSON_CHAIN
+        )
+
     def _reencode(
         self, decoded: DecodedEventId, account: str, fingerprint: str
     ) -> str:
--- a/packages/core/src/rattanpulley_core/_internal/suspects/reports.py
+++ b/packages/core/src/rattanpulley_core/_internal/suspects/reports.py
@@ -60,9 +60,8 @@
             now_s: Monotonic time.
             provisional: Whether `confirm` or `withdraw` will follow.
         """
-        expires_at_s = now_s + REPORT_TTL_S
-        self._add(fingerprint, (target, boot_id), expires_at_s, provisional)
-        self._note_refusal(fingerprint, now_s)
+        found = CrashReport(now_s + REPORT_TTL_S, provisional)
+        self._add(fingerprint, (target, boot_id), found, now_s)
 
     def apply_remote(
         self,
@@ -76,8 +75,8 @@
         ttl_s = min(ttl_s, REPORT_TTL_S)
         if ttl_s <= 0:
             return
-        self._add(fingerprint, (target, boot_id), now_s + ttl_s, False)
-        self._note_refusal(fingerprint, now_s)
+        found = CrashReport(now_s + ttl_s)
+        self._add(fingerprint, (target, boot_id), found, now_s)
 
     def confirm(
         self, fingerprint: str, target: str, boot_id: str, now_s: float
@@ -86,8 +85,8 @@
         reports = self._reports_by_fingerprint.get(fingerprint, {})
         found = reports.get((target, boot_id))
         if found is not None and found.provisional:
-            found.provisional = False
-            self._note_refusal(fingerprint, now_s)
+            final = CrashReport(found.expires_at_s)
+            self._add(fingerprint, (target, boot_id), final, now_s)
 
     def withdraw(self, fingerprint: str, target: str, boot_id: str) -> None:
         """Removes a provisional report."""
@@ -138,15 +137,15 @@
         self,
         fingerprint: str,
         key: CrashKey,
-        expires_at_s: float,
-        provisional: bool,
+        report: CrashReport,
+        now_s: float,
     ) -> None:
+        was_refused = self.is_refused(fingerprint, now_s)
         reports = self._reports_by_fingerprint.setdefault(fingerprint, {})
-        found = reports.get(key)
-        if found is None:
-            reports[key] = CrashReport(expires_at_s, provisional)
-        elif not provisional:
-            found.provisional = False
+        found = reports.setdefault(key, report)
+        found.provisional = found.provisional and report.provisional
+        if not was_refused and self.is_refused(fingerprint, now_s):
+            self._newly_refused.append(fingerprint)
 
     def _counting(self, fingerprint: str, now_s: float) -> list[CrashReport]:
         reports = self._reports_by_fingerprint.get(fingerprint)
@@ -157,7 +156,3 @@
             for found in reports.values()
             if not found.cleared and found.expires_at_s > now_s
         ]
-
-    def _note_refusal(self, fingerprint: str, now_s: float) -> None:
-        if self.is_refused(fingerprint, now_s):
-            self._newly_refused.append(fingerprint)
--- a/packages/core/src/rattanpulley_core/generations.py
+++ b/packages/core/src/rattanpulley_core/generations.py
@@ -1,7 +1,6 @@
 """Public names of the generation subject."""
 
 from rattanpulley_core._internal.generations import core
-from rattanpulley_core._internal.generations import expiry
 from rattanpulley_core._internal.generations import journal
 from rattanpulley_core._internal.generations import messages
 from rattanpulley_core._internal.generations import rows
@@ -34,5 +33,5 @@
 GenerationCore = core.GenerationCore
 CoreStatus = core.CoreStatus
 GenerationState = rows.GenerationState
-RECONNECT_GRACE_S = expiry.RECONNECT_GRACE_S
+RECONNECT_GRACE_S = rows.RECONNECT_GRACE_S
 MAX_TOKENS = journal.MAX_TOKENS
