Add the load tool

Cause: answers under faults are judged by a caller that checks each token.

The tool was not run against a daemon, because it does not exist yet.

--- /dev/null
+++ b/packages/standins/src/rattanpulley_standins/_internal/load/caller.py
@@ -0,0 +1,157 @@
+"""A caller of the daemons that reconnects and checks its answer."""
+
+from collections.abc import Sequence
+import dataclasses
+import json
+import time
+from typing import Any
+
+from rattanpulley_standins._internal.load import checker as checker_lib
+from rattanpulley_standins._internal.load import event_source
+from rattanpulley_standins._internal.load import record as record_lib
+
+# Daemons send a comment every 2 s while no tokens flow.
+SILENCE_TIMEOUT_S = 5.0
+FIRST_RETRY_S = 0.05
+MAX_RETRY_S = 1.0
+RETRY_STATUSES = (429, 503)
+DONE = "[DONE]"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerRequest:
+    """One request of a caller.
+
+    Attributes:
+        key: Idempotency-Key; it makes the prompt unique, too.
+        length: Number of tokens of the answer.
+        model: Model name.
+        account: Account in the bearer token.
+        patience_s: Time after which the caller gives up.
+        prompt_words: Additional words of the prompt.
+    """
+
+    key: str
+    length: int
+    model: str = "assistant"
+    account: str = "acme"
+    patience_s: float = 120.0
+    prompt_words: int = 0
+
+    @property
+    def prompt(self) -> str:
+        """Prompt text that asks the engine for the length."""
+        words = " ".join(["word"] * self.prompt_words)
+        return f"length={self.length} {self.key} {words}".rstrip()
+
+    def new_record(self) -> record_lib.AnswerRecord:
+        """Returns the record of an answer that starts now."""
+        checker = checker_lib.AnswerChecker(self.length)
+        return record_lib.AnswerRecord(self.prompt, checker, time.monotonic())
+
+
+class DaemonCaller:
+    """Gets one answer over any of several daemons.
+
+    Args:
+        urls: Base URLs of the daemons; the first one is tried first.
+        request: What to ask for.
+    """
+
+    def __init__(self, urls: Sequence[str], request: AnswerRequest) -> None:
+        self.record = request.new_record()
+        self._urls = list(urls)
+        self._request = request
+        self._last_event_id = ""
+        self._tries = 0
+        self._retry_s = FIRST_RETRY_S
+
+    def run(self) -> record_lib.AnswerRecord:
+        """Reads until the answer ends, an error ends it or time is up."""
+        end_s = self.record.started_s + self._request.patience_s
+        while not self.record.checker.finished and not self.record.error:
+            if time.monotonic() > end_s:
+                self.record.error = "out of patience"
+                break
+            self._try_once()
+        return self.record
+
+    def _try_once(self) -> None:
+        url = self._urls[self._tries % len(self._urls)]
+        self._tries += 1
+        try:
+            self._read(url)
+        except event_source.BrokenError:
+            self.record.reconnects += 1
+            self._wait(None)
+        except event_source.RefusedError as error:
+            self._handle_refusal(error)
+
+    def _read(self, url: str) -> None:
+        source = event_source.EventSource(
+            f"{url}/v1/completions",
+            "POST",
+            self._body(),
+            self._headers(),
+            SILENCE_TIMEOUT_S,
+        )
+        for event in source:
+            if event.name == "error":
+                self.record.error = _error_text(json.loads(event.data))
+                return
+            if event.event_id:
+                self._last_event_id = event.event_id
+            if event.data == DONE:
+                self.record.checker.finish()
+                return
+            self._take(json.loads(event.data))
+        raise event_source.BrokenError("the stream ended without its end")
+
+    def _take(self, chunk: dict[str, Any]) -> None:
+        for choice in chunk["choices"]:
+            count = self.record.checker.feed(choice.get("text") or "")
+            self.record.note_tokens(count, time.monotonic())
+        self._retry_s = FIRST_RETRY_S
+
+    def _handle_refusal(self, error: event_source.RefusedError) -> None:
+        if error.status not in RETRY_STATUSES:
+            self.record.error = _error_text(error.body)
+            return
+        self.record.refusals += 1
+        self._wait(error.retry_after_s)
+
+    def _wait(self, retry_after_s: float | None) -> None:
+        # Another daemon may answer at once, so Retry-After counts only when
+        # all of them were tried.
+        is_round_over = self._tries % len(self._urls) == 0
+        wait_s = self._retry_s
+        if retry_after_s is not None and is_round_over:
+            wait_s = max(wait_s, retry_after_s)
+        time.sleep(wait_s)
+        self._retry_s = min(2 * self._retry_s, MAX_RETRY_S)
+
+    def _body(self) -> dict[str, Any]:
+        return {
+            "model": self._request.model,
+            "prompt": self._request.prompt,
+            "max_tokens": self._request.length,
+            "temperature": 0.7,
+            "stream": True,
+        }
+
+    def _headers(self) -> dict[str, str]:
+        headers = {
+            "Authorization": f"Bearer {self._request.account}.load",
+            "Idempotency-Key": self._request.key,
+        }
+        if self._last_event_id:
+            headers["Last-Event-ID"] = self._last_event_id
+        return headers
+
+
+def _error_text(body: Any) -> str:
+    try:
+        error = body["error"]
+        return f"{error['code']} {error['name']}: {error['message']}"
+    except (KeyError, TypeError):
+        return f"answer without an error code: {body}"
--- /dev/null
+++ b/packages/standins/src/rattanpulley_standins/_internal/load/checker.py
@@ -0,0 +1,85 @@
+"""Checks that an answer is whole and of one generation."""
+
+import dataclasses
+
+from rattanpulley_standins._internal.engine import tokens
+
+
+@dataclasses.dataclass(slots=True)
+class AnswerChecker:
+    """Reads the text of one answer, token by token.
+
+    Attributes:
+        expected_length: Number of tokens of the whole answer.
+        generation8: Start of the generation id, from the first token.
+        version: Version, from the first token.
+        next_index: Index that the next token must have.
+        missing: Number of tokens that were skipped, also at the end.
+        repeated: Number of tokens with an index that was received before.
+        mixed: Number of tokens of another generation or version.
+        malformed: Number of words that are no tokens.
+        finished: Whether the end was announced.
+    """
+
+    expected_length: int
+    generation8: str = ""
+    version: str = ""
+    next_index: int = 0
+    missing: int = 0
+    repeated: int = 0
+    mixed: int = 0
+    malformed: int = 0
+    finished: bool = False
+    _rest: str = ""
+
+    def feed(self, text: str) -> int:
+        """Checks text; returns the number of new tokens in it."""
+        *words, self._rest = (self._rest + text).split(" ")
+        return sum(self._take(word) for word in words)
+
+    def finish(self) -> None:
+        """Notes that the end of the answer was announced."""
+        self.finished = True
+        self.malformed += self._rest != ""
+        self.missing += max(self.expected_length - self.next_index, 0)
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the answer ended and nothing is wrong with it."""
+        return (
+            self.finished
+            and self.next_index == self.expected_length
+            and not self.problems()
+        )
+
+    def problems(self) -> dict[str, int]:
+        """Returns the faults that were found, by kind."""
+        counts = {
+            "missing": self.missing,
+            "repeated": self.repeated,
+            "mixed": self.mixed,
+            "malformed": self.malformed,
+            "too_long": max(self.next_index - self.expected_length, 0),
+        }
+        return {kind: count for kind, count in counts.items() if count}
+
+    def _take(self, word: str) -> bool:
+        token = tokens.parse(word)
+        if token is None:
+            self.malformed += 1
+            return False
+        if not self.generation8:
+            self.generation8 = token.generation8
+            self.version = token.version
+        if (token.generation8, token.version) != (
+            self.generation8,
+            self.version,
+        ):
+            self.mixed += 1
+            return False
+        if token.index < self.next_index:
+            self.repeated += 1
+            return False
+        self.missing += token.index - self.next_index
+        self.next_index = token.index + 1
+        return True
--- a/packages/standins/tests/engine/test_engine.py
+++ b/packages/standins/tests/engine/test_engine.py
@@ -11,12 +11,12 @@
 GENERATION_ID = "0123456789abcdef" * 2
 
 
-class Crashed(Exception):
+class CrashedError(Exception):
     """Stands for the abrupt end of the process."""
 
 
 def crash():
-    raise Crashed
+    raise CrashedError
 
 
 def make_engine(slots=8, **cost):
@@ -172,13 +172,13 @@
     engine = make_engine()
     engine.faults.update({"exit_after_tokens": 2})
     generation = engine.start(make_order(), 0.0)
-    with pytest.raises(Crashed):
+    with pytest.raises(CrashedError):
         run_to_end(engine)
     assert len(generation.tokens) == 3
     engine = make_engine()
     engine.faults.update({"crash_on_content": "hello"})
     generation = engine.start(make_order(), 0.0)
-    with pytest.raises(Crashed):
+    with pytest.raises(CrashedError):
         run_to_end(engine)
     assert generation.tokens == []
 
