Add diffs, audit entries and remarks of the tables

Cause: the command line needs the differences between two tables, an audit entry that travels in the table's own write, and remarks on fields that are valid but probably misspelled.

Change: modules changes and advice. A move row has two more optional fields: paused_at_s, for a share that does not depend on when a daemon started, and taken_back, for an operator's decision that needs no verdict.

Conclusion: additive; tables without these fields parse as before.

--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/tables/changes.py
@@ -0,0 +1,181 @@
+"""Differences between tables and the audit entry of a change.
+
+The entry of the newest change is the field `change` of the table itself, so
+that one write carries both. The next writer copies it to
+`audit/TABLE/VERSION` before the table is overwritten.
+"""
+
+from collections.abc import Iterator, Mapping
+import dataclasses
+from typing import Any
+
+AUDIT_PREFIX = "audit/"
+# Versions in audit keys have leading zeros, so that keys sort by version.
+_VERSION_DIGITS = 12
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FieldChange:
+    """One field that differs.
+
+    Attributes:
+        keys: Keys from the top of the table to the field.
+        before: JSON value before, or None if the field was absent.
+        after: JSON value after, or None if the field is absent.
+    """
+
+    keys: tuple[str, ...]
+    before: Any
+    after: Any
+
+    @property
+    def path(self) -> str:
+        """The keys joined by dots."""
+        return ".".join(self.keys)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeEntry:
+    """Audit entry of one change of a table.
+
+    Attributes:
+        change_id: Unique id, by which a writer recognizes its own write.
+        who: Name of the operator.
+        wall_s: Time of the change in Unix seconds.
+        what: Command that made the change.
+        reason: Text that the operator gave; may be empty.
+        before: Changed rows before, by name; None for a new row.
+        after: Changed rows after, by name; None for a removed row.
+    """
+
+    change_id: str
+    who: str
+    wall_s: float
+    what: str
+    reason: str
+    before: Mapping[str, Any]
+    after: Mapping[str, Any]
+
+    def to_json(self) -> dict[str, Any]:
+        """Returns the JSON form."""
+        fields = {f.name: getattr(self, f.name) for f in _ENTRY_FIELDS}
+        fields["before"] = dict(self.before)
+        fields["after"] = dict(self.after)
+        return fields
+
+    def row_changes(self) -> list[FieldChange]:
+        """Returns the changed fields."""
+        return list(
+            _differences(("rows",), dict(self.before), dict(self.after))
+        )
+
+
+_ENTRY_FIELDS = dataclasses.fields(ChangeEntry)
+
+
+def entry_of(value: Any) -> ChangeEntry | None:
+    """Returns the entry in a table value, or None if there is none.
+
+    Args:
+        value: JSON value of a table or of an audit object.
+    """
+    if not isinstance(value, dict):
+        return None
+    fields = value.get("change")
+    if not isinstance(fields, dict) or "change_id" not in fields:
+        return None
+    before, after = fields.get("before"), fields.get("after")
+    return ChangeEntry(
+        change_id=str(fields["change_id"]),
+        who=str(fields.get("who", "")),
+        wall_s=_number(fields.get("wall_s")),
+        what=str(fields.get("what", "")),
+        reason=str(fields.get("reason", "")),
+        before=before if isinstance(before, dict) else {},
+        after=after if isinstance(after, dict) else {},
+    )
+
+
+def _number(value: Any) -> float:
+    is_number = isinstance(value, int | float) and value is not True
+    return float(value) if is_number else 0.0
+
+
+def diff_tables(before: Any, after: Any) -> list[FieldChange]:
+    """Returns the fields that differ, without the audit entry.
+
+    Args:
+        before: JSON value of a table; None if it does not exist yet.
+        after: JSON value of a table.
+    """
+    return list(_differences((), without_change(before), without_change(after)))
+
+
+def without_change(value: Any) -> dict[str, Any]:
+    """Returns a table value without its audit entry."""
+    if not isinstance(value, dict):
+        return {}
+    return {key: field for key, field in value.items() if key != "change"}
+
+
+def _differences(
+    keys: tuple[str, ...], before: Any, after: Any
+) -> Iterator[FieldChange]:
+    if not isinstance(before, dict) or not isinstance(after, dict):
+        # Comparing the types tells 1 from true and from 1.0.
+        if type(before) is not type(after) or before != after:
+            yield FieldChange(keys, before, after)
+        return
+    for key in sorted(before.keys() | after.keys()):
+        yield from _differences((*keys, key), before.get(key), after.get(key))
+
+
+def changed_rows(before: Any, after: Any) -> tuple[dict[str, Any], ...]:
+    """Returns the changed rows before and after, for an audit entry.
+
+    A row that is absent on one side is None there.
+    """
+    old_rows, new_rows = _rows(before), _rows(after)
+    names = [
+        name
+        for name in sorted(old_rows.keys() | new_rows.keys())
+        if old_rows.get(name) != new_rows.get(name)
+    ]
+    return (
+        {name: old_rows.get(name) for name in names},
+        {name: new_rows.get(name) for name in names},
+    )
+
+
+def _rows(value: Any) -> dict[str, Any]:
+    rows = value.get("rows") if isinstance(value, dict) else None
+    return rows if isinstance(rows, dict) else {}
+
+
+def with_change(stored: Any, new: Any, entry: ChangeEntry) -> dict[str, Any]:
+    """Returns the value to write.
+
+    Fields beside the rows that the new value does not have are kept from the
+    stored one, because a later schema may have added them.
+    """
+    kept = without_change(stored)
+    return {**kept, **without_change(new), "change": entry.to_json()}
+
+
+def audit_key(table_key: str, version: int) -> str:
+    """Returns the key under which a table's former entry is kept.
+
+    Args:
+        table_key: Such as `tables/routes`.
+        version: Version of the table that carried the entry.
+    """
+    table = table_key.rsplit("/", 1)[-1]
+    return f"{AUDIT_PREFIX}{table}/{version:0{_VERSION_DIGITS}d}"
+
+
+def audit_key_parts(key: str) -> tuple[str, int] | None:
+    """Returns the table name and version of an audit key, or None."""
+    parts = key.removeprefix(AUDIT_PREFIX).split("/")
+    if len(parts) != 2 or not parts[1].isdecimal():
+        return None
+    return parts[0], int(parts[1])
--- a/packages/core/src/rattanpulley_core/_internal/tables/pool_parser.py
+++ b/packages/core/src/rattanpulley_core/_internal/tables/pool_parser.py
@@ -127,6 +127,8 @@
         start_at_s=holder.number("start_at_s", MIN_WALL_S, MAX_WALL_S),
         finish_by_s=holder.number("finish_by_s", MIN_WALL_S, MAX_WALL_S),
         paused=holder.flag("paused", default=False),
+        paused_at_s=_parse_paused_at(holder),
+        taken_back=holder.flag("taken_back", default=False),
     )
     for key in ("from_version", "to_version"):
         version = getattr(move, key)
@@ -137,6 +139,12 @@
     return move
 
 
+def _parse_paused_at(holder: reader.Reader) -> float | None:
+    if holder.fields.get("paused_at_s") is None:
+        return None
+    return holder.number("paused_at_s", MIN_WALL_S, MAX_WALL_S)
+
+
 def _check_move(
     holder: reader.Reader,
     move: rows.Move,
--- a/packages/core/src/rattanpulley_core/_internal/tables/rows.py
+++ b/packages/core/src/rattanpulley_core/_internal/tables/rows.py
@@ -97,6 +97,11 @@
         start_at_s: Wall time at which the move starts, in Unix seconds.
         finish_by_s: Wall time by which the old version must be empty.
         paused: Whether the share stays as it is.
+        paused_at_s: Wall time of the pause in Unix seconds, or None. The share
+            is computed for this time, so that a daemon that starts during the
+            pause computes the same share.
+        taken_back: Whether an operator ended the move. The old version gets
+            all requests, as after a verdict.
     """
 
     move_id: str
@@ -105,6 +110,8 @@
     start_at_s: float
     finish_by_s: float
     paused: bool = False
+    paused_at_s: float | None = None
+    taken_back: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/rattanpulley_core/tables.py
+++ b/packages/core/src/rattanpulley_core/tables.py
@@ -1,8 +1,11 @@
 """Public names of the routes and pools subject."""
 
+from rattanpulley_core._internal.tables import advice
+from rattanpulley_core._internal.tables import changes
 from rattanpulley_core._internal.tables import config_state
 from rattanpulley_core._internal.tables import faults
 from rattanpulley_core._internal.tables import pool_parser
+from rattanpulley_core._internal.tables import reader
 from rattanpulley_core._internal.tables import route_parser
 from rattanpulley_core._internal.tables import rows
 from rattanpulley_core._internal.tables import together
@@ -30,3 +33,17 @@
 TableInForce = config_state.TableInForce
 ConfigState = config_state.ConfigState
 canonical_text = config_state.canonical_text
+
+FieldChange = changes.FieldChange
+ChangeEntry = changes.ChangeEntry
+AUDIT_PREFIX = changes.AUDIT_PREFIX
+entry_of = changes.entry_of
+diff_tables = changes.diff_tables
+changed_rows = changes.changed_rows
+with_change = changes.with_change
+without_change = changes.without_change
+audit_key = changes.audit_key
+audit_key_parts = changes.audit_key_parts
+is_name = reader.is_name
+unknown_fields = advice.unknown_fields
+sudden_shares = advice.sudden_shares
