Add the operators' command line

Cause: operators need to check, compare and change the two tables, and to see who changed what, without overwriting each other.

The audit entry travels in the write of the table; the next writer copies it before it overwrites it. A lost answer is resolved by reading the change id back.

--- /dev/null
+++ b/packages/cli/src/rattanpulley/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Command classes."""
--- /dev/null
+++ b/packages/cli/src/rattanpulley/_internal/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Questions to the daemons."""
--- /dev/null
+++ b/packages/cli/src/rattanpulley/_internal/documents/__init__.py
@@ -0,0 +1,1 @@
+"""Table files on the operator's disk."""
--- /dev/null
+++ b/packages/cli/src/rattanpulley/_internal/moves/__init__.py
@@ -0,0 +1,1 @@
+"""Edits of the move in a pool row."""
--- /dev/null
+++ b/packages/cli/src/rattanpulley/_internal/store/__init__.py
@@ -0,0 +1,1 @@
+"""Reads and conditional writes of the tables."""
--- /dev/null
+++ b/packages/cli/src/rattanpulley/_internal/store/table_reader.py
@@ -0,0 +1,110 @@
+"""Reads of the tables and their audit entries."""
+
+from collections.abc import Sequence
+import dataclasses
+from typing import Any
+
+from rattanpulley import exceptions
+from rattanpulley_core import interfaces
+from rattanpulley_core import tables
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredTable:
+    """A table as the object API holds it; version 0 when it is absent."""
+
+    kind: tables.TableKind
+    version: int
+    value: Any
+
+    @property
+    def entry(self) -> tables.ChangeEntry | None:
+        """The audit entry of the newest change, or None."""
+        return tables.entry_of(self.value)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AuditRow:
+    """One audit entry with the version that it made."""
+
+    table: str
+    version: int
+    entry: tables.ChangeEntry
+
+
+def read_table(
+    store: interfaces.ObjectStore, kind: tables.TableKind
+) -> StoredTable:
+    """Reads a table.
+
+    Raises:
+        StoreUnavailableError: There was no clear answer.
+    """
+    try:
+        stored = store.get(kind.key)
+    except interfaces.StoreUnavailableError as error:
+        raise exceptions.StoreUnavailableError(str(error)) from error
+    if stored is None:
+        return StoredTable(kind, 0, None)
+    return StoredTable(kind, stored.version, stored.value)
+
+
+def read_audit(
+    store: interfaces.ObjectStore, kinds: Sequence[tables.TableKind]
+) -> list[AuditRow]:
+    """Reads all audit entries of tables, the newest change of each included.
+
+    The tables are read after the copies: a change that is made in between
+    then occurs at least in one of the two, and at most once in the result.
+
+    Raises:
+        StoreUnavailableError: There was no clear answer.
+    """
+    rows_by_id: dict[tuple[str, int], AuditRow] = {}
+    for kind in kinds:
+        for row in (*_read_copies(store, kind), *_read_newest(store, kind)):
+            rows_by_id[row.table, row.version] = row
+    return sorted(
+        rows_by_id.values(), key=lambda row: (row.entry.wall_s, row.version)
+    )
+
+
+def missing_versions(rows: Sequence[AuditRow]) -> dict[str, list[int]]:
+    """Returns the versions without an entry below the newest one, by table.
+
+    Such a version was written by another program, or its object was deleted.
+    """
+    versions_by_table: dict[str, set[int]] = {}
+    for row in rows:
+        versions_by_table.setdefault(row.table, set()).add(row.version)
+    return {
+        table: sorted(set(range(1, max(versions) + 1)) - versions)
+        for table, versions in versions_by_table.items()
+        if len(versions) < max(versions)
+    }
+
+
+def _read_copies(
+    store: interfaces.ObjectStore, kind: tables.TableKind
+) -> list[AuditRow]:
+    prefix = f"{tables.AUDIT_PREFIX}{kind.value}/"
+    try:
+        stored, _ = store.list_objects(prefix)
+    except interfaces.StoreUnavailableError as error:
+        raise exceptions.StoreUnavailableError(str(error)) from error
+    rows = []
+    for item in stored:
+        parts = tables.audit_key_parts(item.key)
+        entry = tables.entry_of(item.value)
+        if parts is not None and entry is not None:
+            rows.append(AuditRow(parts[0], parts[1], entry))
+    return rows
+
+
+def _read_newest(
+    store: interfaces.ObjectStore, kind: tables.TableKind
+) -> list[AuditRow]:
+    stored = read_table(store, kind)
+    if stored.entry is None:
+        return []
+    return [AuditRow(kind.value, stored.version, stored.entry)]
--- /dev/null
+++ b/packages/cli/src/rattanpulley/_internal/views/__init__.py
@@ -0,0 +1,1 @@
+"""Text for people."""
--- /dev/null
+++ b/packages/cli/src/rattanpulley/_internal/views/table_views.py
@@ -0,0 +1,143 @@
+"""Outputs about tables and their changes."""
+
+from collections.abc import Sequence
+from typing import Any
+
+from rattanpulley import exceptions
+from rattanpulley._internal.documents import table_file
+from rattanpulley._internal.moves import times
+from rattanpulley._internal.store import table_reader
+from rattanpulley._internal.store import table_writer
+from rattanpulley._internal.views import text
+from rattanpulley_core import tables
+
+
+def table_output(stored: table_reader.StoredTable) -> text.Output:
+    """Returns the rows of a table."""
+    entry = stored.entry
+    data = {
+        "table": stored.kind.value,
+        "version": stored.version,
+        "value": tables.without_change(stored.value),
+        "changed_by": entry.who if entry else None,
+    }
+    title = f"{stored.kind.value} version {stored.version}"
+    if entry is not None:
+        title += f", changed {times.format_time(entry.wall_s)} by {entry.who}"
+    rows = stored.value.get("rows", {})
+    if stored.kind is tables.TableKind.ROUTES:
+        grid = _route_grid(rows)
+    else:
+        grid = _pool_grid(rows)
+    return text.Output(data, [text.printable(title), grid])
+
+
+def _route_grid(rows: dict[str, Any]) -> text.Grid:
+    headers = ("route", "kind", "matches", "pool", "repeatable", "deadline_s")
+    cells = []
+    for name, row in sorted(rows.items()):
+        match = row.get("match", {})
+        cells.append(
+            (
+                text.printable(name),
+                text.cell(row.get("kind")),
+                text.cell(match.get("model") or match.get("service")),
+                text.cell(row.get("pool")),
+                text.cell(row.get("repeatable", True)),
+                text.cell(row.get("deadline_s", 600.0)),
+            )
+        )
+    return text.Grid(headers, cells)
+
+
+def _pool_grid(rows: dict[str, Any]) -> text.Grid:
+    headers = ("pool", "kind", "versions", "targets", "move", "finish by")
+    cells = []
+    for name, row in sorted(rows.items()):
+        versions = row.get("versions", {})
+        shares = [f"{v}:{s.get('weight', 1)}" for v, s in versions.items()]
+        move, finish_by = _move_cells(row.get("move"))
+        cells.append(
+            (
+                text.printable(name),
+                text.cell(row.get("kind")),
+                text.cell(" ".join(shares)),
+                text.cell(len(row.get("targets", {}))),
+                move,
+                finish_by,
+            )
+        )
+    return text.Grid(headers, cells)
+
+
+def _move_cells(move: dict[str, Any] | None) -> tuple[str, str]:
+    if not move:
+        return "-", "-"
+    state = ""
+    if move.get("paused"):
+        state = " (paused)"
+    if move.get("taken_back"):
+        state = " (taken back)"
+    shown = f"{move['from_version']} to {move['to_version']}{state}"
+    return text.cell(shown), times.format_time(move["finish_by_s"])
+
+
+def applied_output(
+    kind: tables.TableKind, applied: table_writer.Applied
+) -> text.Output:
+    """Returns the result of a change."""
+    data = {
+        "table": kind.value,
+        "version": applied.version,
+        "changed": bool(applied.changes),
+        "change_id": applied.change_id,
+        "read_back": applied.read_back,
+        "changes": [text.change_json(change) for change in applied.changes],
+    }
+    if not applied.changes:
+        line = f"no difference; {kind.value} stays at version {applied.version}"
+        return text.Output(data, [line])
+    blocks: list[str | text.Grid] = [text.change_grid(applied.changes)]
+    if applied.read_back:
+        blocks.append("an answer was lost; the change was found by reading")
+    blocks.append(f"{kind.value} is now at version {applied.version}")
+    return text.Output(data, blocks)
+
+
+def share_remarks(
+    stored: table_reader.StoredTable, file: table_file.TableFile
+) -> Sequence[table_file.LocatedFault]:
+    """Returns the versions that a file would give a share at once."""
+    if stored.kind is not tables.TableKind.POOLS or stored.version == 0:
+        return []
+    try:
+        before = tables.parse_pools(stored.value, stored.version)
+    except tables.TableError:
+        return []
+    after = tables.parse_pools(file.value, stored.version)
+    return file.located(tables.sudden_shares(before, after))
+
+
+def table_error(
+    error: tables.TableError, file: table_file.TableFile | None
+) -> exceptions.TableFaultsError:
+    """Returns the error of a refused table.
+
+    Faults between the tables have paths of the routes table, so only faults of
+    a routes file can be located in it.
+    """
+    if file is not None and file.kind is tables.TableKind.ROUTES:
+        return table_file.faults_error(file.located(error.faults))
+    return exceptions.TableFaultsError(
+        [f"tables/routes: {fault}" for fault in error.faults],
+        {
+            "faults": [
+                {
+                    "path": fault.path,
+                    "problem": fault.problem,
+                    "hint": fault.hint,
+                }
+                for fault in error.faults
+            ]
+        },
+    )
--- a/packages/core/src/rattanpulley_core/_internal/tables/advice.py
+++ b/packages/core/src/rattanpulley_core/_internal/tables/advice.py
@@ -7,7 +7,7 @@
 from rattanpulley_core._internal.tables import faults
 from rattanpulley_core._internal.tables import rows
 
-_FIELDS_BY_CLASS = {
+_FIELDS_BY_CLASS: dict[type, frozenset[str]] = {
     cls: frozenset(field.name for field in dataclasses.fields(cls))
     for cls in (rows.Match, rows.AccountLimit, rows.Move)
 }
@@ -69,7 +69,7 @@
     known: frozenset[str],
     found: list[faults.Fault],
 ) -> None:
-    for key in holder.keys() - known:
+    for key in sorted(holder.keys() - known):
         close = difflib.get_close_matches(key, sorted(known), n=1)
         hint = f"Did you mean {close[0]!r}?" if close else "Remove it"
         found.append(faults.Fault((*keys, key), "the field is unknown", hint))
