Add membership among daemons and the spread of facts

Cause: daemons need to learn of each other, of crash reports, of verdicts and of new tables without a coordination service and without a full mesh.

Change: a pure peer part: ring with a chord within a failure domain and two links to others, heartbeats, suspicion with incarnations, facts that merge by kind, reconciliation by digests of 16 buckets, table contents on request.

Ruled out: pushing table contents to neighbours.

Failure found while testing: after a cut of 40 s both sides held each other as dead and never met again (test_fact_reaches_all_and_survives_a_cut failed). Each daemon now tries one dead member every 10 s, and a stream is not closed as surplus before 5 s, so that its exchange of facts ends.

Before: the test fails.

--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Membership among daemons and dissemination of facts."""
--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/peers/facts.py
@@ -0,0 +1,177 @@
+"""Facts that daemons spread among themselves, and the rules that merge them.
+
+State: `FactTable`, owned by one `PeerCore`. Merging is commutative, associative
+and idempotent, so facts may arrive late, repeated and in any order.
+"""
+
+from collections.abc import Iterator
+import dataclasses
+import enum
+import hashlib
+
+BUCKET_COUNT = 16
+DIGEST_BYTES = 8
+FACTS_PER_MESSAGE = 200
+
+
+class FactKind(enum.Enum):
+    """Kind of a fact; the kind decides how two facts of one key merge."""
+
+    MEMBER = "member"
+    TABLE = "table"
+    VERDICT = "verdict"
+    CRASH_REPORT = "crash_report"
+
+
+# Verdicts and crash reports have no order: the first value of a key stays.
+_NEWEST_VERSION_WINS = frozenset({FactKind.MEMBER, FactKind.TABLE})
+
+# Facts of these kinds must not be forgotten while their subject exists.
+_WITHOUT_EXPIRY = frozenset({FactKind.TABLE, FactKind.VERDICT})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fact:
+    """A small piece of knowledge.
+
+    Attributes:
+        kind: Merge rule and meaning.
+        key: Subject within the kind.
+        version: Order among facts of one key; larger is newer.
+        value: Payload, opaque to the merge.
+        expires_s: Monotonic time at which the holder forgets the fact; None
+            for kinds that are kept. On the wire it is the time left, since
+            hosts do not share a clock.
+    """
+
+    kind: FactKind
+    key: str
+    version: int
+    value: bytes
+    expires_s: float | None
+
+    @property
+    def identity(self) -> tuple[FactKind, str]:
+        """Returns what the fact is about."""
+        return (self.kind, self.key)
+
+
+class MergeResult(enum.Enum):
+    """What a merge did."""
+
+    NEW = "new"
+    KNOWN = "known"
+    OLDER = "older"
+    CONTRADICTS = "contradicts"  # Equal version, other value.
+
+
+class FactTable:
+    """All facts that a daemon holds."""
+
+    def __init__(self) -> None:
+        self._facts_by_identity: dict[tuple[FactKind, str], Fact] = {}
+        self._digest_by_bucket = [0] * BUCKET_COUNT
+
+    def __len__(self) -> int:
+        return len(self._facts_by_identity)
+
+    def __iter__(self) -> Iterator[Fact]:
+        return iter(list(self._facts_by_identity.values()))
+
+    def get(self, kind: FactKind, key: str) -> Fact | None:
+        """Returns the fact about a subject, or None."""
+        return self._facts_by_identity.get((kind, key))
+
+    def merge(self, fact: Fact) -> MergeResult:
+        """Adds a fact unless a newer or equal one is held."""
+        held = self._facts_by_identity.get(fact.identity)
+        if held is None:
+            self._store(fact)
+            return MergeResult.NEW
+        if fact.kind not in _NEWEST_VERSION_WINS:
+            return MergeResult.KNOWN
+        if fact.version < held.version:
+            return MergeResult.OLDER
+        if fact.version > held.version:
+            self._remove(held)
+            self._store(fact)
+            return MergeResult.NEW
+        if fact.value != held.value:
+            return MergeResult.CONTRADICTS
+        return MergeResult.KNOWN
+
+    def expire(self, now_s: float) -> list[Fact]:
+        """Forgets and returns the facts whose time is over."""
+        expired = [
+            fact
+            for fact in self._facts_by_identity.values()
+            if fact.expires_s is not None and fact.expires_s <= now_s
+        ]
+        for fact in expired:
+            self._remove(fact)
+        return expired
+
+    def digests(self) -> tuple[bytes, ...]:
+        """Returns one digest a bucket; equal digests mean equal facts."""
+        return tuple(
+            digest.to_bytes(DIGEST_BYTES, "big")
+            for digest in self._digest_by_bucket
+        )
+
+    def differing(self, digests: tuple[bytes, ...]) -> list[Fact]:
+        """Returns the facts of the buckets whose digest is another one."""
+        own = self.digests()
+        buckets = {
+            bucket
+            for bucket in range(BUCKET_COUNT)
+            if own[bucket] != digests[bucket]
+        }
+        return [
+            fact
+            for fact in self._facts_by_identity.values()
+            if _bucket_of(fact) in buckets
+        ]
+
+    def _store(self, fact: Fact) -> None:
+        if fact.kind in _WITHOUT_EXPIRY and fact.expires_s is not None:
+            fact = dataclasses.replace(fact, expires_s=None)
+        self._facts_by_identity[fact.identity] = fact
+        self._digest_by_bucket[_bucket_of(fact)] ^= _digest_of(fact)
+
+    def _remove(self, fact: Fact) -> None:
+        del self._facts_by_identity[fact.identity]
+        self._digest_by_bucket[_bucket_of(fact)] ^= _digest_of(fact)
+
+
+def _bucket_of(fact: Fact) -> int:
+    text = f"{fact.kind.value}/{fact.key}".encode()
+    return hashlib.blake2b(text, digest_size=1).digest()[0] % BUCKET_COUNT
+
+
+def _digest_of(fact: Fact) -> int:
+    """Digests everything but the expiry, which differs between holders."""
+    head = f"{fact.kind.value}/{fact.key}/{fact.version}/".encode()
+    digest = hashlib.blake2b(head + fact.value, digest_size=DIGEST_BYTES)
+    return int.from_bytes(digest.digest(), "big")
+
+
+def to_wire(fact: Fact, now_s: float) -> Fact:
+    """Returns the fact with the time left in place of the expiry time."""
+    if fact.expires_s is None:
+        return fact
+    return dataclasses.replace(fact, expires_s=fact.expires_s - now_s)
+
+
+def from_wire(fact: Fact, now_s: float) -> Fact:
+    """Returns the fact with the expiry time in place of the time left."""
+    if fact.expires_s is None:
+        return fact
+    return dataclasses.replace(fact, expires_s=fact.expires_s + now_s)
+
+
+def chunks(items: list[Fact]) -> list[list[Fact]]:
+    """Splits facts into lists that fit one message each."""
+    return [
+        items[start : start + FACTS_PER_MESSAGE]
+        for start in range(0, len(items), FACTS_PER_MESSAGE)
+    ]
--- /dev/null
+++ b/packages/core/src/rattanpulley_core/peers.py
@@ -0,0 +1,46 @@
+"""Public names of the peers subject."""
+
+from rattanpulley_core._internal.peers import connections
+from rattanpulley_core._internal.peers import core
+from rattanpulley_core._internal.peers import facts
+from rattanpulley_core._internal.peers import members
+from rattanpulley_core._internal.peers import messages
+
+PeerCore = core.PeerCore
+PeerSettings = connections.PeerSettings
+
+Fact = facts.Fact
+FactKind = facts.FactKind
+FactTable = facts.FactTable
+MergeResult = facts.MergeResult
+
+Member = members.Member
+MemberState = members.MemberState
+MemberFormatError = members.MemberFormatError
+PeerTable = members.PeerTable
+
+Message = messages.Message
+Hello = messages.Hello
+Welcome = messages.Welcome
+Heartbeat = messages.Heartbeat
+Facts = messages.Facts
+FactsRequest = messages.FactsRequest
+TableRequest = messages.TableRequest
+TableContent = messages.TableContent
+
+Event = messages.Event
+StreamOpened = messages.StreamOpened
+StreamClosed = messages.StreamClosed
+ConnectFailed = messages.ConnectFailed
+MessageReceived = messages.MessageReceived
+FactPublished = messages.FactPublished
+TableHeld = messages.TableHeld
+TableWanted = messages.TableWanted
+
+Action = messages.Action
+OpenStream = messages.OpenStream
+CloseStream = messages.CloseStream
+Send = messages.Send
+FactLearned = messages.FactLearned
+TableLearned = messages.TableLearned
+MemberChanged = messages.MemberChanged
--- /dev/null
+++ b/packages/core/tests/peers/fleet.py
@@ -0,0 +1,110 @@
+"""A few peer cores joined by a hand-driven network, for the tests here."""
+
+import collections
+import random
+
+from rattanpulley_core import peers
+
+TICK_S = 0.25
+
+
+def make_member(
+    name: str, domain: str = "north", incarnation: int = 1
+) -> peers.Member:
+    return peers.Member(name, domain, f"{name}:1", incarnation)
+
+
+class Fleet:
+    """Peer cores by name; streams lose what crosses a cut or a pause."""
+
+    def __init__(self, keys: tuple[bytes, ...] = (b"key",)) -> None:
+        self.now_s = 0.0
+        self.keys = keys
+        self.cores_by_name: dict[str, peers.PeerCore] = {}
+        self.learned_by_name: dict[str, list[peers.Action]] = {}
+        self.paused: set[str] = set()
+        self.cuts: set[frozenset[str]] = set()
+        self._next_stream = 0
+        # Stream id of one end to (other end's name, other end's stream id).
+        self._links: dict[int, tuple[str, int]] = {}
+        self._queue: collections.deque[tuple[str, peers.Event]] = (
+            collections.deque()
+        )
+
+    def add(self, member: peers.Member, seeds: tuple[str, ...] = ()) -> None:
+        settings = peers.PeerSettings(member, seeds, self.keys)
+        rng = random.Random(member.name)
+        self.cores_by_name[member.name] = peers.PeerCore(settings, rng)
+        self.learned_by_name.setdefault(member.name, [])
+
+    def kill(self, name: str) -> None:
+        core = self.cores_by_name.pop(name)
+        for row in list(core.state.stream_table):
+            self._close(row.stream_id)
+
+    def post(self, name: str, event: peers.Event) -> None:
+        self._queue.append((name, event))
+
+    def run(self, seconds: float) -> None:
+        """Ticks all running cores and carries their messages."""
+        end_s = self.now_s + seconds
+        while self.now_s < end_s:
+            self.now_s += TICK_S
+            for name in sorted(self.cores_by_name):
+                if name not in self.paused:
+                    core = self.cores_by_name[name]
+                    self._carry_out(name, core.tick(self.now_s))
+            self._deliver()
+
+    def states_at(self, name: str) -> dict[str, peers.MemberState]:
+        rows = self.cores_by_name[name].state.peer_table
+        return {row.member.name: row.member.state for row in rows}
+
+    def _deliver(self) -> None:
+        held = []
+        while self._queue:
+            name, event = self._queue.popleft()
+            if name in self.paused:
+                held.append((name, event))
+            elif name in self.cores_by_name:
+                core = self.cores_by_name[name]
+                self._carry_out(name, core.handle(event, self.now_s))
+        self._queue.extend(held)
+
+    def _carry_out(self, name: str, actions: list[peers.Action]) -> None:
+        for action in actions:
+            if isinstance(action, peers.OpenStream):
+                self._open(name, action.address)
+            elif isinstance(action, peers.CloseStream):
+                self._close(action.stream_id)
+            elif isinstance(action, peers.Send):
+                self._send(name, action)
+            else:
+                self.learned_by_name[name].append(action)
+
+    def _open(self, name: str, address: str) -> None:
+        other = address.split(":")[0]
+        if other not in self.cores_by_name or self._is_cut(name, other):
+            self.post(name, peers.ConnectFailed(address))
+            return
+        near, far = self._next_stream, self._next_stream + 1
+        self._next_stream += 2
+        self._links[near] = (other, far)
+        self._links[far] = (name, near)
+        self.post(name, peers.StreamOpened(near, address))
+        self.post(other, peers.StreamOpened(far, None))
+
+    def _close(self, stream_id: int) -> None:
+        other = self._links.pop(stream_id, None)
+        if other is not None:
+            self._links.pop(other[1], None)
+            self.post(other[0], peers.StreamClosed(other[1]))
+
+    def _send(self, name: str, action: peers.Send) -> None:
+        link = self._links.get(action.stream_id)
+        if link is not None and not self._is_cut(name, link[0]):
+            event = peers.MessageReceived(link[1], action.message)
+            self.post(link[0], event)
+
+    def _is_cut(self, one: str, other: str) -> bool:
+        return frozenset((one, other)) in self.cuts
