Move the peer codec to the adapters

Cause: the measurements count bytes on the wire, and the stand-ins may not import the daemon.

Change: the codec is a module of rattanpulley_adapters.

--- /dev/null
+++ b/packages/adapters/src/rattanpulley_adapters/_internal/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Peer messages on the wire."""
--- a/packages/daemon/tests/peers/test_codec.py
+++ b/packages/adapters/tests/peers/test_codec.py
@@ -3,8 +3,8 @@
 import msgpack
 import pytest
 
+from rattanpulley_adapters import peer_codec
 from rattanpulley_core import peers
-from rattanpulleyd._internal.peers import codec
 
 MEMBER = peers.Member("d0", "north", "127.0.0.1:1", 7)
 FACT = peers.Fact(peers.FactKind.CRASH_REPORT, "k", 1, b"v", 12.5)
@@ -24,17 +24,17 @@
 )
 def test_messages_survive_the_wire(message):
     # Guards against a field that is lost between encoder and decoder.
-    assert codec.decode(msgpack.unpackb(codec.encode(message))) == message
+    value = msgpack.unpackb(peer_codec.encode(message))
+    assert peer_codec.decode(value) == message
 
 
 def test_unknown_types_and_fields_are_ignored():
     # Guards against a stream that breaks when one end is upgraded.
-    assert codec.decode({"t": "introduced_later"}) is None
-    assert codec.decode({"t": "heartbeat", "incarnation": 1, "new": 2})
+    assert peer_codec.decode({"t": "introduced_later"}) is None
+    assert peer_codec.decode({"t": "heartbeat", "incarnation": 1, "new": 2})
     later_kind = ["introduced_later", "k", 1, b"v", None]
-    assert codec.decode({"t": "facts", "facts": [later_kind]}) == peers.Facts(
-        ()
-    )
+    decoded = peer_codec.decode({"t": "facts", "facts": [later_kind]})
+    assert decoded == peers.Facts(())
 
 
 @pytest.mark.parametrize(
@@ -50,5 +50,5 @@
 )
 def test_malformed_messages_are_refused(value):
     # Guards against a malformed message that reaches the core.
-    with pytest.raises(codec.MalformedMessageError):
-        codec.decode(value)
+    with pytest.raises(peer_codec.MalformedMessageError):
+        peer_codec.decode(value)
--- a/packages/daemon/src/rattanpulleyd/_internal/peers/tcp_streams.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/peers/tcp_streams.py
@@ -10,9 +10,9 @@
 from gevent import server
 from gevent import socket
 
+from rattanpulley_adapters import peer_codec
 from rattanpulley_core import interfaces
 from rattanpulley_core import peers
-from rattanpulleyd._internal.peers import codec
 
 CONNECT_TIMEOUT_S = 1.0
 READ_BYTES = 65_536
@@ -70,7 +70,7 @@
         if stream is None:
             return
         try:
-            stream.outbox.put_nowait(codec.encode(order.message))
+            stream.outbox.put_nowait(peer_codec.encode(order.message))
         except queue.Full:
             self.counters["peers.full_queues"] += 1
             self._end(stream)
@@ -109,19 +109,19 @@
             writer.kill(block=False)
 
     def _read(self, stream: _Stream) -> None:
-        unpacker = codec.make_unpacker()
+        unpacker = peer_codec.make_unpacker()
         try:
             while data := stream.connection.recv(READ_BYTES):
                 self.counters["peers.received_bytes"] += len(data)
                 unpacker.feed(data)
                 for value in unpacker:
                     self._receive(stream, value)
-        except (OSError, ValueError, codec.MalformedMessageError):
+        except (OSError, ValueError, peer_codec.MalformedMessageError):
             # ValueError covers msgpack's format and buffer errors.
             self.counters["peers.broken_streams"] += 1
 
     def _receive(self, stream: _Stream, value: Any) -> None:
-        message = codec.decode(value)
+        message = peer_codec.decode(value)
         if message is None:
             self.counters["peers.unknown_messages"] += 1
         elif stream.stream_id in self._streams_by_id:
