Measure the cost of membership by the number of daemons

Cause: the control budget of a node is 1.2 % of a core and 4 KB/s, and the cost of the peer part at 380 daemons was not known.

Change: the hand-driven network of the tests is a module of the stand-ins; it counts bytes as encoded and processor time in the cores.

--- a/packages/core/tests/peers/test_core.py
+++ b/packages/core/tests/peers/test_core.py
@@ -1,18 +1,13 @@
 """Tests of membership and the spread of facts with a hand-driven network."""
 
-import pathlib
-import sys
-
 from rattanpulley_core import peers
-
-sys.path.insert(0, str(pathlib.Path(__file__).parent))
-import fleet as fleets
+from rattanpulley_standins import peer_fleet
 
 
-def start_fleet(count: int, domains: int = 2) -> fleets.Fleet:
-    fleet = fleets.Fleet()
+def start_fleet(count: int, domains: int = 2) -> peer_fleet.Fleet:
+    fleet = peer_fleet.Fleet()
     for index in range(count):
-        member = fleets.make_member(f"d{index}", f"domain{index % domains}")
+        member = peer_fleet.make_member(f"d{index}", f"domain{index % domains}")
         fleet.add(member, seeds=("d0:1", "d1:1"))
     fleet.run(15)
     return fleet
@@ -84,10 +79,10 @@
 
 def test_wrong_key_is_refused():
     # Guards against a peer without the shared key.
-    fleet = fleets.Fleet()
-    fleet.add(fleets.make_member("d0"))
+    fleet = peer_fleet.Fleet()
+    fleet.add(peer_fleet.make_member("d0"))
     fleet.keys = (b"other",)
-    fleet.add(fleets.make_member("d1"), seeds=("d0:1",))
+    fleet.add(peer_fleet.make_member("d1"), seeds=("d0:1",))
     fleet.run(5)
     assert fleet.states_at("d0") == {}
     assert fleet.cores_by_name["d0"].state.counters["peers.bad_proofs"] > 0
@@ -95,11 +90,11 @@
 
 def test_keys_rotate_without_a_stop():
     # Guards against a rotation that cuts daemons off half way.
-    fleet = fleets.Fleet()
+    fleet = peer_fleet.Fleet()
     fleet.keys = (b"old", b"new")
-    fleet.add(fleets.make_member("d0"))
+    fleet.add(peer_fleet.make_member("d0"))
     fleet.keys = (b"new", b"old")
-    fleet.add(fleets.make_member("d1"), seeds=("d0:1",))
+    fleet.add(peer_fleet.make_member("d1"), seeds=("d0:1",))
     fleet.run(5)
     assert set(fleet.states_at("d0")) == {"d1"}
 
--- a/packages/core/tests/peers/test_membership_machine.py
+++ b/packages/core/tests/peers/test_membership_machine.py
@@ -1,16 +1,11 @@
 """State machine of membership: kills, pauses, restarts, cuts and healing."""
 
-import pathlib
-import sys
-
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
 
 from rattanpulley_core import peers
-
-sys.path.insert(0, str(pathlib.Path(__file__).parent))
-import fleet as fleets
+from rattanpulley_standins import peer_fleet
 
 NAMES = tuple(f"d{index}" for index in range(6))
 # Silence, three failed connections, the time to refute and a rejoin attempt of
@@ -23,7 +18,7 @@
 
     @stateful.initialize()
     def start(self) -> None:
-        self.fleet = fleets.Fleet()
+        self.fleet = peer_fleet.Fleet()
         self.incarnations_by_name = {}
         for name in NAMES:
             self._start(name, incarnation=1000)
@@ -31,7 +26,7 @@
 
     def _start(self, name: str, incarnation: int) -> None:
         domain = f"domain{int(name[1:]) % 2}"
-        member = fleets.make_member(name, domain, incarnation)
+        member = peer_fleet.make_member(name, domain, incarnation)
         self.incarnations_by_name[name] = incarnation
         self.fleet.add(member, seeds=("d0:1", "d1:1"))
 
--- /dev/null
+++ b/packages/standins/src/rattanpulley_standins/_internal/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the control costs, for docs/CAPACITY.md."""
--- a/packages/core/tests/peers/fleet.py
+++ b/packages/standins/src/rattanpulley_standins/peer_fleet.py
@@ -1,8 +1,13 @@
-"""A few peer cores joined by a hand-driven network, for the tests here."""
+"""A few peer cores joined by a hand-driven network, for tests and measures.
+
+Time moves only in `run`. Bytes are counted as the daemon would encode them.
+"""
 
 import collections
 import random
+import time
 
+from rattanpulley_adapters import peer_codec
 from rattanpulley_core import peers
 
 TICK_S = 0.25
@@ -11,11 +16,24 @@
 def make_member(
     name: str, domain: str = "north", incarnation: int = 1
 ) -> peers.Member:
+    """Returns a member whose address the fleet can resolve."""
     return peers.Member(name, domain, f"{name}:1", incarnation)
 
 
 class Fleet:
-    """Peer cores by name; streams lose what crosses a cut or a pause."""
+    """Peer cores by name; streams lose what crosses a cut.
+
+    Attributes:
+        now_s: Time of the fleet.
+        keys: Peer keys of the daemons that are added next.
+        cores_by_name: Running daemons.
+        learned_by_name: Actions that the daemons' other parts would get.
+        paused: Names of the daemons that take no events.
+        cuts: Pairs of names between which nothing passes.
+        sent_bytes: Bytes sent by all daemons.
+        sent_messages: Messages sent by all daemons, by type.
+        busy_s: Processor time spent in the cores.
+    """
 
     def __init__(self, keys: tuple[bytes, ...] = (b"key",)) -> None:
         self.now_s = 0.0
@@ -24,6 +42,9 @@
         self.learned_by_name: dict[str, list[peers.Action]] = {}
         self.paused: set[str] = set()
         self.cuts: set[frozenset[str]] = set()
+        self.sent_bytes = 0
+        self.sent_messages: collections.Counter[str] = collections.Counter()
+        self.busy_s = 0.0
         self._next_stream = 0
         # Stream id of one end to (other end's name, other end's stream id).
         self._links: dict[int, tuple[str, int]] = {}
@@ -32,17 +53,20 @@
         )
 
     def add(self, member: peers.Member, seeds: tuple[str, ...] = ()) -> None:
+        """Starts a daemon with an empty memory."""
         settings = peers.PeerSettings(member, seeds, self.keys)
         rng = random.Random(member.name)
         self.cores_by_name[member.name] = peers.PeerCore(settings, rng)
         self.learned_by_name.setdefault(member.name, [])
 
     def kill(self, name: str) -> None:
+        """Ends a daemon; its peers see their streams close."""
         core = self.cores_by_name.pop(name)
         for row in list(core.state.stream_table):
             self._close(row.stream_id)
 
     def post(self, name: str, event: peers.Event) -> None:
+        """Queues an event for a daemon."""
         self._queue.append((name, event))
 
     def run(self, seconds: float) -> None:
@@ -52,11 +76,14 @@
             self.now_s += TICK_S
             for name in sorted(self.cores_by_name):
                 if name not in self.paused:
-                    core = self.cores_by_name[name]
-                    self._carry_out(name, core.tick(self.now_s))
+                    start_s = time.process_time()
+                    actions = self.cores_by_name[name].tick(self.now_s)
+                    self.busy_s += time.process_time() - start_s
+                    self._carry_out(name, actions)
             self._deliver()
 
     def states_at(self, name: str) -> dict[str, peers.MemberState]:
+        """Returns what a daemon holds of the others."""
         rows = self.cores_by_name[name].state.peer_table
         return {row.member.name: row.member.state for row in rows}
 
@@ -67,8 +94,10 @@
             if name in self.paused:
                 held.append((name, event))
             elif name in self.cores_by_name:
-                core = self.cores_by_name[name]
-                self._carry_out(name, core.handle(event, self.now_s))
+                start_s = time.process_time()
+                actions = self.cores_by_name[name].handle(event, self.now_s)
+                self.busy_s += time.process_time() - start_s
+                self._carry_out(name, actions)
         self._queue.extend(held)
 
     def _carry_out(self, name: str, actions: list[peers.Action]) -> None:
@@ -101,6 +130,8 @@
             self.post(other[0], peers.StreamClosed(other[1]))
 
     def _send(self, name: str, action: peers.Send) -> None:
+        self.sent_bytes += len(peer_codec.encode(action.message))
+        self.sent_messages[type(action.message).__name__] += 1
         link = self._links.get(action.stream_id)
         if link is not None and not self._is_cut(name, link[0]):
             event = peers.MessageReceived(link[1], action.message)
