Measure the tables' cost by targets and accounts

Cause: the page on capacity needs slopes of the configuration watch.

Change: slopes of size, time and memory of the pools and routes tables, and a report that renders the page's tables from the JSON of the slopes.

Conclusion: limits by default row; only exceptions should have rows.

--- /dev/null
+++ b/packages/standins/src/rattanpulley_standins/_internal/measure/design_size.py
@@ -0,0 +1,30 @@
+"""The size that the design is worked out for, and the limits at each node."""
+
+NODES = 380
+FAILURE_DOMAINS = 11
+REGIONS = 3
+TARGETS = 600
+ACCOUNTS = 25_000
+REQUESTS_PER_S = 2_900
+TOKENS_PER_S = 880_000
+TOKEN_INTERVAL_S = 0.030
+CONFIG_CHANGES_PER_DAY = 1_400
+RESTARTS_PER_DAY = 380
+SECONDS_PER_DAY = 86_400
+
+REQUESTS_PER_NODE_S = REQUESTS_PER_S / NODES
+TOKENS_PER_NODE_S = TOKENS_PER_S / NODES
+STREAMS_PER_NODE = TOKENS_PER_NODE_S * TOKEN_INTERVAL_S
+
+# Limits of the control work at each node.
+CPU_LIMIT_US_PER_S = 12_000.0
+MEMORY_LIMIT_BYTES = 128e6
+NETWORK_LIMIT_BYTES_PER_S = 4_000.0
+
+# Sustained rates of the object API over all callers. The brief says several
+# hundred writes and about two thousand reads a second.
+PLATFORM_WRITES_PER_S = 300.0
+PLATFORM_READS_PER_S = 2_000.0
+
+# A waiting watch returns after this time at the latest.
+WATCH_S = 8.0
--- /dev/null
+++ b/packages/standins/src/rattanpulley_standins/_internal/measure/report.py
@@ -0,0 +1,153 @@
+"""Writes the measured slopes as JSON and as a plot, and the page's tables."""
+
+from collections.abc import Iterable
+import dataclasses
+import json
+import pathlib
+from typing import Any
+
+from rattanpulley_standins._internal.measure import rows
+from rattanpulley_standins._internal.measure import samples
+
+JSON_NAME = "capacity.json"
+PLOT_NAME = "capacity.svg"
+BEGIN_MARK = "<!-- measured: begin -->"
+END_MARK = "<!-- measured: end -->"
+PLOT_COLUMNS = 3
+
+
+def write_json(
+    folder: pathlib.Path, slopes: Iterable[samples.Slope]
+) -> pathlib.Path:
+    """Writes the slopes and returns the file's path."""
+    path = folder / JSON_NAME
+    values = [dataclasses.asdict(slope) for slope in slopes]
+    path.write_text(json.dumps({"slopes": values}, indent=1) + "\n")
+    return path
+
+
+def read_json(path: pathlib.Path) -> dict[str, samples.Slope]:
+    """Reads the slopes by name."""
+    value = json.loads(path.read_text())
+    return {item["name"]: _slope(item) for item in value["slopes"]}
+
+
+def _slope(item: dict[str, Any]) -> samples.Slope:
+    points = tuple(samples.Sample(**point) for point in item["samples"])
+    return samples.Slope(**{**item, "samples": points})
+
+
+def render(slopes_by_name: dict[str, samples.Slope]) -> str:
+    """Returns the generated part of the capacity page."""
+    parts = [
+        BEGIN_MARK,
+        "",
+        "### At the design size",
+        "",
+        *_capacity_table(slopes_by_name),
+        "",
+        "### Slopes",
+        "",
+        *_slope_table(slopes_by_name),
+        "",
+        END_MARK,
+    ]
+    return "\n".join(parts)
+
+
+def _capacity_table(slopes_by_name: dict[str, samples.Slope]) -> list[str]:
+    lines = [
+        "| duty | resource | formula | value | limit | share | mechanism |",
+        "| --- | --- | --- | --- | --- | --- | --- |",
+    ]
+    for row in rows.ROWS:
+        value, share = "not measured", "-"
+        if row.compute is not None:
+            cost = row.compute(slopes_by_name)
+            value = _number(cost)
+            if row.limit is not None:
+                share = f"{100 * cost / row.limit:.2g} %"
+        limit = "-" if row.limit is None else _number(row.limit)
+        cells = (
+            row.duty,
+            row.resource,
+            row.formula,
+            value,
+            limit,
+            share,
+            row.mechanism,
+        )
+        lines.append("| " + " | ".join(cells) + " |")
+    return lines
+
+
+def _slope_table(slopes_by_name: dict[str, samples.Slope]) -> list[str]:
+    lines = [
+        "| slope | sizes | measured | per unit | at 0 | error of the fit |",
+        "| --- | --- | --- | --- | --- | --- |",
+    ]
+    for slope in slopes_by_name.values():
+        sizes = ", ".join(_number(point.size) for point in slope.samples)
+        costs = ", ".join(_number(point.cost) for point in slope.samples)
+        cells = (
+            f"`{slope.name}`",
+            f"{sizes} {slope.size_unit}",
+            f"{costs} {slope.cost_unit}",
+            _number(slope.slope),
+            _number(slope.intercept),
+            _number(slope.error),
+        )
+        lines.append("| " + " | ".join(cells) + " |")
+    return lines
+
+
+def replace_generated(page: str, generated: str) -> str:
+    """Returns the page with its generated part replaced.
+
+    Raises:
+        ValueError: The page lacks the marks.
+    """
+    begin = page.index(BEGIN_MARK)
+    end = page.index(END_MARK) + len(END_MARK)
+    return page[:begin] + generated + page[end:]
+
+
+def plot(
+    folder: pathlib.Path, slopes_by_name: dict[str, samples.Slope]
+) -> pathlib.Path:
+    """Draws each slope with its points and returns the file's path."""
+    # Importing the plot library takes longer than most measurements.
+    import matplotlib
+
+    matplotlib.use("svg")
+    matplotlib.rcParams["svg.hashsalt"] = "rattanpulley"
+    from matplotlib import pyplot
+
+    count = len(slopes_by_name)
+    lines = -(-count // PLOT_COLUMNS)
+    figure, axes = pyplot.subplots(
+        lines, PLOT_COLUMNS, figsize=(12, 3 * lines), squeeze=False
+    )
+    for axis in axes.flat[count:]:
+        axis.set_axis_off()
+    for axis, slope in zip(axes.flat, slopes_by_name.values(), strict=False):
+        _draw(axis, slope)
+    figure.tight_layout()
+    path = folder / PLOT_NAME
+    figure.savefig(path, metadata={"Date": None})
+    return path
+
+
+def _draw(axis: Any, slope: samples.Slope) -> None:
+    sizes = [point.size for point in slope.samples]
+    axis.plot(sizes, [point.cost for point in slope.samples], "o")
+    axis.plot(sizes, [slope.at(size) for size in sizes])
+    axis.set_title(slope.name, fontsize=9)
+    axis.set_xlabel(slope.size_unit, fontsize=8)
+    axis.set_ylabel(slope.cost_unit, fontsize=8)
+
+
+def _number(value: float) -> str:
+    if value and abs(value) < 10:
+        return f"{value:.3g}"
+    return f"{value:,.0f}"
--- /dev/null
+++ b/packages/standins/src/rattanpulley_standins/_internal/measure/rows.py
@@ -0,0 +1,142 @@
+"""Rows of the capacity table: a formula over measured slopes each."""
+
+from collections.abc import Callable, Mapping
+import dataclasses
+
+from rattanpulley_standins._internal.measure import design_size as size
+from rattanpulley_standins._internal.measure import samples
+
+Slopes = Mapping[str, samples.Slope]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """One line of the capacity table.
+
+    Attributes:
+        duty: Role or duty that has the cost.
+        resource: What is spent, with its unit.
+        formula: The formula, for readers.
+        compute: The formula over the measured slopes; None when the duty does
+            not exist, so that nothing could be measured.
+        limit: Share of the limit that the duty may take, in the same unit.
+        mechanism: What keeps the cost at this level.
+    """
+
+    duty: str
+    resource: str
+    formula: str
+    compute: Callable[[Slopes], float] | None
+    limit: float | None
+    mechanism: str
+
+
+def _changes_per_s() -> float:
+    return size.CONFIG_CHANGES_PER_DAY / size.SECONDS_PER_DAY
+
+
+ROWS: tuple[Row, ...] = (
+    Row(
+        "membership",
+        "network, bytes/s",
+        "peers.sent_bytes_per_s at 380 daemons",
+        lambda slopes: slopes["peers.sent_bytes_per_s"].at(size.NODES),
+        size.NETWORK_LIMIT_BYTES_PER_S,
+        "four opened streams a daemon, reconciliation by digest",
+    ),
+    Row(
+        "membership",
+        "processor, us/s",
+        "peers.cpu_us_per_s at 380 daemons",
+        lambda slopes: slopes["peers.cpu_us_per_s"].at(size.NODES),
+        size.CPU_LIMIT_US_PER_S,
+        "neighbours computed only when a member changes",
+    ),
+    Row(
+        "membership",
+        "network, bytes/s, restarts",
+        "peers.restart_bytes at 380 daemons x 380 a day",
+        lambda slopes: (
+            slopes["peers.restart_bytes"].at(size.NODES)
+            * size.RESTARTS_PER_DAY
+            / size.SECONDS_PER_DAY
+        ),
+        size.NETWORK_LIMIT_BYTES_PER_S,
+        "only buckets of facts that differ are sent",
+    ),
+    Row(
+        "membership",
+        "memory, bytes",
+        "peers.fact_memory_bytes at 2,000 facts",
+        lambda slopes: slopes["peers.fact_memory_bytes"].at(2_000),
+        size.MEMORY_LIMIT_BYTES,
+        "facts expire, except verdicts and tables",
+    ),
+    Row(
+        "configuration watch",
+        "network, bytes/s",
+        "(tables.pools_bytes at 600 targets) x 1,400 a day",
+        lambda slopes: (
+            slopes["tables.pools_bytes"].at(size.TARGETS) * _changes_per_s()
+        ),
+        size.NETWORK_LIMIT_BYTES_PER_S,
+        "each daemon reads a changed table once",
+    ),
+    Row(
+        "configuration watch",
+        "processor, us/s",
+        "(tables.pools_offer_us at 600 + tables.routes_offer_us at 25,000) "
+        "x 1,400 a day",
+        lambda slopes: (
+            (
+                slopes["tables.pools_offer_us"].at(size.TARGETS)
+                + slopes["tables.routes_offer_us"].at(size.ACCOUNTS)
+            )
+            * _changes_per_s()
+        ),
+        size.CPU_LIMIT_US_PER_S,
+        "a table is parsed only when its version is greater",
+    ),
+    Row(
+        "configuration watch",
+        "loop gap, ms, of one routes change",
+        "tables.routes_offer_us at 25,000",
+        lambda slopes: (
+            slopes["tables.routes_offer_us"].at(size.ACCOUNTS) / 1_000
+        ),
+        30.0,
+        "default limits; only exceptions have rows",
+    ),
+    Row(
+        "platform",
+        "watch calls/s",
+        "380 daemons / 8 s",
+        lambda slopes: size.NODES / size.WATCH_S,
+        size.PLATFORM_READS_PER_S,
+        "long polls; a waiting watch counts as one call",
+    ),
+    Row(
+        "platform",
+        "configuration writes/s",
+        "1,400 a day x 2 (table and audit copy)",
+        lambda slopes: 2 * _changes_per_s(),
+        size.PLATFORM_WRITES_PER_S,
+        "the audit entry travels in the table's own write",
+    ),
+    Row(
+        "leases and orders",
+        "platform writes/s",
+        "not measured",
+        None,
+        size.PLATFORM_WRITES_PER_S,
+        "not built",
+    ),
+    Row(
+        "account limits",
+        "network, bytes/s",
+        "not measured",
+        None,
+        size.NETWORK_LIMIT_BYTES_PER_S,
+        "not built",
+    ),
+)
