--- a/packages/standins/src/rattanpulley_standins/_internal/measure/rows.py
+++ b/packages/standins/src/rattanpulley_standins/_internal/measure/rows.py
@@ -35,7 +35,76 @@
     return size.CONFIG_CHANGES_PER_DAY / size.SECONDS_PER_DAY
 
 
+TICKS_PER_S = 20
+# 13 % of the generations run for minutes; 5 min at 30 ms a token.
+LONG_STREAM_TOKENS = 10_000
+JOURNAL_BYTES_PER_TOKEN = 12
+
 ROWS: tuple[Row, ...] = (
+    Row(
+        "streams (data path)",
+        "processor of the core part, us/s",
+        "streams.token_us at 77 streams x 2,316 tokens/s",
+        lambda slopes: (
+            slopes["streams.token_us"].at(size.STREAMS_PER_NODE)
+            * size.TOKENS_PER_NODE_S
+        ),
+        None,
+        "no wait for a tick; one event for all tokens of a read",
+    ),
+    Row(
+        "streams (control)",
+        "processor of the ticks, us/s",
+        "streams.tick_us at 77 streams x 20 ticks/s",
+        lambda slopes: (
+            slopes["streams.tick_us"].at(size.STREAMS_PER_NODE) * TICKS_PER_S
+        ),
+        size.CPU_LIMIT_US_PER_S,
+        "systems look only at rows that are due",
+    ),
+    Row(
+        "streams (control)",
+        "processor of target choice, us/s",
+        "targets.choice_us at 600 targets x 7.6 requests/s",
+        lambda slopes: (
+            slopes["targets.choice_us"].at(size.TARGETS)
+            * size.REQUESTS_PER_NODE_S
+        ),
+        size.CPU_LIMIT_US_PER_S,
+        "one pass over the pool's targets a request",
+    ),
+    Row(
+        "streams (data path)",
+        "memory, bytes",
+        "streams.memory_bytes at 77 + 13 % of 77 x 10,000 tokens x 12",
+        lambda slopes: (
+            slopes["streams.memory_bytes"].at(size.STREAMS_PER_NODE)
+            + 0.13
+            * size.STREAMS_PER_NODE
+            * LONG_STREAM_TOKENS
+            * JOURNAL_BYTES_PER_TOKEN
+        ),
+        None,
+        "journal as bytes and offsets",
+    ),
+    Row(
+        "claims, one object a key",
+        "unrepeatable actions/s that the platform carries",
+        "300 writes/s / slope of claims.store_writes",
+        lambda slopes: (
+            size.PLATFORM_WRITES_PER_S / slopes["claims.store_writes"].slope
+        ),
+        None,
+        "claim and outcome are one write each",
+    ),
+    Row(
+        "claims, one object a key",
+        "stored bytes of an action",
+        "slope of claims.stored_bytes",
+        lambda slopes: slopes["claims.stored_bytes"].slope,
+        None,
+        "the outcome is bounded at 256 KB",
+    ),
     Row(
         "membership",
         "network, bytes/s",
@@ -55,9 +124,9 @@
     Row(
         "membership",
         "network, bytes/s, restarts",
-        "peers.restart_bytes at 380 daemons x 380 a day",
+        "largest peers.restart_bytes x 380 a day",
         lambda slopes: (
-            slopes["peers.restart_bytes"].at(size.NODES)
+            max(point.cost for point in slopes["peers.restart_bytes"].samples)
             * size.RESTARTS_PER_DAY
             / size.SECONDS_PER_DAY
         ),
