Add the demo

Cause: nobody could see whole answers while engines and a daemon fail.

Baseline callers that use the engines directly come with the same records.

--- /dev/null
+++ b/packages/standins/src/rattanpulley_standins/_internal/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Internals of the demo."""
--- /dev/null
+++ b/packages/standins/src/rattanpulley_standins/_internal/demo/display.py
@@ -0,0 +1,78 @@
+"""Progress of the demo on a terminal, or as plain lines elsewhere."""
+
+from collections.abc import Sequence
+import sys
+import time
+from typing import TextIO
+
+from rattanpulley_standins._internal.load import record as record_lib
+
+TERMINAL_INTERVAL_S = 0.25
+PLAIN_INTERVAL_S = 5.0
+BAR_WIDTH = 30
+CLEAR_LINE = "\r\x1b[K"
+
+
+class Display:
+    """Prints events and the progress of all answers.
+
+    Args:
+        records: Answers; the list may grow.
+        output: Where to print.
+    """
+
+    def __init__(
+        self,
+        records: Sequence[record_lib.AnswerRecord],
+        output: TextIO = sys.stdout,
+    ) -> None:
+        self._records = records
+        self._output = output
+        self._is_terminal = output.isatty()
+        self._started_s = time.monotonic()
+        self._next_s = 0.0
+
+    def event(self, text: str) -> None:
+        """Prints one line about something that happened."""
+        clear = CLEAR_LINE if self._is_terminal else ""
+        self._print(f"{clear}{self._elapsed_s():5.1f} s  {text}\n")
+
+    def progress(self) -> None:
+        """Prints the progress when enough time has passed."""
+        now_s = time.monotonic()
+        if now_s < self._next_s:
+            return
+        if self._is_terminal:
+            self._next_s = now_s + TERMINAL_INTERVAL_S
+            self._print(f"{CLEAR_LINE}{self._bar()}  {self._counts()}")
+        else:
+            self._next_s = now_s + PLAIN_INTERVAL_S
+            self._print(f"{self._elapsed_s():5.1f} s  {self._counts()}\n")
+
+    def end(self) -> None:
+        """Ends the progress line."""
+        if self._is_terminal:
+            self._print(CLEAR_LINE)
+
+    def _elapsed_s(self) -> float:
+        return time.monotonic() - self._started_s
+
+    def _counts(self) -> str:
+        records = self._records
+        received = sum(len(record.token_times_s) for record in records)
+        expected = sum(record.checker.expected_length for record in records)
+        whole = sum(record.is_whole for record in records)
+        return (
+            f"{received} of {expected} tokens, {whole} of {len(records)}"
+            " answers whole"
+        )
+
+    def _bar(self) -> str:
+        received = sum(len(r.token_times_s) for r in self._records)
+        expected = sum(r.checker.expected_length for r in self._records)
+        filled = BAR_WIDTH * received // max(expected, 1)
+        return f"[{'#' * filled}{'.' * (BAR_WIDTH - filled)}]"
+
+    def _print(self, text: str) -> None:
+        self._output.write(text)
+        self._output.flush()
--- /dev/null
+++ b/packages/standins/src/rattanpulley_standins/_internal/injection/__init__.py
@@ -0,0 +1,1 @@
+"""Faults injected into a deployment, and what they cost."""
--- /dev/null
+++ b/packages/standins/src/rattanpulley_standins/_internal/injection/injector.py
@@ -0,0 +1,158 @@
+"""Injects faults into the engines and daemons of a deployment."""
+
+from collections.abc import Sequence
+import dataclasses
+import enum
+import random
+import time
+
+from rattanpulley_standins._internal import http_json
+from rattanpulley_standins._internal.launch import deployment as deployment_lib
+from rattanpulley_standins._internal.load import record as record_lib
+
+
+class FaultKind(enum.Enum):
+    """Kinds of faults."""
+
+    RESET = "reset"
+    SILENT = "silent"
+    PAUSED = "paused"
+    QUARTER_LOST = "quarter_lost"
+    DAEMON_LOST = "daemon_lost"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Injection:
+    """A fault that was injected.
+
+    Attributes:
+        kind: Kind of the fault.
+        names: Processes that were harmed.
+        at_s: Monotonic time just before the fault.
+        generations8: Starts of the ids of the generations that the engines
+            computed for a reader or the daemon delivered.
+    """
+
+    kind: FaultKind
+    names: tuple[str, ...]
+    at_s: float
+    generations8: frozenset[str]
+
+    def victims(
+        self, records: Sequence[record_lib.AnswerRecord]
+    ) -> list[record_lib.AnswerRecord]:
+        """Returns the answers that the harmed processes streamed."""
+        return [
+            record
+            for record in records
+            if self.generations8 & record.generations8
+            and record.is_streaming_at(self.at_s)
+        ]
+
+
+class Injector:
+    """Chooses engines by a seed and harms them.
+
+    Args:
+        deployment: The running deployment.
+        seed: Seed of the choice.
+    """
+
+    def __init__(self, deployment: deployment_lib.Deployment, seed: int):
+        self._deployment = deployment
+        self._rng = random.Random(f"faults-{seed}")
+
+    def choose(self, count: int, version: str | None = None) -> list[str]:
+        """Returns the busiest running engines, from each version in turn.
+
+        Engines that are equally busy are chosen by the seed.
+
+        Args:
+            count: Number of engines.
+            version: Version of all of them, or None for any.
+        """
+        engines = [
+            engine
+            for engine in self._deployment.engines
+            if version in (None, engine.version)
+            and self._deployment.is_running(engine.name)
+        ]
+        self._rng.shuffle(engines)
+        engines.sort(key=lambda engine: -len(self._running8(engine.name)))
+        ranks: dict[str, int] = {}
+        ordered: list[tuple[int, str]] = []
+        for engine in engines:
+            rank = ranks.get(engine.version, 0)
+            ranks[engine.version] = rank + 1
+            ordered.append((rank, engine.name))
+        ordered.sort(key=lambda item: item[0])
+        return [name for _, name in ordered[:count]]
+
+    def kill(self, kind: FaultKind, names: Sequence[str]) -> Injection:
+        """Ends engines abruptly, all at the same moment."""
+        injection = self._begin(kind, names)
+        self._deployment.kill_all(list(names))
+        return injection
+
+    def silence(self, name: str) -> Injection:
+        """Silences the connections that an engine has open now."""
+        injection = self._begin(FaultKind.SILENT, [name])
+        self._deployment.set_faults(name, {"silent_connections": True})
+        return injection
+
+    def pause(self, name: str) -> Injection:
+        """Stops an engine without ending it."""
+        injection = self._begin(FaultKind.PAUSED, [name])
+        self._deployment.pause(name)
+        return injection
+
+    def kill_daemon(
+        self, name: str, records: Sequence[record_lib.AnswerRecord]
+    ) -> Injection:
+        """Ends a daemon abruptly.
+
+        Args:
+            name: Name of the daemon.
+            records: Answers that are running.
+        """
+        url = self._deployment.url(name)
+        read8 = frozenset(
+            record.checker.generation8
+            for record in records
+            if record.server == url
+        )
+        injection = Injection(
+            FaultKind.DAEMON_LOST, (name,), time.monotonic(), read8
+        )
+        self._deployment.kill(name)
+        return injection
+
+    def repair(self, injection: Injection) -> None:
+        """Undoes a fault: a paused engine goes on, a killed one restarts.
+
+        Raises:
+            deployment_lib.DeploymentError: An engine did not become ready.
+        """
+        if injection.kind is FaultKind.PAUSED:
+            for name in injection.names:
+                self._deployment.resume(name)
+        elif injection.kind is not FaultKind.SILENT:
+            for name in injection.names:
+                self._deployment.restart(name)
+
+    def _begin(self, kind: FaultKind, names: Sequence[str]) -> Injection:
+        running: set[str] = set()
+        for name in names:
+            running |= self._running8(name)
+        return Injection(
+            kind, tuple(names), time.monotonic(), frozenset(running)
+        )
+
+    def _running8(self, name: str) -> set[str]:
+        url = f"{self._deployment.url(name)}/generations"
+        rows = http_json.expect("GET", url)["generations"]
+        return {
+            row["generation_id"][:8]
+            for row in rows
+            if row["read"] and not row["finished"]
+        }
--- a/packages/standins/src/rattanpulley_standins/_internal/load/caller.py
+++ b/packages/standins/src/rattanpulley_standins/_internal/load/caller.py
@@ -88,6 +88,7 @@
             self._handle_refusal(error)
 
     def _read(self, url: str) -> None:
+        self.record.server = url
         source = event_source.EventSource(
             f"{url}/v1/completions",
             "POST",
--- /dev/null
+++ b/packages/standins/src/rattanpulley_standins/_internal/load/direct.py
@@ -0,0 +1,148 @@
+"""Callers that use the engines without a daemon, as baselines."""
+
+from collections.abc import Sequence
+import dataclasses
+import enum
+import json
+import random
+import time
+from typing import Any
+
+from rattanpulley_standins._internal.load import caller
+from rattanpulley_standins._internal.load import checker as checker_lib
+from rattanpulley_standins._internal.load import event_source
+from rattanpulley_standins._internal.load import record as record_lib
+
+SILENCE_TIMEOUT_S = 5.0
+RETRY_S = 0.05
+
+
+class Policy(enum.Enum):
+    """What a caller does when its stream breaks or is silent for 5 s."""
+
+    RESTART = "restart"
+    RESUME_AFTER_TIMEOUT = "resume_after_timeout"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineAddress:
+    """An engine that a caller may use."""
+
+    name: str
+    url: str
+    version: str
+
+
+class DirectCaller:
+    """Gets one answer from the engines.
+
+    A broken connection is noticed at once and a silent one after
+    `SILENCE_TIMEOUT_S`. The record holds the times at which the answer became
+    longer than ever before, so a restart counts until it has caught up.
+
+    Args:
+        engines: Engines to choose from.
+        request: What to ask for.
+        policy: What to do after a failure.
+        rng: Source of generation ids and of the choice of engines.
+    """
+
+    def __init__(
+        self,
+        engines: Sequence[EngineAddress],
+        request: caller.AnswerRequest,
+        policy: Policy,
+        rng: random.Random,
+    ) -> None:
+        self.record = request.new_record()
+        self.repeated_tokens = 0
+        self._engines = engines
+        self._request = request
+        self._policy = policy
+        self._rng = rng
+        self._engine = rng.choice(engines)
+        self._generation_id = f"{rng.getrandbits(128):032x}"
+        self._attempt = 1
+        self._tokens: list[str] = []
+        self._longest = 0
+
+    def run(self) -> record_lib.AnswerRecord:
+        """Reads until the answer ends or time is up."""
+        end_s = self.record.started_s + self._request.patience_s
+        while not self.record.checker.finished:
+            if time.monotonic() > end_s:
+                self.record.error = "out of patience"
+                break
+            self._try_once()
+        return self.record
+
+    def _try_once(self) -> None:
+        try:
+            self._read()
+        except event_source.BrokenError:
+            self.record.reconnects += 1
+            self._recover()
+        except event_source.RefusedError:
+            self.record.refusals += 1
+            self._recover()
+
+    def _read(self) -> None:
+        source = event_source.EventSource(
+            f"{self._engine.url}/v1/completions",
+            "POST",
+            self._body(),
+            {},
+            SILENCE_TIMEOUT_S,
+        )
+        for event in source:
+            content = json.loads(event.data)
+            if "finish_reason" in content:
+                self.record.checker.finish()
+                return
+            self._take(content["token"])
+        raise event_source.BrokenError("the stream ended without its end")
+
+    def _take(self, token: str) -> None:
+        self._tokens.append(token)
+        count = self.record.checker.feed(token)
+        if self.record.checker.next_index > self._longest:
+            self._longest = self.record.checker.next_index
+            self.record.note_tokens(count, time.monotonic())
+        else:
+            self.repeated_tokens += 1
+
+    def _recover(self) -> None:
+        failed = self._engine
+        others = [e for e in self._engines if e is not failed]
+        if self._tokens and self._policy is Policy.RESUME_AFTER_TIMEOUT:
+            others = [e for e in others if e.version == failed.version]
+            self._attempt += 1
+        else:
+            self._restart()
+        # The engine that is chosen may be lost, too; the pause keeps a caller
+        # without any live engine from a busy loop.
+        time.sleep(RETRY_S)
+        self._engine = self._rng.choice(others)
+
+    def _restart(self) -> None:
+        self._generation_id = f"{self._rng.getrandbits(128):032x}"
+        self._attempt = 1
+        self._tokens = []
+        self.record.former_generations8.add(self.record.checker.generation8)
+        length = self._request.length
+        self.record.checker = checker_lib.AnswerChecker(length)
+
+    def _body(self) -> dict[str, Any]:
+        return {
+            "model": self._request.model,
+            "version": self._engine.version,
+            "prompt": self._request.prompt,
+            "stream": True,
+            "max_tokens": self._request.length,
+            "seed": 1,
+            "temperature": 0.7,
+            "generation_id": self._generation_id,
+            "attempt": self._attempt,
+            "resume_tokens": self._tokens,
+            "priority": 0,
+        }
--- a/packages/standins/src/rattanpulley_standins/_internal/load/record.py
+++ b/packages/standins/src/rattanpulley_standins/_internal/load/record.py
@@ -38,6 +38,9 @@
         reconnects: Number of reconnects after a broken connection.
         refusals: Number of refusals that were followed by another try.
         error: Why the caller gave up; empty if it did not.
+        former_generations8: Starts of the ids of generations that the caller
+            gave up when it started over.
+        server: Base URL that the caller reads from.
     """
 
     prompt: str
@@ -47,6 +50,13 @@
     reconnects: int = 0
     refusals: int = 0
     error: str = ""
+    former_generations8: set[str] = dataclasses.field(default_factory=set)
+    server: str = ""
+
+    @property
+    def generations8(self) -> set[str]:
+        """Starts of the ids of all generations that the caller received."""
+        return self.former_generations8 | {self.checker.generation8}
 
     @property
     def is_whole(self) -> bool:
@@ -64,6 +74,13 @@
         """Records the arrival of new tokens."""
         self.token_times_s.extend([now_s] * count)
 
+    def is_streaming_at(self, now_s: float) -> bool:
+        """Returns whether there were tokens before and the end came after."""
+        times = self.token_times_s
+        if not times or times[0] > now_s:
+            return False
+        return len(times) < self.checker.expected_length or times[-1] > now_s
+
     def gaps(self) -> list[Gap]:
         """Returns the times between consecutive tokens."""
         pairs = itertools.pairwise(self.token_times_s)
--- /dev/null
+++ b/packages/standins/src/rattanpulley_standins/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demo: long answers while engines and a daemon fail."""
