--- a/packages/cli/src/rattanpulley/_internal/commands/base.py
+++ b/packages/cli/src/rattanpulley/_internal/commands/base.py
@@ -97,7 +97,8 @@
     def show(self, output: text.Output) -> None:
         """Prints an output in the form that the user chose."""
         if self.option("json"):
-            self._write_json(output.data)
+            if output.data is not None:
+                self.write_json(output.data)
             return
         for block in output.blocks:
             if isinstance(block, text.Grid):
@@ -105,6 +106,11 @@
             else:
                 self.line(formatter.Formatter.escape(block))
 
+    def write_json(self, data: Any, indent: int | None = 2) -> None:
+        """Prints a JSON value; without indent on one line."""
+        shown = json.dumps(data, indent=indent, sort_keys=True)
+        self.line(formatter.Formatter.escape(shown))
+
     def store(self) -> interfaces.ObjectStore:
         """Returns the client of the object API.
 
@@ -145,7 +151,7 @@
 
     def _show_error(self, error: exceptions.CommandError) -> int:
         if self.option("json"):
-            self._write_json(
+            self.write_json(
                 {
                     "error": {
                         "kind": type(error).__name__,
@@ -169,10 +175,6 @@
         ]
         self.render_table(list(grid.headers), rows, "compact")
 
-    def _write_json(self, data: Any) -> None:
-        shown = json.dumps(data, indent=2, sort_keys=True)
-        self.line(formatter.Formatter.escape(shown))
-
 
 def parse_kind(name: str) -> tables.TableKind:
     """Returns the table of a name.
--- a/packages/cli/src/rattanpulley/_internal/commands/watch_command.py
+++ b/packages/cli/src/rattanpulley/_internal/commands/watch_command.py
@@ -40,9 +40,16 @@
                 # A watch may repeat, so the versions tell what is new.
                 if item.version > versions_by_key.get(item.key, 0):
                     versions_by_key[item.key] = item.version
-                    self.show(_describe(item))
+                    self._show_change(_describe(item))
                     shown += 1
-        return text.Output({"changes": shown}, [])
+        return text.Output(None, [])
+
+    def _show_change(self, output: text.Output) -> None:
+        """Shows a change; with --json on one line, for programs that follow."""
+        if self.option("json"):
+            self.write_json(output.data, indent=None)
+        else:
+            self.show(output)
 
     def _wait(
         self, store: interfaces.ObjectStore, revision: int
--- a/packages/cli/src/rattanpulley/_internal/views/text.py
+++ b/packages/cli/src/rattanpulley/_internal/views/text.py
@@ -23,7 +23,7 @@
     """What a command prints.
 
     Attributes:
-        data: JSON value for `--json`.
+        data: JSON value for `--json`; None prints nothing.
         blocks: Lines and grids for people.
         exit_code: Exit code of the command.
     """
--- /dev/null
+++ b/packages/cli/tests/commands/test_golden.py
@@ -0,0 +1,243 @@
+"""Golden output of the commands, for people and with --json.
+
+`UPDATE_GOLDEN=1` rewrites the files from the present output.
+"""
+
+import itertools
+import json
+import os
+import pathlib
+
+from cleo.testers import application_tester
+import pytest
+
+from rattanpulley._internal import application
+from rattanpulley._internal.commands import base
+from rattanpulley._internal.daemons import status
+from rattanpulley_core import claims
+from rattanpulley_core import interfaces
+
+GOLDEN = pathlib.Path(__file__).parent / "golden"
+TARGET = {"failure_domain": "north", "version": "v1"}
+POOLS = {
+    "schema": 1,
+    "rows": {
+        "p": {
+            "kind": "engine",
+            "versions": {"v1": {}},
+            "targets": {
+                "e1": {"url": "http://127.0.0.1:9001", **TARGET},
+                "e2": {
+                    **TARGET,
+                    "url": "http://127.0.0.1:9002",
+                    "version": "v2",
+                },
+            },
+        }
+    },
+}
+POOLS["rows"]["p"]["versions"]["v2"] = {"weight": 0}
+ROUTES = {
+    "schema": 1,
+    "rows": {
+        "chat": {"match": {"model": "m"}, "pool": "p", "kind": "engine"},
+    },
+}
+STATUS = {
+    "name": "entry-1",
+    "failure_domain": "north",
+    "state": "ready",
+    "tables": {"routes": 1, "pools": 3},
+    "moves": [
+        {
+            "pool": "p",
+            "move_id": "m1",
+            "state": "moving",
+            "share": 0.02,
+            "reason": "on plan",
+        }
+    ],
+}
+
+
+class Terminal:
+    """Runs commands in a directory and keeps a transcript."""
+
+    def __init__(self, store, directory):
+        self.store = store
+        self.wall_s = 1.8e9
+        self.transcript = []
+        ids = (f"change-{number}" for number in itertools.count(1))
+        services = base.Services(
+            open_store=lambda url: store,
+            fetch_status=self.fetch_status,
+            wall_s=self.next_wall_s,
+            new_id=lambda: next(ids),
+            pause=lambda _: None,
+            environment={base.PLATFORM_VARIABLE: "http://127.0.0.1:1"},
+            user="ana",
+        )
+        app = application.build(services)
+        self.tester = application_tester.ApplicationTester(app)
+        self.directory = directory
+
+    def next_wall_s(self):
+        self.wall_s += 60
+        return self.wall_s
+
+    @staticmethod
+    def fetch_status(url):
+        if url.endswith(":8001"):
+            raise status.DaemonSilentError("ConnectTimeoutError")
+        return STATUS
+
+    def write(self, name, value):
+        text = value if isinstance(value, str) else json.dumps(value, indent=1)
+        (self.directory / name).write_text(text)
+
+    def run(self, line):
+        code = self.tester.execute(line)
+        out = self.tester.io.fetch_output() + self.tester.io.fetch_error()
+        lines = [text.rstrip() for text in out.splitlines()]
+        self.transcript.append(f"$ rattanpulley {line}")
+        self.transcript.extend(lines)
+        self.transcript.append(f"exit {code}\n")
+        return code
+
+    def check(self, name):
+        path = GOLDEN / f"{name}.txt"
+        shown = "\n".join(self.transcript)
+        if os.environ.get("UPDATE_GOLDEN"):
+            path.write_text(shown)
+        assert shown == path.read_text()
+
+
+@pytest.fixture
+def terminal(store_class, tmp_path, monkeypatch):
+    monkeypatch.chdir(tmp_path)
+    terminal = Terminal(store_class(), tmp_path)
+    terminal.write("pools.json", POOLS)
+    terminal.write("routes.json", ROUTES)
+    return terminal
+
+
+def apply_both(terminal):
+    terminal.run("apply pools pools.json --at-version 0 --reason first")
+    terminal.run("apply routes routes.json --at-version 0")
+
+
+def test_check(terminal):
+    # Guards against a fault that is shown without its file, path or line.
+    terminal.run("check --routes routes.json --pools pools.json")
+    broken = json.loads(json.dumps(ROUTES))
+    broken["rows"]["chat"]["deadline_s"] = -1
+    broken["rows"]["chat"]["pool"] = ""
+    terminal.write("broken.json", broken)
+    terminal.run("check --routes broken.json")
+    terminal.write("twice.json", '{"schema": 1,\n"rows": {},\n"rows": {}}')
+    terminal.run("check --pools twice.json")
+    terminal.write("text.json", '{"schema": 1,\n"rows": }')
+    terminal.run("check --pools text.json")
+    other_pool = json.loads(json.dumps(ROUTES).replace('"p"', '"q"'))
+    terminal.write("routes2.json", other_pool)
+    terminal.run("check --routes routes2.json --pools pools.json --json")
+    terminal.run("check")
+    terminal.check("check")
+
+
+def test_tables(terminal):
+    # Guards against a lost change and against an unclear report of a race.
+    apply_both(terminal)
+    terminal.run("get pools")
+    terminal.run("get routes --json")
+    changed = json.loads(json.dumps(ROUTES))
+    changed["rows"]["chat"]["deadline_s"] = 30
+    terminal.write("new.json", changed)
+    terminal.run("diff routes new.json")
+    terminal.run("apply routes new.json")
+    terminal.run("apply routes new.json --at-version 1 --who bo")
+    terminal.run("apply routes routes.json --at-version 1")
+    terminal.run("apply routes routes.json --at-version 1 --json")
+    terminal.run("apply routes new.json --at-version 2")
+    terminal.run("diff routes new.json --json")
+    terminal.run("audit")
+    terminal.run("audit --table routes --by bo --since 1d --json")
+    terminal.run("get routes --output out.json")
+    terminal.store.plan = ["down"] * 9
+    terminal.run("apply routes routes.json --at-version 2")
+    terminal.check("tables")
+
+
+def test_move(terminal):
+    # Guards against a move command that overwrites another move.
+    apply_both(terminal)
+    start = "move start p --to v2 --finish-by +4h"
+    terminal.run(start)
+    terminal.run(f"{start} --id m2")
+    terminal.run("move pause p --reason lunch")
+    terminal.run("move pause p")
+    terminal.run("move pause p --off")
+    terminal.run("move take-back p --who bo")
+    terminal.run("move pause p")
+    terminal.run(f"{start} --id m2 --json")
+    terminal.run("move start q --to v2 --finish-by +4h")
+    terminal.run("move start p --to v3 --finish-by +4h --replace")
+    terminal.run("move start p --to v2 --finish-by 2026-05-01T10:00:00")
+    terminal.run("get pools")
+    terminal.check("move")
+
+
+def test_status_and_watch(terminal):
+    # Guards against a silent daemon that looks like a missing row.
+    urls = "--daemon http://127.0.0.1:8000 --daemon http://127.0.0.1:8001"
+    terminal.run(f"status {urls}")
+    terminal.run(f"status {urls} --json")
+    terminal.run("status")
+    apply_both(terminal)
+    stored = terminal.store.list_objects("tables/")
+    terminal.store.list_objects = lambda prefix: ([], 0)
+    terminal.run("watch --count 2")
+    terminal.run("watch --count 1 --json")
+    assert stored[1] == terminal.store.revision
+    terminal.check("status_and_watch")
+
+
+def test_claims(terminal):
+    # Guards against a settlement without a reason or with two meanings.
+    record = claims.ClaimRecord(
+        token="t",
+        fingerprint="f",
+        state=claims.ClaimState.UNKNOWN,
+        daemon="entry-1",
+        wall_s=1.8e9 - 3600,
+        max_call_s=10.0,
+    )
+    key = claims.claim_key("acme", "k1")
+    terminal.store.put(key, claims.to_json(record), 0)
+    terminal.run("unknown")
+    terminal.run("unknown --json")
+    terminal.run(f"settle {key} --ran")
+    terminal.run(f"settle {key} --ran --not-run --reason x")
+    terminal.run(f"settle {key} --not-run --reason 'no mail was sent'")
+    terminal.run(f"settle {key} --not-run --reason again")
+    terminal.run("unknown")
+    terminal.check("claims")
+
+
+def test_control_characters_of_others_are_not_printed(terminal):
+    # Guards against terminal commands in stored texts.
+    apply_both(terminal)
+    entry = terminal.store.objects_by_key["tables/pools"].value["change"]
+    entry["who"] = "a\x1b[31mb <error>c</error>"
+    terminal.run("audit")
+    shown = "\n".join(terminal.transcript)
+    assert "\x1b" not in shown
+    assert "<error>c</error>" in shown
+
+
+def test_an_unavailable_store_is_an_error_of_its_own(terminal):
+    terminal.store.plan = ["down"]
+    assert terminal.run("get pools") == 4
+    terminal.store.plan = ["down"]
+    assert terminal.run("unknown") == 4
+    assert isinstance(interfaces.StoreUnavailableError("x"), Exception)
--- /dev/null
+++ b/packages/cli/tests/conftest.py
@@ -0,0 +1,87 @@
+"""An object store in memory whose calls can fail or be interrupted."""
+
+import copy
+
+import pytest
+
+from rattanpulley_core import interfaces
+
+
+class FakeStore(interfaces.ObjectStore):
+    """Keeps objects in memory.
+
+    Attributes:
+        plan: What happens to the next calls: "ok", "lost" (takes effect, no
+            answer), "down" (no effect, no answer), or a function to call
+            first; "ok" when empty.
+    """
+
+    def __init__(self):
+        self.objects_by_key = {}
+        self.revision = 0
+        self.plan = []
+        self.history = []
+
+    def get(self, key):
+        self._begin()
+        stored = self.objects_by_key.get(key)
+        self._end()
+        return copy.deepcopy(stored)
+
+    def put(self, key, value, expected_version):
+        self._begin()
+        present = self.objects_by_key.get(key)
+        version = present.version if present else 0
+        if version != expected_version:
+            self._end()
+            raise interfaces.StoreConflictError(key, version)
+        self.revision += 1
+        stored = interfaces.StoredObject(
+            key, copy.deepcopy(value), version + 1, self.revision
+        )
+        self.objects_by_key[key] = stored
+        self.history.append(stored)
+        self._end()
+        return stored
+
+    def delete(self, key, expected_version):
+        raise NotImplementedError
+
+    def list_objects(self, prefix):
+        self._begin()
+        found = [
+            copy.deepcopy(stored)
+            for key, stored in sorted(self.objects_by_key.items())
+            if key.startswith(prefix)
+        ]
+        self._end()
+        return found, self.revision
+
+    def watch(self, prefix, after_revision, timeout_s):
+        self._begin()
+        found = [
+            stored
+            for stored in self.history
+            if stored.key.startswith(prefix)
+            and stored.revision > after_revision
+        ]
+        self._end()
+        return found, self.revision
+
+    def _begin(self):
+        self._fate = self.plan.pop(0) if self.plan else "ok"
+        if callable(self._fate):
+            self._fate()
+            self._fate = "ok"
+        if self._fate == "down":
+            raise interfaces.StoreUnavailableError("down")
+
+    def _end(self):
+        if self._fate == "lost":
+            raise interfaces.StoreUnavailableError("lost")
+
+
+@pytest.fixture
+def store_class():
+    """Returns the class, so that tests make as many stores as they need."""
+    return FakeStore
--- /dev/null
+++ b/packages/cli/tests/documents/test_positions.py
@@ -0,0 +1,40 @@
+"""Tests of the lines of JSON fields."""
+
+import json
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from rattanpulley._internal.documents import positions
+
+
+def paths(value, keys=()):
+    """Yields the paths of all fields in the order of the text."""
+    if isinstance(value, dict):
+        for key, inner in value.items():
+            yield (*keys, key)
+            yield from paths(inner, (*keys, key))
+
+
+NESTED = st.recursive(
+    st.integers() | st.text(max_size=4) | st.lists(st.text(max_size=3)),
+    lambda inner: st.dictionaries(st.text(max_size=4), inner, max_size=3),
+    max_leaves=10,
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=80)
+@given(st.dictionaries(st.text(max_size=4), NESTED, max_size=3))
+def test_the_line_is_that_of_the_key(value):
+    # Guards against a fault that is shown at another field of the file.
+    text = json.dumps(value, indent=1)
+    lines = text.split("\n")
+    for keys in paths(value):
+        line = lines[positions.line_of(text, keys) - 1]
+        assert line.startswith(" " * len(keys) + json.dumps(keys[-1]) + ":")
+
+
+def test_a_missing_field_has_the_line_of_its_holder():
+    text = '{\n"rows": {\n"a": {}}}'
+    assert positions.line_of(text, ("rows", "a", "pool")) == 3
--- a/packages/core/src/rattanpulley_core/_internal/tables/pool_parser.py
+++ b/packages/core/src/rattanpulley_core/_internal/tables/pool_parser.py
@@ -47,12 +47,14 @@
 def _parse_versions(row: reader.Reader) -> dict[str, rows.VersionSpec]:
     holders_by_name = row.children("versions")
     row.check_names(holders_by_name)
+    faults_before = len(row.found)
     versions_by_name = {
         name: rows.VersionSpec(name, holder.number("weight", 0, MAX_WEIGHT, 1))
         for name, holder in holders_by_name.items()
     }
-    is_map = isinstance(row.fields.get("versions"), dict)
-    if is_map and not sum(v.weight for v in versions_by_name.values()):
+    is_sound = isinstance(row.fields.get("versions"), dict)
+    is_sound = is_sound and len(row.found) == faults_before
+    if is_sound and not any(v.weight for v in versions_by_name.values()):
         row.report(
             "versions",
             "no version has a weight above 0",
--- /dev/null
+++ b/packages/core/tests/tables/test_parsers.py
@@ -0,0 +1,216 @@
+"""Tests of the table parsers and of the checks between the tables."""
+
+import contextlib
+import copy
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from rattanpulley_core import tables
+
+ROUTES = {
+    "schema": 1,
+    "rows": {
+        "assistant": {"match": {"model": "m"}, "pool": "p", "kind": "engine"},
+        "mail": {
+            "match": {"service": "mail"},
+            "pool": "s",
+            "kind": "service",
+            "repeatable": False,
+            "limits_by_account": {"acme": {"concurrent": 2}},
+        },
+    },
+}
+POOLS = {
+    "schema": 1,
+    "rows": {
+        "p": {
+            "kind": "engine",
+            "versions": {"v1": {}, "v2": {"weight": 0}},
+            "targets": {
+                "e1": {
+                    "url": "http://127.0.0.1:9001",
+                    "failure_domain": "north",
+                    "version": "v1",
+                },
+                "e2": {
+                    "url": "http://127.0.0.1:9002",
+                    "failure_domain": "south",
+                    "version": "v2",
+                },
+            },
+            "move": {
+                "move_id": "m1",
+                "from_version": "v1",
+                "to_version": "v2",
+                "start_at_s": 1_800_000_000,
+                "finish_by_s": 1_800_003_600,
+            },
+        },
+        "s": {"kind": "service", "versions": {"v1": {}}, "targets": {}},
+    },
+}
+
+
+def changed(value, path, new):
+    """Returns a copy with one field replaced, or removed if `new` is None."""
+    result = copy.deepcopy(value)
+    *holders, last = path.split("/")
+    place = result
+    for key in holders:
+        place = place[key]
+    if new is None:
+        del place[last]
+    else:
+        place[last] = new
+    return result
+
+
+def faults_of(parse, value):
+    with pytest.raises(tables.TableError) as caught:
+        parse(value, 1)
+    return [fault.path for fault in caught.value.faults]
+
+
+def test_valid_tables_parse():
+    routes = tables.parse_routes(ROUTES, 4)
+    pools = tables.parse_pools(POOLS, 5)
+    assert routes.version == 4
+    assert not routes.routes_by_name["mail"].repeatable
+    assert pools.pools_by_name["p"].move.to_version == "v2"
+    assert tables.check_together(routes, pools) == []
+
+
+@pytest.mark.parametrize(
+    ("path", "new"),
+    [
+        ("rows/assistant/pool", None),
+        ("rows/assistant/kind", "engin"),
+        ("rows/assistant/match/service", "x"),
+        ("rows/assistant/deadline_s", float("nan")),
+        ("rows/assistant/deadline_s", 10**400),
+        ("rows/assistant/priority", True),
+        ("rows/assistant/repeatable", False),
+        ("rows/assistant/max_tokens", 65537),
+        ("rows/mail/limits_by_account/acme/concurrent", -1),
+        ("schema", "1"),
+    ],
+)
+def test_a_wrong_route_field_is_named(path, new):
+    # Guards against a table with a wrong value coming into force.
+    found = faults_of(tables.parse_routes, changed(ROUTES, path, new))
+    assert path.replace("/", ".") in found
+
+
+@pytest.mark.parametrize(
+    ("path", "new"),
+    [
+        ("rows/p/targets/e1/version", "v9"),
+        ("rows/p/targets/e1/url", "http://127.0.0.1:9002"),
+        ("rows/p/targets/e1/url", "ftp://127.0.0.1:9001"),
+        ("rows/p/targets/e1/url", "http://127.0.0.1:x"),
+        ("rows/p/versions/v1/weight", -1),
+        ("rows/p/versions/v1/weight", 0),
+        ("rows/p/move/from_version", "v2"),
+        ("rows/p/move/finish_by_s", 1_800_000_000),
+        ("rows/p/move/finish_by_s", 1_800_000_000_000),
+        ("rows/p/move/move_id", "a/b"),
+        ("rows/p/targets/e2", None),
+    ],
+)
+def test_a_wrong_pool_field_is_named(path, new):
+    # Guards against a pool that no request could use or whose move can
+    # not be carried out.
+    value = changed(POOLS, path, new)
+    assert len(faults_of(tables.parse_pools, value)) == 1
+
+
+def test_all_faults_are_reported_at_once():
+    value = changed(ROUTES, "rows/assistant/deadline_s", 0)
+    value = changed(value, "rows/mail/pool", None)
+    assert faults_of(tables.parse_routes, value) == [
+        "rows.assistant.deadline_s",
+        "rows.mail.pool",
+    ]
+
+
+def test_unknown_fields_parse_and_are_remarked():
+    # A later schema adds fields; a daemon of this version must accept them.
+    value = changed(ROUTES, "rows/assistant/dedline_s", 3)
+    assert tables.parse_routes(value, 1)
+    (remark,) = tables.unknown_fields(value)
+    assert remark.path == "rows.assistant.dedline_s"
+    assert "deadline_s" in remark.hint
+
+
+def test_faults_between_the_tables():
+    value = changed(ROUTES, "rows/assistant/pool", "s")
+    value = changed(value, "rows/mail/pool", "none")
+    value["rows/twin"] = None
+    value["rows"]["twin"] = {
+        "match": {"model": "m"},
+        "pool": "p",
+        "kind": "engine",
+    }
+    routes = tables.parse_routes(value, 1)
+    found = tables.check_together(routes, tables.parse_pools(POOLS, 1))
+    assert [fault.path for fault in found] == [
+        "rows.assistant.pool",
+        "rows.mail.pool",
+        "rows.twin.match",
+    ]
+
+
+def test_a_new_version_with_weight_is_remarked():
+    # Without a move such a version would get half of the requests at once.
+    before = tables.parse_pools(changed(POOLS, "rows/p/move", None), 1)
+    value = changed(POOLS, "rows/p/move", None)
+    value["rows"]["p"]["versions"]["v2"] = {"weight": 1}
+    (remark,) = tables.sudden_shares(before, tables.parse_pools(value, 2))
+    assert remark.path == "rows.p.versions.v2.weight"
+
+
+KNOWN_KEYS = [
+    "schema",
+    "rows",
+    "match",
+    "kind",
+    "versions",
+    "targets",
+    "move",
+    "a",
+]
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(
+                [
+                    "schema",
+                    "rows",
+                    "match",
+                    "kind",
+                    "versions",
+                    "targets",
+                    "move",
+                    "a",
+                ]
+            ),
+            inner,
+            max_size=4,
+        )
+    ),
+    max_leaves=12,
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(JSON_VALUES)
+def test_any_json_value_parses_or_reports_faults(value):
+    # Guards against an exception that would end the watch of a daemon.
+    for parse in (tables.parse_routes, tables.parse_pools):
+        with contextlib.suppress(tables.TableError):
+            parse(value, 1)
