Add version moves: shares by date and evidence, verdicts

Cause: a pool's requests must pass from one version to another by a date, and a bad version must be found while it gets few requests.

Change: MoveSystem computes the share of each move from plan, wall time, evidence and verdicts. The evidence is a betting process on the version of each request given its outcome, so a failure of both versions gives none. Daemons exchange batches of counts. Verdicts form a grow-only set.

--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/moves/__init__.py
@@ -0,0 +1,1 @@
+"""Version moves: shares, evidence and verdicts."""
--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/moves/evidence.py
@@ -0,0 +1,286 @@
+"""Evidence of one daemon on one move, its peers' evidence included."""
+
+from collections.abc import Iterator
+import dataclasses
+import math
+
+from rattanpulley_core._internal.moves import crashes
+from rattanpulley_core._internal.moves import latency
+from rattanpulley_core._internal.moves import messages
+from rattanpulley_core._internal.moves import sequential_test
+from rattanpulley_core._internal.moves import strata
+from rattanpulley_core._internal.tables import rows
+
+# Chance that a move to a version that is no worse is ever taken back. It is
+# divided by the number of signals, routes and daemons, each of which may give
+# a verdict.
+FALSE_ALARM_RATE = 0.005
+# One or two bad requests are never enough, whatever the assumed rates.
+MIN_BAD_REQUESTS = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finding:
+    """How strong the strongest evidence against the new version is.
+
+    Attributes:
+        signal: What was compared.
+        route: Name of the route.
+        log_capital: Evidence as a natural logarithm.
+        threshold: Evidence that condemns the version.
+        counts: The observations.
+        is_condemning: Whether the version is bad.
+    """
+
+    signal: messages.Signal
+    route: str
+    log_capital: float
+    threshold: float
+    counts: messages.Counts
+    is_condemning: bool
+
+    def describe(self) -> str:
+        """Returns the evidence for people."""
+        c = self.counts
+        return (
+            f"{self.signal.value} on route {self.route}: new version"
+            f" {c.new_bad} of {c.new_bad + c.new_ok}, old version"
+            f" {c.old_bad} of {c.old_bad + c.old_ok}; log evidence"
+            f" {self.log_capital:.1f}, threshold {self.threshold:.1f}"
+        )
+
+
+@dataclasses.dataclass(slots=True)
+class _Tally:
+    """Observations that are not yet applied or not yet published."""
+
+    share_sum: float = 0.0
+    count: int = 0
+    new_ok: int = 0
+    new_bad: int = 0
+    old_ok: int = 0
+    old_bad: int = 0
+    bad_targets: set[str] = dataclasses.field(default_factory=set)
+
+    def add(self, share: float, is_new: bool, is_bad: bool) -> None:
+        """Adds one observation."""
+        self.share_sum += share
+        self.count += 1
+        self.new_ok += is_new and not is_bad
+        self.new_bad += is_new and is_bad
+        self.old_ok += not is_new and not is_bad
+        self.old_bad += not is_new and is_bad
+
+    def add_all(self, other: messages.Observation) -> None:
+        """Adds an observation of several requests."""
+        c = other.counts
+        count = c.new_ok + c.new_bad + c.old_ok + c.old_bad
+        self.share_sum += other.share * count
+        self.count += count
+        self.new_ok += c.new_ok
+        self.new_bad += c.new_bad
+        self.old_ok += c.old_ok
+        self.old_bad += c.old_bad
+        self.bad_targets.update(other.bad_targets)
+
+    def observation(
+        self, signal: messages.Signal, route: str, share: float
+    ) -> messages.Observation:
+        """Returns the observation of these requests."""
+        counts = messages.Counts(
+            self.new_ok, self.new_bad, self.old_ok, self.old_bad
+        )
+        return messages.Observation(
+            signal, route, share, counts, tuple(sorted(self.bad_targets))
+        )
+
+
+class MoveEvidence:
+    """Collects observations and judges the new version.
+
+    Attributes:
+        new_requests: Requests of the new version that were observed.
+        expected_requests: Requests that the new version should have got.
+    """
+
+    def __init__(
+        self,
+        pool: rows.Pool,
+        move: rows.Move,
+        route_count: int,
+        daemon_count: int,
+    ) -> None:
+        self.new_requests = 0
+        self.expected_requests = 0.0
+        self.set_pool(pool, move)
+        tests = len(messages.Signal) * max(1, route_count)
+        tests *= max(1, daemon_count)
+        self.threshold = math.log(tests / FALSE_ALARM_RATE)
+        self._crashes = crashes.CrashFilter()
+        self._progress = 0.0
+        self._thresholds: dict[
+            tuple[messages.Signal, str], latency.SlowThreshold
+        ] = {}
+        self._tests: dict[
+            tuple[messages.Signal, str], sequential_test.SequentialTest
+        ] = {}
+        self._bad_targets: dict[tuple[messages.Signal, str], set[str]] = {}
+        self._pending: dict[tuple[messages.Signal, str, str], _Tally] = {}
+        self._unpublished: dict[tuple[messages.Signal, str], _Tally] = {}
+        self._unpublished_crashes: list[messages.Observation] = []
+
+    def set_pool(self, pool: rows.Pool, move: rows.Move) -> None:
+        """Takes a changed row of the same move; the evidence is kept."""
+        self._move = move
+        self._strata = strata.Strata(pool, move)
+        self._target_count = sum(
+            target.version == move.to_version
+            for target in pool.targets_by_name.values()
+        )
+
+    def observe(self, ended: messages.RequestEnded, wall_s: float) -> None:
+        """Adds a request of this daemon; other versions are ignored."""
+        is_new = ended.version == self._move.to_version
+        if not is_new and ended.version != self._move.from_version:
+            return
+        if not 0.0 < ended.share < 1.0:
+            return
+        share = self._strata.share(
+            ended.route, ended.failure_domain, ended.share
+        )
+        for signal, is_bad in self._judge(ended, is_new):
+            key = (signal, ended.route, ended.failure_domain)
+            tally = self._pending.setdefault(key, _Tally())
+            tally.add(share, is_new, is_bad)
+            if is_new and is_bad:
+                tally.bad_targets.add(ended.target)
+        if ended.result is messages.Result.CRASH:
+            self._observe_crash(ended, is_new, share, wall_s)
+        self._strata.remember(
+            ended.route, ended.failure_domain, ended.share, is_new
+        )
+        self.expected_requests += ended.share
+
+    def apply_pending(self, progress: float) -> None:
+        """Applies this daemon's observations since the last call.
+
+        Args:
+            progress: Part of the move's time that has passed, 0 to 1.
+        """
+        self._progress = progress
+        for test in self._tests.values():
+            test.put_in(progress)
+        pending, self._pending = self._pending, {}
+        for (signal, route, _), tally in pending.items():
+            share = tally.share_sum / tally.count
+            observation = tally.observation(signal, route, share)
+            self._apply(observation)
+            self._unpublished.setdefault((signal, route), _Tally()).add_all(
+                observation
+            )
+
+    def apply_peer(self, batch: messages.EvidenceBatch) -> None:
+        """Applies a batch of a peer; the caller drops repeated batches."""
+        for observation in batch.observations:
+            crash = observation.crash
+            if crash is None or self._crashes.is_new_event(crash):
+                self._apply(observation)
+
+    def take_unpublished(self) -> tuple[messages.Observation, ...]:
+        """Returns what peers have not been told yet, and forgets it."""
+        tallies, self._unpublished = self._unpublished, {}
+        crash_rows, self._unpublished_crashes = self._unpublished_crashes, []
+        merged = [
+            tally.observation(signal, route, tally.share_sum / tally.count)
+            for (signal, route), tally in tallies.items()
+        ]
+        return (*merged, *crash_rows)
+
+    def strongest(self) -> Finding | None:
+        """Returns the strongest evidence, or None before any request."""
+        findings = [self._finding(key) for key in self._tests]
+        return max(
+            findings,
+            key=lambda f: (f.is_condemning, f.log_capital),
+            default=None,
+        )
+
+    def _judge(
+        self, ended: messages.RequestEnded, is_new: bool
+    ) -> Iterator[tuple[messages.Signal, bool]]:
+        """Yields the signals of a request and whether each is bad."""
+        if ended.result is not messages.Result.CRASH:
+            is_error = ended.result is messages.Result.ERROR
+            yield messages.Signal.ERRORS, is_error
+            yield messages.Signal.CRASHES, False
+        times = (
+            (messages.Signal.FIRST_TOKEN, ended.first_token_s),
+            (messages.Signal.TOKEN_INTERVAL, ended.token_interval_s),
+        )
+        for signal, value_s in times:
+            if value_s is None:
+                continue
+            threshold = self._thresholds.setdefault(
+                (signal, ended.route), latency.SlowThreshold()
+            )
+            is_slow = threshold.is_slow(value_s)
+            if is_slow is not None:
+                yield signal, is_slow
+            if not is_new:
+                threshold.learn(value_s)
+
+    def _observe_crash(
+        self,
+        ended: messages.RequestEnded,
+        is_new: bool,
+        share: float,
+        wall_s: float,
+    ) -> None:
+        crash = messages.CrashEvent(
+            ended.failure_domain, ended.target, is_new, wall_s
+        )
+        if not self._crashes.is_new_event(crash):
+            return
+        observation = messages.Observation(
+            signal=messages.Signal.CRASHES,
+            route=ended.route,
+            share=share,
+            counts=messages.Counts(
+                new_bad=int(is_new), old_bad=int(not is_new)
+            ),
+            bad_targets=(ended.target,) if is_new else (),
+            crash=crash,
+        )
+        self._apply(observation)
+        self._unpublished_crashes.append(observation)
+
+    def _apply(self, observation: messages.Observation) -> None:
+        key = (observation.signal, observation.route)
+        test = self._tests.get(key)
+        if test is None:
+            test = sequential_test.SequentialTest(observation.signal)
+            test.put_in(self._progress)
+            self._tests[key] = test
+        test.update(observation.counts, observation.share)
+        self._bad_targets.setdefault(key, set()).update(observation.bad_targets)
+        if observation.signal is messages.Signal.ERRORS:
+            counts = observation.counts
+            self.new_requests += counts.new_ok + counts.new_bad
+
+    def _finding(self, key: tuple[messages.Signal, str]) -> Finding:
+        test = self._tests[key]
+        # A single bad target is the target's fault, and the daemon ejects it.
+        needed_targets = min(2, self._target_count)
+        is_condemning = (
+            test.log_capital >= self.threshold
+            and test.counts.new_bad >= MIN_BAD_REQUESTS
+            and len(self._bad_targets[key]) >= needed_targets
+        )
+        return Finding(
+            key[0],
+            key[1],
+            test.log_capital,
+            self.threshold,
+            test.counts,
+            is_condemning,
+        )
--- /dev/null
+++ b/packages/core/src/rattanpulley_core/moves.py
@@ -0,0 +1,40 @@
+"""Public names of the version moves subject."""
+
+from rattanpulley_core._internal.moves import controller
+from rattanpulley_core._internal.moves import evidence
+from rattanpulley_core._internal.moves import messages
+from rattanpulley_core._internal.moves import pacing
+from rattanpulley_core._internal.moves import system
+from rattanpulley_core._internal.moves import verdicts
+
+MoveSystem = system.MoveSystem
+MoveState = controller.MoveState
+MoveStatus = controller.MoveStatus
+VerdictSet = verdicts.VerdictSet
+
+Signal = messages.Signal
+Result = messages.Result
+Event = messages.Event
+RequestEnded = messages.RequestEnded
+EvidenceBatch = messages.EvidenceBatch
+Verdict = messages.Verdict
+DaemonReport = messages.DaemonReport
+Observation = messages.Observation
+Counts = messages.Counts
+CrashEvent = messages.CrashEvent
+
+Action = messages.Action
+PublishEvidence = messages.PublishEvidence
+PublishVerdict = messages.PublishVerdict
+PublishReport = messages.PublishReport
+
+VERDICT_PREFIX = messages.VERDICT_PREFIX
+verdict_to_json = messages.verdict_to_json
+verdict_from_json = messages.verdict_from_json
+batch_to_json = messages.batch_to_json
+batch_from_json = messages.batch_from_json
+report_to_json = messages.report_to_json
+report_from_json = messages.report_from_json
+
+FALSE_ALARM_RATE = evidence.FALSE_ALARM_RATE
+FIRST_SHARE = pacing.FIRST_SHARE
