Run the peer part in the daemon

Cause: crash reports stayed in the daemon that saw them, and a daemon that started without the platform had no tables.

--- a/packages/daemon/src/rattanpulleyd/_internal/api/app.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/app.py
@@ -1,5 +1,6 @@
 """Caller API."""
 
+from collections.abc import Callable
 from typing import Any
 
 import bottle
@@ -37,6 +38,7 @@
         runtime: runtime_lib.Runtime,
         signer: resume_token.Signer,
         services: service_calls.ServiceCalls,
+        peers_report: Callable[[], dict[str, Any]] | None = None,
     ) -> None:
         """Builds the application.
 
@@ -45,12 +47,14 @@
             runtime: Runtime of the daemon.
             signer: Signs and verifies event ids.
             services: Calls to plain services.
+            peers_report: Returns the state of the peer part for operators.
         """
         self.app = http_io.new_app(runtime.counts)
         self._settings = settings
         self._runtime = runtime
         self._signer = signer
         self._services = services
+        self._peers_report = peers_report
         self._add_routes()
 
     def _add_routes(self) -> None:
@@ -89,7 +93,10 @@
         return {"ready": ready, "draining": self._runtime.draining}
 
     def _status(self) -> dict[str, Any]:
-        return status.report(self._settings, self._runtime)
+        report = status.report(self._settings, self._runtime)
+        if self._peers_report is not None:
+            report["peers"] = self._peers_report()
+        return report
 
     def _account(self) -> str:
         """Returns the account of the current request."""
--- a/packages/daemon/src/rattanpulleyd/_internal/config/table_watch.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/config/table_watch.py
@@ -101,12 +101,21 @@
         for stored in objects:
             kind = _KIND_BY_KEY.get(stored.key)
             if kind is not None and stored.value is not None:
-                self._offer(kind, stored.version, stored.value)
+                self.offer(kind, stored.version, stored.value, SOURCE)
 
-    def _offer(self, kind: tables.TableKind, version: int, value: Any) -> None:
-        """Offers one table, and counts and logs the outcome."""
+    def offer(
+        self, kind: tables.TableKind, version: int, value: Any, source: str
+    ) -> None:
+        """Offers one table, and counts and logs the outcome.
+
+        Args:
+            kind: Which table.
+            version: Version of the stored object.
+            value: JSON value of the object.
+            source: Where the table comes from.
+        """
         now_s = self._clock.monotonic_s()
-        report = self._config.offer(kind, version, value, SOURCE, now_s)
+        report = self._config.offer(kind, version, value, source, now_s)
         counter = _COUNTERS_BY_OUTCOME.get(report.outcome)
         if counter is not None:
             self._counts.count(counter)
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/daemon.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/daemon.py
@@ -20,6 +20,7 @@
 from rattanpulleyd._internal.config import host_poll
 from rattanpulleyd._internal.config import table_watch
 from rattanpulleyd._internal.engine import http_engine
+from rattanpulleyd._internal.peers import peer_runtime
 from rattanpulleyd._internal.runtime import clock as clock_lib
 from rattanpulleyd._internal.runtime import http_server
 from rattanpulleyd._internal.runtime import runtime as runtime_lib
@@ -60,10 +61,24 @@
         self._greenlets: list[gevent.Greenlet] = []
         signer = resume_token.Signer(settings.resume_keys)
         target_table = targets.TargetTable(settings.failure_domain)
+        self._suspect_table = suspects.SuspectTable()
         self._chooser = targets.LeastOutstandingChooser(target_table, self._rng)
         self._runtime = self._build_runtime(signer, target_table)
+        self._watch = table_watch.TableWatch(
+            self._store,
+            self._runtime.config,
+            self._clock,
+            self._counts,
+            self._rng,
+            self._apply_table,
+        )
+        self._peers = self._build_peers()
         api = app.CallerApi(
-            settings, self._runtime, signer, self._build_services()
+            settings,
+            self._runtime,
+            signer,
+            self._build_services(),
+            self._peers.report if self._peers is not None else None,
         )
         try:
             self._server = http_server.HttpServer(settings.listen, api.app)
@@ -80,7 +95,7 @@
             target_table=target_table,
             chooser=self._chooser,
             signer=signer,
-            suspect_table=suspects.SuspectTable(),
+            suspect_table=self._suspect_table,
             rng=self._rng,
         )
         return runtime_lib.Runtime(
@@ -102,23 +117,40 @@
             chooser=self._chooser,
         )
 
+    def _build_peers(self) -> peer_runtime.PeerRuntime | None:
+        """Builds the peer part, if the settings have one."""
+        if self._settings.peers is None:
+            return None
+        part = peer_runtime.PeerRuntime(
+            settings=self._settings,
+            peer_settings=self._settings.peers,
+            clock=self._clock,
+            rng=self._rng,
+            config=self._runtime.config,
+            suspect_table=self._suspect_table,
+            offer_table=self._watch.offer,
+        )
+        self._runtime.on_crash_report = part.publish_crash_report
+        return part
+
+    def _apply_table(self, kind: tables.TableKind) -> None:
+        """Brings an accepted table into force and tells the peers."""
+        self._runtime.apply_table(kind)
+        if self._peers is not None:
+            self._peers.announce_table(kind)
+
     def start(self) -> None:
         """Starts the background work and accepts connections."""
         runtime = self._runtime
-        watch = table_watch.TableWatch(
-            self._store,
-            runtime.config,
-            self._clock,
-            self._counts,
-            self._rng,
-            runtime.apply_table,
-        )
         poll = host_poll.HostPoll(
             platform.HttpHostList(self._settings.platform.url),
             self._counts,
             runtime.apply_hosts,
         )
-        jobs = (watch.run, poll.run, runtime.run_ticks, self._flush)
+        jobs = [self._watch.run, poll.run, runtime.run_ticks, self._flush]
+        if self._peers is not None:
+            self._peers.start()
+            jobs.append(self._peers.run_ticks)
         self._greenlets = [gevent.spawn(self._keep_running, j) for j in jobs]
         self._server.start()
         loguru.logger.info(
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/runtime.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/runtime.py
@@ -35,7 +35,7 @@
         engine: interfaces.EngineApi,
         counts: counters.Counters,
     ) -> None:
-        """Connects the parts.
+        """Connects the parts; crash reports are only counted without peers.
 
         Args:
             clock: Source of time.
@@ -51,6 +51,7 @@
         self.counts = counts
         self.target_table = target_table
         self.draining = False
+        self.on_crash_report: Callable[[str, str, str], None] | None = None
         self._engine = engine
         self._callers_by_id: dict[int, interfaces.CallerStream] = {}
         self._caller_ids = itertools.count(1)
@@ -204,5 +205,8 @@
     def _publish_crash_report(
         self, action: generations.PublishCrashReport
     ) -> None:
-        del action  # Daemons without peers only count the reports.
         self.counts.count(_Counter.CRASH_REPORTS)
+        if self.on_crash_report is not None:
+            self.on_crash_report(
+                action.fingerprint, action.target, action.boot_id
+            )
--- a/packages/standins/src/rattanpulley_standins/_internal/measure/stream_cost.py
+++ b/packages/standins/src/rattanpulley_standins/_internal/measure/stream_cost.py
@@ -66,9 +66,7 @@
         for index in range(target_count)
     }
     versions = {"v1": tables.VersionSpec("v1")}
-    pool = tables.Pool(
-        "assistant", tables.TargetKind.ENGINE, versions, specs
-    )
+    pool = tables.Pool("assistant", tables.TargetKind.ENGINE, versions, specs)
     return tables.PoolTable(1, {"assistant": pool})
 
 
