Tell errors after the order from refusals, and report attempts' health

Cause: an engine that closed the connection before its response headers, or answered 500, counted as one that had not started. The request may have run, so a later not_run could be false, and a request that crashes engines before they answer was not blamed. An engine that hangs on one stream kept the caller until the deadline.

Change: a break after the order was sent is a reset, whether accepted or not; 429 and 503 are refusals, other 5xx are errors, with three at most for each request; a stream without progress in five probes, about 10 s, moves to another target within the retry budget; the core reports first attempts as ok, error or crash with their first-token time and token interval.

Conclusion: not_run is said only when no byte of the order was sent or the target said so.

--- a/packages/core/src/rattanpulley_core/_internal/generations/attempts.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/attempts.py
@@ -112,6 +112,7 @@
 def record_first_token(attempt: rows.Attempt, now_s: float) -> None:
     """Records the first token of an attempt in its target's row."""
     attempt.has_token = True
+    attempt.first_token_at_s = now_s
     target = attempt.target
     target.awaiting_first_token -= 1
     target.resumes_awaiting_first_token -= attempt.is_resume
--- a/packages/core/src/rattanpulley_core/_internal/generations/context.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/context.py
@@ -95,6 +95,11 @@
         self.running_by_target: dict[str, dict[str, rows.Generation]] = {}
         self.probes_by_target: dict[str, ProbeRun] = {}
         self.next_lost_probe_s: dict[str, float] = {}
+        # Outcomes of reset attempts, until a probe tells whether the target
+        # crashed, by target.
+        self.reset_outcomes_by_target: dict[
+            str, list[messages.AttemptEnded]
+        ] = {}
         self.last_probe_id = 0
         self.retry_budget = buckets.RetryBudget()
         self.move_bucket = buckets.TokenBucket(MOVES_PER_S, MOVES_BURST)
--- a/packages/core/src/rattanpulley_core/_internal/generations/leaving.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/leaving.py
@@ -2,6 +2,7 @@
 
 from rattanpulley_core._internal.generations import attempts
 from rattanpulley_core._internal.generations import context
+from rattanpulley_core._internal.generations import outcomes
 from rattanpulley_core._internal.generations import placement
 from rattanpulley_core._internal.generations import rows
 from rattanpulley_core._internal.targets import rows as target_rows
@@ -44,6 +45,8 @@
     if successor is None:
         return False
     generation.may_have_run = True
+    assert generation.attempt is not None
+    outcomes.report_abandoned(ctx, generation, generation.attempt)
     attempts.cancel(ctx, generation)
     attempts.release(ctx, generation)
     attempts.start(ctx, generation, successor, now_s)
--- a/packages/core/src/rattanpulley_core/_internal/generations/lifecycle.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/lifecycle.py
@@ -4,6 +4,7 @@
 from rattanpulley_core._internal.generations import attempts
 from rattanpulley_core._internal.generations import context
 from rattanpulley_core._internal.generations import delivery
+from rattanpulley_core._internal.generations import outcomes
 from rattanpulley_core._internal.generations import rows
 
 _State = rows.GenerationState
@@ -57,6 +58,7 @@
 ) -> None:
     """Cancels the current attempt and removes the generation."""
     if generation.attempt is not None:
+        outcomes.report_abandoned(ctx, generation, generation.attempt)
         attempts.cancel(ctx, generation, keep_at_target)
     remove(ctx, generation)
 
--- a/packages/core/src/rattanpulley_core/_internal/generations/messages.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/messages.py
@@ -76,9 +76,10 @@
 
     NOT_CONNECTED = "not_connected"  # No byte reached the target.
     REFUSED = "refused"  # The target answered that it did not start.
+    ERRORED = "errored"  # The target answered with an error; it may have run.
     REJECTED = "rejected"  # The target calls the order malformed.
     NOT_HELD = "not_held"  # The target does not hold the generation.
-    RESET = "reset"  # The connection broke after the target accepted.
+    RESET = "reset"  # The connection broke after the order was sent.
     CORRUPT = "corrupt"  # The target sent what the protocol does not allow.
 
 
@@ -295,3 +296,43 @@
     fingerprint: str
     target: str
     boot_id: str
+
+
+class AttemptResult(enum.Enum):
+    """How an attempt speaks for or against its target's version."""
+
+    OK = "ok"
+    ERROR = "error"
+    CRASH = "crash"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptEnded(Action):
+    """Health of one first attempt, for the comparison of versions.
+
+    Resumed and attached attempts are left out: their version is pinned, so the
+    share of new requests does not say how many of them a version gets.
+
+    Attributes:
+        generation_id: The generation.
+        attempt: Number of the attempt.
+        pool: Name of the pool.
+        route: Name of the route.
+        failure_domain: Failure domain of the target.
+        target: Name of the target.
+        version: Version of the target.
+        result: How it ended.
+        first_token_s: Seconds to the first token; None without one.
+        token_interval_s: Mean seconds between tokens; None below two.
+    """
+
+    generation_id: str
+    attempt: int
+    pool: str
+    route: str
+    failure_domain: str
+    target: str
+    version: str
+    result: AttemptResult
+    first_token_s: float | None
+    token_interval_s: float | None
--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/generations/outcomes.py
@@ -0,0 +1,85 @@
+"""Outcomes of attempts, for the comparison of versions."""
+
+import dataclasses
+
+from rattanpulley_core._internal.generations import context
+from rattanpulley_core._internal.generations import messages
+from rattanpulley_core._internal.generations import rows
+
+_Result = messages.AttemptResult
+
+
+def report(
+    ctx: context.Context,
+    generation: rows.Generation,
+    attempt: rows.Attempt,
+    result: messages.AttemptResult,
+) -> None:
+    """Reports an attempt that ended, if it counts."""
+    outcome = _outcome(generation, attempt, result)
+    if outcome is not None:
+        ctx.actions.append(outcome)
+
+
+def report_abandoned(
+    ctx: context.Context, generation: rows.Generation, attempt: rows.Attempt
+) -> None:
+    """Reports an attempt that ended for no fault of its target."""
+    if attempt.has_token:
+        report(ctx, generation, attempt, _Result.OK)
+
+
+def hold_reset(
+    ctx: context.Context, generation: rows.Generation, attempt: rows.Attempt
+) -> None:
+    """Keeps a reset attempt until a probe tells whether the target crashed."""
+    outcome = _outcome(generation, attempt, _Result.CRASH)
+    if outcome is not None:
+        held = ctx.reset_outcomes_by_target
+        held.setdefault(attempt.target.name, []).append(outcome)
+
+
+def settle_resets(ctx: context.Context, target: str, crashed: bool) -> None:
+    """Reports the reset attempts of a target after its probe."""
+    result = _Result.CRASH if crashed else _Result.ERROR
+    for outcome in ctx.reset_outcomes_by_target.pop(target, ()):
+        ctx.actions.append(dataclasses.replace(outcome, result=result))
+
+
+def _outcome(
+    generation: rows.Generation,
+    attempt: rows.Attempt,
+    result: messages.AttemptResult,
+) -> messages.AttemptEnded | None:
+    if attempt.is_resume or attempt.is_attach:
+        return None
+    request = generation.request
+    target = attempt.target
+    return messages.AttemptEnded(
+        generation_id=request.generation_id,
+        attempt=attempt.number,
+        pool=request.pool,
+        route=request.route,
+        failure_domain=target.failure_domain,
+        target=target.name,
+        version=attempt.version,
+        result=result,
+        first_token_s=_first_token_s(attempt),
+        token_interval_s=_token_interval_s(generation, attempt),
+    )
+
+
+def _first_token_s(attempt: rows.Attempt) -> float | None:
+    if attempt.first_token_at_s is None:
+        return None
+    return attempt.first_token_at_s - attempt.started_at_s
+
+
+def _token_interval_s(
+    generation: rows.Generation, attempt: rows.Attempt
+) -> float | None:
+    count = len(generation.journal) - attempt.first_index
+    if attempt.first_token_at_s is None or count < 2:
+        return None
+    elapsed_s = attempt.estimator.last_event_s - attempt.first_token_at_s
+    return elapsed_s / (count - 1)
--- a/packages/core/src/rattanpulley_core/_internal/generations/probes.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/probes.py
@@ -6,6 +6,7 @@
 from rattanpulley_core._internal.generations import context
 from rattanpulley_core._internal.generations import lifecycle
 from rattanpulley_core._internal.generations import messages
+from rattanpulley_core._internal.generations import outcomes
 from rattanpulley_core._internal.generations import placement
 from rattanpulley_core._internal.generations import rows
 from rattanpulley_core._internal.targets import rows as target_rows
@@ -18,6 +19,10 @@
 # The final event of an answer may be lost with its connection, which progress
 # alone does not show, so every second idle probe attaches again.
 ATTACH_AFTER_IDLE_PROBES = 2
+# A target that answers probes but makes no progress for about 10 s is left, if
+# the retry budget allows: an engine can hang on one stream.
+STUCK_AFTER_IDLE_PROBES = 5
+STUCK_EXCLUSION_S = 30.0
 
 
 def examine(
@@ -84,13 +89,16 @@
     if case_boot_id and case_boot_id != event.boot_id:
         ctx.ledger.record_loss(target.name, target.failure_domain, now_s)
         _confirm_crash(ctx, target, earlier, now_s)
+        outcomes.settle_resets(ctx, target.name, crashed=True)
     elif run.repeat:
         target.doubtful = True
         send(ctx, target, (), now_s)
     else:
         ctx.ledger.dismiss(target.name)
+        outcomes.settle_resets(ctx, target.name, crashed=False)
     ctx.counters.target_restarts += bool(earlier)
     for generation in earlier:
+        _report_crash(ctx, generation)
         _abandon(ctx, generation, now_s, keep_at_target=True)
     if not was_lost:
         for key, next_index in run.next_index_by_attempt.items():
@@ -144,7 +152,9 @@
     target.mark_lost()
     running = list(ctx.running_by_target.get(target.name, {}).values())
     _confirm_crash(ctx, target, running, now_s)
+    outcomes.settle_resets(ctx, target.name, crashed=True)
     for generation in running:
+        _report_crash(ctx, generation)
         # Nothing listens there, so the target is not told to stop.
         _abandon(ctx, generation, now_s, keep_at_target=True)
     placement.place_waiting(ctx, now_s)
@@ -203,6 +213,12 @@
     ctx.counters.crashes += ctx.ledger.confirm_crash(target.name, now_s)
 
 
+def _report_crash(ctx: context.Context, generation: rows.Generation) -> None:
+    attempt = generation.attempt
+    assert attempt is not None
+    outcomes.report(ctx, generation, attempt, messages.AttemptResult.CRASH)
+
+
 def _judge_stream(
     ctx: context.Context,
     run: context.ProbeRun,
@@ -228,11 +244,35 @@
         _reattach(ctx, generation, now_s)
         return
     attempt.idle_probes += 1
+    if attempt.idle_probes >= STUCK_AFTER_IDLE_PROBES and _may_leave(
+        ctx, generation, now_s
+    ):
+        outcomes.report(ctx, generation, attempt, messages.AttemptResult.ERROR)
+        generation.exclude(attempt.target.name, now_s + STUCK_EXCLUSION_S)
+        _abandon(ctx, generation, now_s, keep_at_target=False)
+        return
     attempt.estimator.back_off(now_s)
     if attempt.idle_probes % ATTACH_AFTER_IDLE_PROBES == 0:
         _reattach(ctx, generation, now_s)
 
 
+def _may_leave(
+    ctx: context.Context, generation: rows.Generation, now_s: float
+) -> bool:
+    """Returns whether a stuck stream may go to another target.
+
+    Under a general overload every stream is slow; the budget keeps the moves
+    from adding to the load.
+    """
+    attempt = generation.attempt
+    assert attempt is not None
+    excluded = generation.excluded(now_s) | {attempt.target.name}
+    query = placement.query_for(ctx, generation, now_s, excluded)
+    if ctx.chooser.choose(query, now_s) is None:
+        return False
+    return ctx.retry_budget.take_retry(now_s)
+
+
 def _reattach(
     ctx: context.Context, generation: rows.Generation, now_s: float
 ) -> None:
--- a/packages/core/src/rattanpulley_core/_internal/generations/rows.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/rows.py
@@ -58,6 +58,7 @@
         has_token: Whether a token of the attempt arrived.
         boot_id: Process of the target; empty when not known.
         idle_probes: Probes in a row that showed no progress in the engine.
+        first_token_at_s: Monotonic time of the first token, or None.
     """
 
     number: int
@@ -73,6 +74,7 @@
     has_token: bool = False
     boot_id: str = ""
     idle_probes: int = 0
+    first_token_at_s: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -101,6 +103,7 @@
         next_expiry_s: Next time at which a deadline or grace may end.
         done_at_s: Time at which the answer was whole.
         finish_reason: Reason of the target.
+        errored_attempts: Attempts that a target ended with an error.
     """
 
     request: messages.GenerationRequest
@@ -126,6 +129,7 @@
     next_expiry_s: float = math.inf
     done_at_s: float = 0.0
     finish_reason: str = ""
+    errored_attempts: int = 0
 
     @property
     def generation_id(self) -> str:
--- a/packages/core/src/rattanpulley_core/_internal/generations/streams.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/streams.py
@@ -10,6 +10,7 @@
 from rattanpulley_core._internal.generations import journal as journals
 from rattanpulley_core._internal.generations import lifecycle
 from rattanpulley_core._internal.generations import messages
+from rattanpulley_core._internal.generations import outcomes
 from rattanpulley_core._internal.generations import placement
 from rattanpulley_core._internal.generations import probes
 from rattanpulley_core._internal.generations import rows
@@ -20,6 +21,8 @@
 FAILED_EXCLUSION_S = 1.0
 # A target that broke the protocol is likely to do so again.
 CORRUPT_EXCLUSION_S = 10.0
+# An error on this many targets is taken as the request's own.
+MAX_ERRORED_ATTEMPTS = 3
 
 _State = rows.GenerationState
 _Reason = messages.FailureReason
@@ -108,6 +111,7 @@
         end_corrupt(ctx, generation, attempt, now_s)
         return
     attempts.record_accepted(generation, attempt)
+    outcomes.report(ctx, generation, attempt, messages.AttemptResult.OK)
     attempts.release(ctx, generation)
     delivery.finish(ctx, generation, event.finish_reason, now_s)
     placement.place_waiting(ctx, now_s)
@@ -138,6 +142,7 @@
     generation.may_have_run = True
     generation.exclude(attempt.target.name, now_s + CORRUPT_EXCLUSION_S)
     attempt.target.consecutive_failures += 1
+    outcomes.report(ctx, generation, attempt, messages.AttemptResult.ERROR)
     attempts.cancel(ctx, generation)
     lifecycle.interrupt(ctx, generation, now_s)
     placement.place_waiting(ctx, now_s)
@@ -203,6 +208,28 @@
     _retry(ctx, generation, attempt, now_s)
 
 
+def _on_errored(
+    ctx: context.Context,
+    generation: rows.Generation,
+    attempt: rows.Attempt,
+    event: messages.AttemptFailed,
+    now_s: float,
+) -> None:
+    """Retries on another target; an error on each of them is the answer."""
+    outcomes.report(ctx, generation, attempt, messages.AttemptResult.ERROR)
+    generation.errored_attempts += 1
+    if generation.errored_attempts >= MAX_ERRORED_ATTEMPTS:
+        attempts.release(ctx, generation)
+        lifecycle.end(
+            ctx, generation, results.ResultCode.TARGET_ERROR, event.message
+        )
+        return
+    generation.exclude(attempt.target.name, now_s + CORRUPT_EXCLUSION_S)
+    generation.needs_permit = True
+    attempt.target.consecutive_failures += 1
+    lifecycle.interrupt(ctx, generation, now_s)
+
+
 def _on_rejected(
     ctx: context.Context,
     generation: rows.Generation,
@@ -236,8 +263,10 @@
     target = attempt.target
     generation.exclude(target.name, now_s + FAILED_EXCLUSION_S)
     target.consecutive_failures += 1
-    if attempt.accepted:
-        probes.record_reset(ctx, generation, attempt, now_s)
+    # The order was sent, so the request may have run and crashed the target,
+    # also when the target died before it answered.
+    probes.record_reset(ctx, generation, attempt, now_s)
+    outcomes.hold_reset(ctx, generation, attempt)
     attempts.cancel(ctx, generation)
     probes.examine(ctx, target, now_s)
     lifecycle.interrupt(ctx, generation, now_s)
@@ -285,6 +314,7 @@
 ] = {
     _Reason.NOT_CONNECTED: _on_not_connected,
     _Reason.REFUSED: _on_refused,
+    _Reason.ERRORED: _on_errored,
     _Reason.REJECTED: _on_rejected,
     _Reason.NOT_HELD: _on_not_held,
     _Reason.RESET: _on_reset,
--- a/packages/core/src/rattanpulley_core/generations.py
+++ b/packages/core/src/rattanpulley_core/generations.py
@@ -28,6 +28,8 @@
 DeliverTokens = messages.DeliverTokens
 FinishAnswer = messages.FinishAnswer
 FailAnswer = messages.FailAnswer
+AttemptResult = messages.AttemptResult
+AttemptEnded = messages.AttemptEnded
 PublishCrashReport = messages.PublishCrashReport
 
 GenerationCore = core.GenerationCore
--- a/packages/daemon/src/rattanpulleyd/_internal/engine/attempt.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/engine/attempt.py
@@ -13,6 +13,8 @@
 MAX_MESSAGE_CHARACTERS = 500
 
 _Reason = generations.FailureReason
+# Too Many Requests and Service Unavailable: the target did not start.
+_NOT_STARTED_STATUSES = frozenset({429, 503})
 _BROKEN = (*connection.CallError, client.HTTPException)
 
 
@@ -47,7 +49,8 @@
         try:
             response = connection.send(opened, orders.request_for(self._order))
         except _BROKEN as error:
-            self._fail(_Reason.REFUSED, type(error).__name__)
+            # Bytes may have reached the target, so the request may have run.
+            self._fail(_Reason.RESET, type(error).__name__)
             return
         try:
             self._read(response)
@@ -90,12 +93,14 @@
         attach = isinstance(self._order, generations.AttachAttempt)
         if response.status == 404 and attach:
             return _Reason.NOT_HELD, ""
+        if response.status in _NOT_STARTED_STATUSES:
+            return _Reason.REFUSED, f"status {response.status}"
         if 400 <= response.status < 500:
             text = response.read(4 * MAX_MESSAGE_CHARACTERS).decode(
                 errors="replace"
             )
             return _Reason.REJECTED, text[:MAX_MESSAGE_CHARACTERS]
-        return _Reason.REFUSED, f"status {response.status}"
+        return _Reason.ERRORED, f"status {response.status}"
 
     def _fail(self, reason: generations.FailureReason, message: str) -> None:
         """Reports the end of the attempt."""
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/runtime.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/runtime.py
@@ -52,6 +52,12 @@
         self.target_table = target_table
         self.draining = False
         self.on_crash_report: Callable[[str, str, str], None] | None = None
+        self.on_attempt_started: (
+            Callable[[generations.StartAttempt], None] | None
+        ) = None
+        self.on_attempt_ended: (
+            Callable[[generations.AttemptEnded], None] | None
+        ) = None
         self._engine = engine
         self._callers_by_id: dict[int, interfaces.CallerStream] = {}
         self._caller_ids = itertools.count(1)
@@ -69,6 +75,7 @@
             generations.FinishAnswer: self._finish,
             generations.FailAnswer: self._fail,
             generations.PublishCrashReport: self._publish_crash_report,
+            generations.AttemptEnded: self._end_attempt,
         }
 
     def feed(self, event: generations.Event) -> None:
@@ -175,6 +182,8 @@
             self._handlers[type(action)](action)
 
     def _start(self, action: generations.StartAttempt) -> None:
+        if self.on_attempt_started is not None:
+            self.on_attempt_started(action)
         self._engine.start(action, self.feed)
 
     def _attach(self, action: generations.AttachAttempt) -> None:
@@ -202,6 +211,10 @@
             self.counts.count(_Counter.ANSWERS_FAILED)
             stream.fail(action)
 
+    def _end_attempt(self, action: generations.AttemptEnded) -> None:
+        if self.on_attempt_ended is not None:
+            self.on_attempt_ended(action)
+
     def _publish_crash_report(
         self, action: generations.PublishCrashReport
     ) -> None:
