Run version moves in the daemon

Cause: the moves part computed shares that nothing used.

Change: a runtime feeds it the health of first attempts, sets the version weights of the target table each 0.5 s, spreads evidence, verdicts and reports as facts, and keeps verdicts in the object API until they are stored. Reports are sent only when they change. A daemon that stops in order says so, and is not waited for.

--- a/packages/core/src/rattanpulley_core/_internal/peers/core.py
+++ b/packages/core/src/rattanpulley_core/_internal/peers/core.py
@@ -50,6 +50,7 @@
             messages.ConnectFailed: links.on_connect_failed,
             messages.MessageReceived: self._on_message,
             messages.FactPublished: spread.on_fact_published,
+            messages.Leaving: spread.on_leaving,
             messages.TableHeld: tables.on_held,
             messages.TableWanted: tables.on_wanted,
         }
--- a/packages/core/src/rattanpulley_core/_internal/peers/dissemination.py
+++ b/packages/core/src/rattanpulley_core/_internal/peers/dissemination.py
@@ -122,6 +122,20 @@
         accepted, actions = self._learn(fact, now_s)
         return actions + self._spread([fact] if accepted else [], now_s)
 
+    def on_leaving(self, event: messages.Leaving, now_s: float) -> Actions:
+        """Tells the peers that this daemon stops."""
+        left = dataclasses.replace(
+            self._state.own, state=members.MemberState.LEFT
+        )
+        # Its own table says so too; otherwise it would refute the report when
+        # a peer passes it on.
+        self._state.own = left
+        fact = dataclasses.replace(
+            self._state.own_fact(), expires_s=now_s + TOMBSTONE_TTL_S
+        )
+        self._state.fact_table.merge(fact)
+        return self._spread([fact], now_s)
+
     def on_fact_published(
         self, event: messages.FactPublished, now_s: float
     ) -> Actions:
--- a/packages/core/src/rattanpulley_core/_internal/peers/facts.py
+++ b/packages/core/src/rattanpulley_core/_internal/peers/facts.py
@@ -21,10 +21,15 @@
     TABLE = "table"
     VERDICT = "verdict"
     CRASH_REPORT = "crash_report"
+    EVIDENCE = "evidence"
+    MOVE_REPORT = "move_report"
 
 
-# Verdicts and crash reports have no order: the first value of a key stays.
-_NEWEST_VERSION_WINS = frozenset({FactKind.MEMBER, FactKind.TABLE})
+# Verdicts, crash reports and evidence have no order: the first value of a key
+# stays.
+_NEWEST_VERSION_WINS = frozenset(
+    {FactKind.MEMBER, FactKind.TABLE, FactKind.MOVE_REPORT}
+)
 
 # Facts of these kinds must not be forgotten while their subject exists.
 _WITHOUT_EXPIRY = frozenset({FactKind.TABLE, FactKind.VERDICT})
--- a/packages/core/src/rattanpulley_core/_internal/peers/messages.py
+++ b/packages/core/src/rattanpulley_core/_internal/peers/messages.py
@@ -115,6 +115,11 @@
     time_to_live_s: float | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leaving(Event):
+    """This daemon stops in order; its peers need not suspect it."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TableWanted(Event):
     """This daemon lacks a table's content and cannot get it elsewhere."""
--- a/packages/core/src/rattanpulley_core/peers.py
+++ b/packages/core/src/rattanpulley_core/peers.py
@@ -36,6 +36,7 @@
 MessageReceived = messages.MessageReceived
 FactPublished = messages.FactPublished
 TableHeld = messages.TableHeld
+Leaving = messages.Leaving
 TableWanted = messages.TableWanted
 
 Action = messages.Action
--- a/packages/core/tests/peers/test_core.py
+++ b/packages/core/tests/peers/test_core.py
@@ -41,6 +41,17 @@
         assert fleet.states_at(name)["d3"] is peers.MemberState.DEAD
 
 
+def test_leaving_daemon_is_not_suspected():
+    # Guards against a planned stop that looks like a failure.
+    fleet = start_fleet(8)
+    fleet.post("d3", peers.Leaving())
+    fleet.run(0.5)
+    fleet.kill("d3")
+    fleet.run(20)
+    for name in fleet.cores_by_name:
+        assert fleet.states_at(name)["d3"] is peers.MemberState.LEFT
+
+
 def test_paused_daemon_returns_with_a_new_incarnation():
     # Guards against a returned daemon that stays dead by an old report.
     fleet = start_fleet(8)
--- a/packages/daemon/src/rattanpulleyd/_internal/api/app.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/app.py
@@ -38,7 +38,7 @@
         runtime: runtime_lib.Runtime,
         signer: resume_token.Signer,
         services: service_calls.ServiceCalls,
-        peers_report: Callable[[], dict[str, Any]] | None = None,
+        report_parts: Callable[[], dict[str, Any]] = dict,
     ) -> None:
         """Builds the application.
 
@@ -47,14 +47,14 @@
             runtime: Runtime of the daemon.
             signer: Signs and verifies event ids.
             services: Calls to plain services.
-            peers_report: Returns the state of the peer part for operators.
+            report_parts: Returns the state of the other parts for operators.
         """
         self.app = http_io.new_app(runtime.counts)
         self._settings = settings
         self._runtime = runtime
         self._signer = signer
         self._services = services
-        self._peers_report = peers_report
+        self._report_parts = report_parts
         self._add_routes()
 
     def _add_routes(self) -> None:
@@ -94,9 +94,7 @@
 
     def _status(self) -> dict[str, Any]:
         report = status.report(self._settings, self._runtime)
-        if self._peers_report is not None:
-            report["peers"] = self._peers_report()
-        return report
+        return {**report, **self._report_parts()}
 
     def _account(self) -> str:
         """Returns the account of the current request."""
--- /dev/null
+++ b/packages/daemon/src/rattanpulleyd/_internal/moves/__init__.py
@@ -0,0 +1,1 @@
+"""Version moves in the daemon: evidence, shares, verdicts."""
--- a/packages/daemon/src/rattanpulleyd/_internal/peers/peer_runtime.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/peers/peer_runtime.py
@@ -24,6 +24,8 @@
 # A table is at most as large as a value of the object API.
 MAX_TABLE_BYTES = 1_048_576
 CRASH_REPORT_TTL_S = 3600.0
+# Time for the last messages to be written before the streams are closed.
+LEAVE_LINGER_S = 0.1
 
 TableOffer = Callable[[tables.TableKind, int, Any, str], None]
 
@@ -60,6 +62,8 @@
         self._config = config
         self._suspects = suspect_table
         self._offer_table = offer_table
+        self.on_move_fact: Callable[[peers.Fact], None] | None = None
+        self.on_members: Callable[[set[str]], None] | None = None
         self._wanted_since_s: dict[tables.TableKind, float] = {}
         listen = peer_settings.listen
         self.streams = tcp_streams.TcpPeerStreams(
@@ -91,6 +95,9 @@
         ] = {
             peers.FactKind.CRASH_REPORT: self._on_crash_report,
             peers.FactKind.TABLE: self._on_table_version,
+            peers.FactKind.EVIDENCE: self._on_move,
+            peers.FactKind.VERDICT: self._on_move,
+            peers.FactKind.MOVE_REPORT: self._on_move,
         }
 
     def start(self) -> None:
@@ -98,7 +105,9 @@
         self.streams.start()
 
     def stop(self) -> None:
-        """Closes all streams."""
+        """Tells the peers and closes all streams."""
+        self.feed(peers.Leaving())
+        gevent.sleep(LEAVE_LINGER_S)
         self.streams.stop()
 
     def feed(self, event: peers.Event) -> None:
@@ -184,6 +193,14 @@
         ttl_s = CRASH_REPORT_TTL_S if expires_s is None else expires_s - now_s
         self._suspects.apply_remote(fingerprint, target, boot_id, now_s, ttl_s)
 
+    def _on_move(self, fact: peers.Fact) -> None:
+        if self.on_move_fact is None:
+            return
+        try:
+            self.on_move_fact(fact)
+        except ValueError:
+            self.core.state.counters["peers.malformed_facts"] += 1
+
     def _on_table_version(self, fact: peers.Fact) -> None:
         kind = _KINDS_BY_NAME.get(fact.key)
         if kind is not None and fact.version > self._config.version(kind):
@@ -210,8 +227,18 @@
             return
         self._offer_table(kind, action.version, value, SOURCE)
 
+    def _expected_daemons(self) -> set[str]:
+        """Returns the daemons that have not left, silent and dead ones too."""
+        return {
+            row.member.name
+            for row in self.core.state.peer_table
+            if row.member.state is not peers.MemberState.LEFT
+        }
+
     def _on_member(self, action: peers.MemberChanged) -> None:
         member = action.member
+        if self.on_members is not None:
+            self.on_members(self._expected_daemons())
         loguru.logger.info(
             "peer {} in {}: {} (incarnation {})",
             member.name,
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/daemon.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/daemon.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import random
 import signal
+from typing import Any
 
 import gevent
 import gevent.event
@@ -20,6 +21,8 @@
 from rattanpulleyd._internal.config import host_poll
 from rattanpulleyd._internal.config import table_watch
 from rattanpulleyd._internal.engine import http_engine
+from rattanpulleyd._internal.moves import move_runtime
+from rattanpulleyd._internal.moves import verdict_store
 from rattanpulleyd._internal.peers import peer_runtime
 from rattanpulleyd._internal.runtime import clock as clock_lib
 from rattanpulleyd._internal.runtime import http_server
@@ -72,13 +75,15 @@
             self._rng,
             self._apply_table,
         )
+        self._verdicts = verdict_store.VerdictStore(self._store, self._rng)
+        self._moves = self._build_moves(target_table)
         self._peers = self._build_peers()
         api = app.CallerApi(
             settings,
             self._runtime,
             signer,
             self._build_services(),
-            self._peers.report if self._peers is not None else None,
+            self._report_parts,
         )
         try:
             self._server = http_server.HttpServer(settings.listen, api.app)
@@ -117,6 +122,21 @@
             chooser=self._chooser,
         )
 
+    def _build_moves(
+        self, target_table: targets.TargetTable
+    ) -> move_runtime.MoveRuntime:
+        """Builds the moves part."""
+        part = move_runtime.MoveRuntime(
+            daemon=self._settings.name,
+            clock=self._clock,
+            config=self._runtime.config,
+            target_table=target_table,
+            store=self._verdicts,
+        )
+        self._runtime.on_attempt_started = part.on_attempt_started
+        self._runtime.on_attempt_ended = part.on_attempt_ended
+        return part
+
     def _build_peers(self) -> peer_runtime.PeerRuntime | None:
         """Builds the peer part, if the settings have one."""
         if self._settings.peers is None:
@@ -131,11 +151,22 @@
             offer_table=self._watch.offer,
         )
         self._runtime.on_crash_report = part.publish_crash_report
+        part.on_move_fact = self._moves.learn_fact
+        part.on_members = self._moves.set_daemons
+        self._moves.publish = part.feed
         return part
 
+    def _report_parts(self) -> dict[str, Any]:
+        """Returns the state of the parts beside the runtime."""
+        report: dict[str, Any] = {"moves": self._moves.report()}
+        if self._peers is not None:
+            report["peers"] = self._peers.report()
+        return report
+
     def _apply_table(self, kind: tables.TableKind) -> None:
         """Brings an accepted table into force and tells the peers."""
         self._runtime.apply_table(kind)
+        self._moves.apply_tables()
         if self._peers is not None:
             self._peers.announce_table(kind)
 
@@ -147,7 +178,14 @@
             self._counts,
             runtime.apply_hosts,
         )
-        jobs = [self._watch.run, poll.run, runtime.run_ticks, self._flush]
+        jobs = [
+            self._watch.run,
+            poll.run,
+            runtime.run_ticks,
+            self._moves.run_ticks,
+            self._verdicts.run,
+            self._flush,
+        ]
         if self._peers is not None:
             self._peers.start()
             jobs.append(self._peers.run_ticks)
@@ -195,6 +233,8 @@
         self._wait_for_answers()
         self._server.stop()
         gevent.killall(self._greenlets)
+        if self._peers is not None:
+            self._peers.stop()
         self._counts.flush()
         loguru.logger.info("{}: stopped", self._settings.name)
 
