Test the generation core with a model of engines that fail

It found that a deadline during an unanswered order was reported as not_run; an attempt in flight now makes the state unknown.

--- a/packages/core/src/rattanpulley_core/_internal/generations/delivery.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/delivery.py
@@ -158,7 +158,12 @@
 ) -> None:
     """Ends a caller's answer with an error."""
     generation.callers.remove(caller)
-    has_run = generation.may_have_run or caller.resume is not None
+    has_run = (
+        generation.may_have_run
+        # The target may have accepted without the daemon knowing yet.
+        or generation.attempt is not None
+        or caller.resume is not None
+    )
     run_state = results.RunState.UNKNOWN if has_run else _NOT_RUN
     refuse(
         ctx,
--- a/packages/core/src/rattanpulley_core/targets.py
+++ b/packages/core/src/rattanpulley_core/targets.py
@@ -1,9 +1,12 @@
 """Public names of the targets subject."""
 
 from rattanpulley_core._internal.targets import choosers
+from rattanpulley_core._internal.targets import hosts
 from rattanpulley_core._internal.targets import rows
 from rattanpulley_core._internal.targets import table
 
+HostEntry = hosts.HostEntry
+HostState = hosts.HostState
 Target = rows.Target
 TargetState = rows.TargetState
 TargetTable = table.TargetTable
--- /dev/null
+++ b/packages/core/tests/generations/generation_world.py
@@ -0,0 +1,488 @@
+"""Model of engines, callers and a network around generation cores.
+
+Each token names the token that it follows in the context of its engine, so that
+any answer put together from two generations breaks the chain of names.
+"""
+
+import dataclasses
+import itertools
+import random
+
+from rattanpulley_core import generations
+from rattanpulley_core import results
+from rattanpulley_core import resume_token
+from rattanpulley_core import suspects
+from rattanpulley_core import tables
+from rattanpulley_core import targets
+
+ANSWER_TOKENS = 6
+DEADLINE_S = 40.0
+KEYS = (b"first key", b"second key")
+
+
+class InvariantError(AssertionError):
+    """A guarantee was broken."""
+
+
+@dataclasses.dataclass
+class Held:
+    """A generation that an engine holds."""
+
+    attempt: int
+    tokens: list[str]
+
+
+@dataclasses.dataclass
+class Connection:
+    """A stream from an engine to a daemon."""
+
+    daemon: int
+    generation_id: str
+    attempt: int
+    next_index: int
+    held: Held
+    silent: bool = False
+
+
+class Engine:
+    """An engine that generates one token per call of `produce`."""
+
+    def __init__(self, world: "World", name: str, version: str) -> None:
+        self.world = world
+        self.name = name
+        self.version = version
+        self.boots = itertools.count(1)
+        self.boot_id = f"{name}-0"
+        self.alive = True
+        self.paused = False
+        self.ignores_cancel = False
+        self.deterministic = True
+        self.refuses = False
+        self.held_by_id: dict[str, Held] = {}
+        self.connections: list[Connection] = []
+        self.orders: list[tuple[int, generations.Action]] = []
+        self.admission_by_order: dict[int, tuple[int, str, int]] = {}
+
+    def receive(self, daemon: int, order: generations.Action) -> None:
+        """Takes an order now, or later when the engine is paused."""
+        self.admission_by_order.setdefault(
+            id(order), self.world.admission(daemon, order.generation_id)
+        )
+        if not self.alive:
+            self.fail(daemon, order, generations.FailureReason.NOT_CONNECTED)
+        elif self.paused:
+            self.orders.append((daemon, order))
+        elif isinstance(order, generations.StartAttempt):
+            self.start(daemon, order)
+        else:
+            self.attach(daemon, order)
+
+    def start(self, daemon: int, order: generations.StartAttempt) -> None:
+        if self.refuses:
+            self.fail(daemon, order, generations.FailureReason.REFUSED)
+            return
+        self.world.accepted.add(self.admission_by_order[id(order)])
+        held = Held(order.attempt, list(order.resume_tokens))
+        self.held_by_id[order.generation_id] = held
+        self.connect(daemon, order, len(held.tokens), held)
+
+    def attach(self, daemon: int, order: generations.AttachAttempt) -> None:
+        held = self.held_by_id.get(order.generation_id)
+        if held is None:
+            self.fail(daemon, order, generations.FailureReason.NOT_HELD)
+            return
+        held.attempt = max(held.attempt, order.attempt)
+        self.connect(daemon, order, order.from_index, held)
+
+    def connect(self, daemon, order, next_index, held) -> None:
+        self.connections.append(
+            Connection(
+                daemon, order.generation_id, order.attempt, next_index, held
+            )
+        )
+        self.world.post(
+            daemon,
+            generations.AttemptAccepted(
+                order.generation_id, order.attempt, self.boot_id
+            ),
+        )
+
+    def fail(self, daemon, order, reason) -> None:
+        self.world.post(
+            daemon,
+            generations.AttemptFailed(
+                order.generation_id, order.attempt, reason
+            ),
+        )
+
+    def cancel(self, daemon: int, order: generations.CancelAttempt) -> None:
+        if self.ignores_cancel:
+            return
+        key = (daemon, order.generation_id, order.attempt)
+        self.connections = [
+            c
+            for c in self.connections
+            if (c.daemon, c.generation_id, c.attempt) != key
+        ]
+        held = self.held_by_id.get(order.generation_id)
+        if held and not order.keep_at_target and held.attempt <= order.attempt:
+            del self.held_by_id[order.generation_id]
+
+    def produce(self) -> None:
+        """Generates one token of each generation and sends what is new."""
+        if not self.alive or self.paused:
+            return
+        helds = {id(c.held): c for c in self.connections}
+        for connection in helds.values():
+            self.generate(connection.generation_id, connection.held)
+        for connection in list(self.connections):
+            self.send(connection)
+
+    def generate(self, generation_id: str, held: Held) -> None:
+        index = len(held.tokens)
+        if index >= ANSWER_TOKENS:
+            return
+        parent = held.tokens[-1].split(".")[-1] if held.tokens else "0"
+        name = f"{index + 1}d"
+        if not self.deterministic:
+            name = f"r{next(self.world.names)}"
+        held.tokens.append(
+            f"{generation_id[:8]}.{self.version}.{index}.{parent}.{name}"
+        )
+
+    def send(self, connection: Connection) -> None:
+        first = connection.next_index
+        tokens = tuple(connection.held.tokens[first:])
+        connection.next_index = first + len(tokens)
+        key = (connection.generation_id, connection.attempt)
+        if connection.silent:
+            return
+        if tokens:
+            self.world.post(
+                connection.daemon,
+                generations.TokensReceived(*key, first, tokens, self.version),
+            )
+        if connection.next_index >= ANSWER_TOKENS:
+            self.connections.remove(connection)
+            self.world.post(
+                connection.daemon,
+                generations.AttemptFinished(
+                    *key, ANSWER_TOKENS, "stop", self.version
+                ),
+            )
+
+    def kill(self) -> None:
+        for c in self.connections:
+            if not c.silent:
+                event = generations.AttemptFailed(
+                    c.generation_id, c.attempt, generations.FailureReason.RESET
+                )
+                self.world.post(c.daemon, event)
+        self.connections = []
+        self.held_by_id = {}
+        self.orders = []
+        self.alive = False
+        self.paused = False
+
+    def revive(self) -> None:
+        """Restarts a dead engine, or lets a paused one go on."""
+        if not self.alive:
+            self.alive = True
+            self.boot_id = f"{self.name}-{next(self.boots)}"
+        self.paused = False
+        orders, self.orders = self.orders, []
+        for daemon, order in orders:
+            self.receive(daemon, order)
+
+    def probe(self, daemon: int, order: generations.ProbeTarget) -> None:
+        if not self.alive or self.paused:
+            self.world.post(
+                daemon,
+                generations.ProbeFailed(
+                    order.target, order.probe_id, not self.alive
+                ),
+            )
+            return
+        progress = {
+            name: len(self.held_by_id[name].tokens)
+            for name in order.generation_ids
+            if name in self.held_by_id
+        }
+        self.world.post(
+            daemon,
+            generations.ProbeAnswered(
+                order.target, order.probe_id, self.boot_id, False, progress
+            ),
+        )
+
+
+@dataclasses.dataclass
+class Reader:
+    """A caller over all its connections."""
+
+    request: generations.GenerationRequest
+    daemon: int
+    caller_id: int
+    tokens: list[str] = dataclasses.field(default_factory=list)
+    event_id: str | None = None
+    connected: bool = True
+    failure: generations.FailAnswer | None = None
+    is_whole: bool = False
+
+    @property
+    def ended(self) -> bool:
+        return self.is_whole or self.failure is not None
+
+
+class World:
+    """Two daemons, engines of two versions, and a network."""
+
+    def __init__(self, versions=("v1", "v1", "v1", "v2")) -> None:
+        self.now_s = 100.0
+        self.names = itertools.count()
+        self.caller_ids = itertools.count(1)
+        self.network: list[tuple[int, generations.Event]] = []
+        self.actions: list[generations.Action] = []
+        # Admissions of a generation to a daemon, of which several may follow
+        # each other, that a target accepted.
+        self.accepted: set[tuple[int, str, int]] = set()
+        self.admission_counts: dict[tuple[int, str], int] = {}
+        self.readers: list[Reader] = []
+        self.signer = resume_token.Signer(KEYS)
+        self.engines = {
+            f"e{i}": Engine(self, f"e{i}", v) for i, v in enumerate(versions)
+        }
+        self.cores: list[generations.GenerationCore] = []
+        self.target_tables: list[targets.TargetTable] = []
+        self.suspect_tables: list[suspects.SuspectTable] = []
+        for daemon in range(2):
+            self.new_core(daemon)
+
+    def pool_table(self) -> tables.PoolTable:
+        specs = {
+            e.name: tables.TargetSpec(
+                e.name, f"http://{e.name}", f"z{int(e.name[1:]) % 2}", e.version
+            )
+            for e in self.engines.values()
+        }
+        versions = {
+            s.version: tables.VersionSpec(s.version) for s in specs.values()
+        }
+        kind = tables.TargetKind.ENGINE
+        pool = tables.Pool("pool", kind, versions, specs)
+        return tables.PoolTable(1, {"pool": pool})
+
+    def new_core(self, daemon: int) -> None:
+        """Starts a daemon, or restarts it without its state."""
+        rng = random.Random(daemon)
+        table = targets.TargetTable(f"z{daemon}")
+        table.apply_pools(self.pool_table(), self.now_s)
+        suspect_table = suspects.SuspectTable()
+        core = generations.GenerationCore(
+            target_table=table,
+            chooser=targets.LeastOutstandingChooser(table, rng),
+            signer=self.signer,
+            suspect_table=suspect_table,
+            rng=rng,
+        )
+        for items, item in (
+            (self.cores, core),
+            (self.target_tables, table),
+            (self.suspect_tables, suspect_table),
+        ):
+            items[daemon : daemon + 1] = [item]
+        self.network = [n for n in self.network if n[0] != daemon]
+        for engine in self.engines.values():
+            engine.connections = [
+                c for c in engine.connections if c.daemon != daemon
+            ]
+        for reader in self.readers:
+            if reader.daemon == daemon:
+                reader.connected = False
+
+    def admission(self, daemon: int, name: str) -> tuple[int, str, int]:
+        return daemon, name, self.admission_counts.get((daemon, name), 0)
+
+    def admit(self, daemon: int, name: str) -> None:
+        if name not in self.cores[daemon]._ctx.generations_by_id:
+            count = self.admission(daemon, name)[2]
+            self.admission_counts[daemon, name] = count + 1
+
+    def post(self, daemon: int, event: generations.Event) -> None:
+        self.network.append((daemon, event))
+
+    def deliver(self, position: int = 0, repeat: bool = False) -> None:
+        """Hands over one event of the network, in any order."""
+        daemon, event = self.network[position]
+        if not repeat:
+            del self.network[position]
+        self.handle(daemon, event)
+
+    def deliver_all(self) -> None:
+        while self.network:
+            self.deliver()
+
+    def handle(self, daemon: int, event: generations.Event) -> None:
+        self.perform(daemon, self.cores[daemon].handle(event, self.now_s))
+
+    def advance(self, elapsed_s: float) -> None:
+        self.now_s += elapsed_s
+        for daemon, core in enumerate(self.cores):
+            self.perform(daemon, core.tick(self.now_s))
+
+    def arrive(self, name: str, daemon: int = 0, **changes) -> Reader:
+        request = generations.GenerationRequest(
+            generation_id=(name * 32)[:32],
+            account="account",
+            route="route",
+            pool="pool",
+            model="model",
+            fingerprint=f"fingerprint {name}",
+            prompt="prompt",
+            sampling=generations.Sampling(100, 1, 1.0),
+            priority=0,
+            deadline_s=self.now_s + DEADLINE_S,
+        )
+        request = dataclasses.replace(request, **changes)
+        reader = Reader(request, daemon, next(self.caller_ids))
+        self.readers.append(reader)
+        self.admit(daemon, request.generation_id)
+        event = generations.CallerArrived(reader.caller_id, request)
+        self.handle(daemon, event)
+        return reader
+
+    def disconnect(self, reader: Reader) -> None:
+        reader.connected = False
+        event = generations.CallerLeft(
+            reader.caller_id, reader.request.generation_id
+        )
+        self.handle(reader.daemon, event)
+
+    def come_back(self, reader: Reader, daemon: int) -> None:
+        """Connects a reader again, with its event id if it has one."""
+        reader.daemon = daemon
+        reader.connected = True
+        reader.caller_id = next(self.caller_ids)
+        resume = None
+        if reader.event_id is not None:
+            d = self.signer.decode(
+                reader.event_id,
+                reader.request.account,
+                reader.request.fingerprint,
+            )
+            resume = generations.ResumePoint(
+                d.attempt, d.target, d.version, d.index, d.chain, d.key_id
+            )
+        request = dataclasses.replace(
+            reader.request, deadline_s=self.now_s + DEADLINE_S
+        )
+        self.admit(daemon, request.generation_id)
+        event = generations.CallerArrived(reader.caller_id, request, resume)
+        self.handle(daemon, event)
+
+    def perform(self, daemon: int, actions) -> None:
+        self.actions.extend(actions)
+        for action in actions:
+            if isinstance(
+                action, (generations.StartAttempt, generations.AttachAttempt)
+            ):
+                self.engines[action.target].receive(daemon, action)
+            elif isinstance(action, generations.CancelAttempt):
+                self.engines[action.target].cancel(daemon, action)
+            elif isinstance(action, generations.ProbeTarget):
+                self.engines[action.target].probe(daemon, action)
+            elif isinstance(action, generations.PublishCrashReport):
+                self.suspect_tables[1 - daemon].apply_remote(
+                    action.fingerprint,
+                    action.target,
+                    action.boot_id,
+                    self.now_s,
+                )
+            else:
+                self.answer(daemon, action)
+
+    def answer(self, daemon: int, action) -> None:
+        for reader in self.readers:
+            if reader.caller_id == action.caller_id and reader.connected:
+                break
+        else:
+            return
+        if reader.ended:
+            raise InvariantError(f"{action} after the end")
+        if isinstance(action, generations.DeliverTokens):
+            self.take_tokens(reader, action)
+        elif isinstance(action, generations.FinishAnswer):
+            if len(reader.tokens) != action.token_count:
+                raise InvariantError(f"{action} after {reader.tokens}")
+            reader.is_whole = True
+        else:
+            key = self.admission(daemon, reader.request.generation_id)
+            not_run = action.run_state is results.RunState.NOT_RUN
+            if not_run and key in self.accepted:
+                raise InvariantError(f"{action} though a target accepted it")
+            reader.failure = action
+
+    def take_tokens(
+        self, reader: Reader, action: generations.DeliverTokens
+    ) -> None:
+        if action.first_index != len(reader.tokens):
+            raise InvariantError(f"{action} after {reader.tokens}")
+        reader.tokens.extend(action.tokens)
+        check_answer(reader)
+        request = reader.request
+        binding = self.signer.binding(
+            request.generation_id,
+            request.account,
+            request.fingerprint,
+            action.version,
+        )
+        chain = self.signer.start_chain(binding)
+        for token in reader.tokens:
+            chain = self.signer.extend_chain(chain, token)
+        if chain != action.chains[-1]:
+            raise InvariantError(f"wrong chain in {action}")
+        reader.event_id = self.signer.encode(
+            binding,
+            request.generation_id,
+            action.attempt,
+            action.target,
+            action.version,
+            len(reader.tokens) - 1,
+            chain,
+        )
+
+    def settle(self) -> None:
+        """Repairs everything and runs until every caller has an end."""
+        for engine in self.engines.values():
+            engine.refuses = False
+            engine.revive()
+        for reader in self.readers:
+            if not reader.connected and not reader.ended:
+                self.come_back(reader, reader.daemon)
+        for _ in range(int(2 * DEADLINE_S / 0.25)):
+            self.step(0.25)
+        for reader in self.readers:
+            if not reader.ended:
+                raise InvariantError(f"no end for {reader}")
+
+    def step(self, elapsed_s: float) -> None:
+        """Lets every engine work and time pass, without faults."""
+        if self.network or not all(reader.ended for reader in self.readers):
+            self.deliver_all()
+            for engine in self.engines.values():
+                engine.produce()
+            self.deliver_all()
+            self.advance(elapsed_s)
+
+
+def check_answer(reader: Reader) -> None:
+    """Checks that the tokens are consecutive ones of one generation."""
+    parent = "0"
+    version = reader.tokens[0].split(".")[1]
+    for position, token in enumerate(reader.tokens):
+        generation, found, index, follows, name = token.split(".")
+        if generation != reader.request.generation_id[:8]:
+            raise InvariantError(f"crossed answers: {reader.tokens}")
+        if (found, int(index), follows) != (version, position, parent):
+            raise InvariantError(f"mixed answer: {reader.tokens}")
+        parent = name
