--- a/packages/daemon/tests/processes/test_daemon.py
+++ b/packages/daemon/tests/processes/test_daemon.py
@@ -1,8 +1,8 @@
 """Real daemons and stand-ins: losses, reconnects, malformed requests, drain."""
 
 from collections.abc import Iterator
-from http import client
 import contextlib
+from http import client
 import json
 import os
 import pathlib
