Answer a resent action from its record where no call can be made

Cause: a daemon that was stopping, or had no target, refused an unrepeatable call as not_run without looking at the record of its key; so did a daemon that had claimed the key itself while the object API was down. The action had run.

Change: the record is looked up before such a refusal; a bounded set of keys claimed by this daemon turns a refusal in an outage into unknown. Service calls also report their health to version moves.

Before: the golden session shows not_run for a key that ran. After: a replay while stopping, and unknown during the outage; a new key still gets not_run.

Not covered: in an outage another daemon cannot know the key and says not_run for its own call, as an action that cannot be claimed is refused at once.

--- a/packages/core/src/rattanpulley_core/claims.py
+++ b/packages/core/src/rattanpulley_core/claims.py
@@ -8,6 +8,7 @@
 from rattanpulley_core._internal.claims import answers
 from rattanpulley_core._internal.claims import calls
 from rattanpulley_core._internal.claims import driver
+from rattanpulley_core._internal.claims import lookup
 from rattanpulley_core._internal.claims import messages
 from rattanpulley_core._internal.claims import records
 from rattanpulley_core._internal.claims import settlement
@@ -17,6 +18,7 @@
 CallState = calls.CallState
 TRANSITIONS = calls.TRANSITIONS
 run = driver.run
+look_up = lookup.look_up
 
 Event = messages.Event
 StoreAnswered = messages.StoreAnswered
--- a/packages/daemon/src/rattanpulleyd/_internal/api/app.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/app.py
@@ -80,10 +80,6 @@
 
     def _service(self, service: str, path: str) -> bytes:
         account = self._accept()
-        if self._runtime.draining:
-            raise exceptions.RequestError(
-                results.ResultCode.DRAINING, "This daemon is stopping."
-            )
         route = router.service_route(self._runtime.config.routes, service)
         return self._services.answer(route, account, path)
 
--- a/packages/daemon/src/rattanpulleyd/_internal/api/service_calls.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/service_calls.py
@@ -14,6 +14,8 @@
 from rattanpulley_core import targets
 from rattanpulleyd import exceptions
 from rattanpulleyd._internal.api import http_io
+from rattanpulleyd._internal.api import observed_service
+from rattanpulleyd._internal.api import recent_keys
 from rattanpulleyd._internal.runtime import runtime as runtime_lib
 from rattanpulleyd._internal.telemetry import counters
 
@@ -64,6 +66,7 @@
         self._store = store
         self._chooser = chooser
         self._new_token = new_token
+        self._recent_keys = recent_keys.RecentKeys()
 
     def answer(self, route: tables.Route, account: str, path: str) -> bytes:
         """Answers the current request.
@@ -76,6 +79,8 @@
         Raises:
             exceptions.RequestError: There is no answer of the service.
         """
+        if route.repeatable and self._runtime.draining:
+            raise _draining()
         body = http_io.read_body(MAX_BODY_BYTES)
         self._runtime.counts.count(_Counter.SERVICE_CALLS)
         if route.repeatable:
@@ -98,7 +103,7 @@
             order = _order(route, target, path, body, fresh=False)
             try:
                 with self._in_flight(target):
-                    return self._service.call(order)
+                    return self._observed(route, target).call(order)
             except interfaces.ServiceNotSentError:
                 self._runtime.counts.count(_Counter.SERVICE_CALLS_FAILED)
             except interfaces.ServiceUnknownError:
@@ -123,7 +128,9 @@
         tried: set[str] = set()
         answer: claims.Answer | None = None
         for _ in range(MAX_TRIES):
-            target = self._choose(route, tried)
+            target = None
+            if not self._runtime.draining:
+                target = self._choose(route, tried)
             if target is None:
                 break
             tried.add(target.name)
@@ -131,15 +138,29 @@
             if answer.code is not _Code.NO_TARGET:
                 break
         if answer is None:
-            raise exceptions.RequestError(
-                _Code.NO_TARGET, "No target of the service stands ready."
-            )
-        if answer.response is None:
-            self._runtime.counts.count(_Counter.SERVICE_CALLS_FAILED)
-            raise exceptions.RequestError(
-                answer.code, answer.message, answer.run_state
-            )
-        return answer.response
+            answer = self._look_up(route, account, path, body)
+        return self._checked(answer, account)
+
+    def _checked(
+        self, answer: claims.Answer, account: str
+    ) -> interfaces.ServiceAnswer:
+        """Returns the service's answer.
+
+        Raises:
+            exceptions.RequestError: There is none.
+        """
+        key = http_io.header("Idempotency-Key")
+        if answer.response is not None:
+            self._recent_keys.add(account, key)
+            return answer.response
+        self._runtime.counts.count(_Counter.SERVICE_CALLS_FAILED)
+        run_state = answer.run_state
+        is_unclear = answer.code is _Code.STORE_UNAVAILABLE
+        if is_unclear and self._recent_keys.has(account, key):
+            run_state = results.RunState.UNKNOWN
+        if run_state is not results.RunState.NOT_RUN:
+            self._recent_keys.add(account, key)
+        raise exceptions.RequestError(answer.code, answer.message, run_state)
 
     def _claim(
         self,
@@ -150,26 +171,54 @@
         body: bytes,
     ) -> claims.Answer:
         """Claims a call and makes it on one target."""
-        method = bottle.request.method
         order = _order(route, target, path, body, fresh=True)
-        call = claims.ClaimCall(
-            claims.ClaimRequest(
-                account=account,
-                idempotency_key=http_io.header("Idempotency-Key") or None,
-                fingerprint=claims.request_fingerprint(
-                    route.name, method, order.path, body
-                ),
-                token=self._new_token(),
-                daemon=self._name,
-                max_call_s=route.max_call_s,
-                order=order,
-            )
-        )
+        call = claims.ClaimCall(self._request(route, account, order))
         with self._in_flight(target):
             return claims.run(
-                call, self._store, self._service, self._runtime.clock
+                call,
+                self._store,
+                self._observed(route, target),
+                self._runtime.clock,
             )
 
+    def _look_up(
+        self, route: tables.Route, account: str, path: str, body: bytes
+    ) -> claims.Answer:
+        """Returns the recorded answer of a call that cannot be made now."""
+        order = _order(route, None, path, body, fresh=True)
+        request = self._request(route, account, order)
+        wall_s = self._runtime.clock.wall_s()
+        found = claims.look_up(request, self._store, wall_s)
+        if found is not None:
+            return found
+        raise _draining() if self._runtime.draining else _no_target()
+
+    def _request(
+        self,
+        route: tables.Route,
+        account: str,
+        order: interfaces.ServiceOrder,
+    ) -> claims.ClaimRequest:
+        return claims.ClaimRequest(
+            account=account,
+            idempotency_key=http_io.header("Idempotency-Key") or None,
+            fingerprint=claims.request_fingerprint(
+                route.name, order.method, order.path, order.body
+            ),
+            token=self._new_token(),
+            daemon=self._name,
+            max_call_s=route.max_call_s,
+            order=order,
+        )
+
+    def _observed(
+        self, route: tables.Route, target: targets.Target
+    ) -> interfaces.ServiceApi:
+        """Returns the service client that reports the health of its call."""
+        return observed_service.ObservedService(
+            self._service, route, target, self._runtime
+        )
+
     def _choose(
         self, route: tables.Route, excluded: set[str]
     ) -> targets.Target | None:
@@ -196,12 +245,12 @@
 
 def _order(
     route: tables.Route,
-    target: targets.Target,
+    target: targets.Target | None,
     path: str,
     body: bytes,
     fresh: bool,
 ) -> interfaces.ServiceOrder:
-    """Returns the call to a target for the current request."""
+    """Returns the call for the current request; without a target, a blank."""
     headers = tuple(
         (name, http_io.header(name))
         for name in _PASSED_HEADERS
@@ -210,8 +259,8 @@
     query = bottle.request.query_string
     suffix = f"?{query}" if query else ""
     return interfaces.ServiceOrder(
-        target=target.name,
-        url=target.url,
+        target=target.name if target is not None else "",
+        url=target.url if target is not None else "",
         path=f"/{urllib.parse.quote(path)}{suffix}",
         method=bottle.request.method,
         headers=headers,
@@ -221,6 +270,16 @@
     )
 
 
+def _draining() -> exceptions.RequestError:
+    return exceptions.RequestError(_Code.DRAINING, "This daemon is stopping.")
+
+
+def _no_target() -> exceptions.RequestError:
+    return exceptions.RequestError(
+        _Code.NO_TARGET, "No target of the service stands ready."
+    )
+
+
 def _passed_on(answer: interfaces.ServiceAnswer) -> bytes:
     """Sets status and headers of a service's answer and returns its body."""
     bottle.response.status = answer.status
--- a/packages/daemon/src/rattanpulleyd/_internal/moves/move_runtime.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/moves/move_runtime.py
@@ -15,6 +15,7 @@
 from rattanpulley_core import tables
 from rattanpulley_core import targets
 from rattanpulleyd._internal.moves import verdict_store
+from rattanpulleyd._internal.runtime import health
 
 TICK_S = 0.5
 EVIDENCE_TTL_S = 60.0
@@ -24,7 +25,7 @@
 Publish = Callable[[peers.FactPublished], None]
 
 
-class MoveRuntime:
+class MoveRuntime(health.HealthObserver):
     """Owns the moves part of one daemon; no method but `run_ticks` waits."""
 
     def __init__(
@@ -94,32 +95,32 @@
         """Takes the names of all daemons, silent ones included."""
         self.system.set_daemons(names)
 
-    def on_attempt_started(self, action: generations.StartAttempt) -> None:
+    def attempt_started(self, call_id: str, attempt: int, pool: str) -> None:
         """Keeps the share with which the attempt's version was chosen."""
-        target = self._target_table.get(action.target)
-        if target is None or action.resume_tokens:
-            return
-        share = self.system.share(target.pool)
+        share = self.system.share(pool)
         if share is not None:
-            key = (action.generation_id, action.attempt)
-            self._share_by_attempt[key] = share
+            self._share_by_attempt[(call_id, attempt)] = share
+
+    def attempt_dropped(self, call_id: str, attempt: int) -> None:
+        """Forgets an attempt that tells nothing of its version."""
+        self._share_by_attempt.pop((call_id, attempt), None)
 
-    def on_attempt_ended(self, action: generations.AttemptEnded) -> None:
+    def attempt_ended(self, ended: generations.AttemptEnded) -> None:
         """Hands the health of an attempt to the move of its pool."""
-        key = (action.generation_id, action.attempt)
+        key = (ended.generation_id, ended.attempt)
         share = self._share_by_attempt.pop(key, None)
         if share is None:
             return
         event = moves.RequestEnded(
-            pool=action.pool,
-            route=action.route,
-            failure_domain=action.failure_domain,
-            target=action.target,
-            version=action.version,
+            pool=ended.pool,
+            route=ended.route,
+            failure_domain=ended.failure_domain,
+            target=ended.target,
+            version=ended.version,
             share=share,
-            result=_RESULTS[action.result],
-            first_token_s=action.first_token_s,
-            token_interval_s=action.token_interval_s,
+            result=_RESULTS[ended.result],
+            first_token_s=ended.first_token_s,
+            token_interval_s=ended.token_interval_s,
         )
         self.system.handle(event, self._clock.monotonic_s())
 
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/daemon.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/daemon.py
@@ -133,8 +133,7 @@
             target_table=target_table,
             store=self._verdicts,
         )
-        self._runtime.on_attempt_started = part.on_attempt_started
-        self._runtime.on_attempt_ended = part.on_attempt_ended
+        self._runtime.health = part
         return part
 
     def _build_peers(self) -> peer_runtime.PeerRuntime | None:
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/runtime.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/runtime.py
@@ -10,6 +10,7 @@
 from rattanpulley_core import interfaces
 from rattanpulley_core import tables
 from rattanpulley_core import targets
+from rattanpulleyd._internal.runtime import health
 from rattanpulleyd._internal.telemetry import counters
 from rattanpulleyd._internal.telemetry import logs
 
@@ -52,12 +53,7 @@
         self.target_table = target_table
         self.draining = False
         self.on_crash_report: Callable[[str, str, str], None] | None = None
-        self.on_attempt_started: (
-            Callable[[generations.StartAttempt], None] | None
-        ) = None
-        self.on_attempt_ended: (
-            Callable[[generations.AttemptEnded], None] | None
-        ) = None
+        self.health: health.HealthObserver = health.NoObserver()
         self._engine = engine
         self._callers_by_id: dict[int, interfaces.CallerStream] = {}
         self._caller_ids = itertools.count(1)
@@ -182,8 +178,11 @@
             self._handlers[type(action)](action)
 
     def _start(self, action: generations.StartAttempt) -> None:
-        if self.on_attempt_started is not None:
-            self.on_attempt_started(action)
+        target = self.target_table.get(action.target)
+        if target is not None and not action.resume_tokens:
+            self.health.attempt_started(
+                action.generation_id, action.attempt, target.pool
+            )
         self._engine.start(action, self.feed)
 
     def _attach(self, action: generations.AttachAttempt) -> None:
@@ -212,8 +211,7 @@
             stream.fail(action)
 
     def _end_attempt(self, action: generations.AttemptEnded) -> None:
-        if self.on_attempt_ended is not None:
-            self.on_attempt_ended(action)
+        self.health.attempt_ended(action)
 
     def _publish_crash_report(
         self, action: generations.PublishCrashReport
--- a/packages/daemon/tests/golden/test_sessions.py
+++ b/packages/daemon/tests/golden/test_sessions.py
@@ -193,3 +193,19 @@
     session.store.down = True
     daemon.request(pay, {"q": 1}, idempotency_key="k3")
     session.check("services")
+
+
+def test_resent_action(session: Any) -> None:
+    """Guards against not_run for a key whose action ran before."""
+    daemon = session.daemon()
+    daemon.services.results += [b"paid"]
+    pay = "/services/pay/order/7"
+    daemon.request(pay, {"q": 1}, idempotency_key="ran")
+    session.store.down = True
+    daemon.request(pay, {"q": 1}, idempotency_key="ran")
+    daemon.request(pay, {"q": 1}, idempotency_key="new")
+    session.store.down = False
+    daemon.runtime.set_draining()
+    daemon.request(pay, {"q": 1}, idempotency_key="ran")
+    daemon.request(pay, {"q": 1}, idempotency_key="new")
+    session.check("resent_action")
