Add a measurement of what the daemon adds to streams

Cause: the cost of a token in the daemon and the delay that it adds must be known before they can be lowered. Change: packages/daemon/tests/profile/relay_cost.py runs one daemon between prepared engines and reading callers.

--- /dev/null
+++ b/packages/daemon/tests/profile/relay_cost.py
@@ -0,0 +1,338 @@
+"""Measures what one daemon adds to streams, and what a token costs it.
+
+    python packages/daemon/tests/profile/relay_cost.py --streams 77
+
+starts the platform stand-in, one daemon and one process that plays twelve
+engines, and reads the streams. Each token has the times at which the engine
+sent it and at which the order arrived there, so that the daemon's delay is
+known for every token. The engines write
+prepared bytes and check nothing, because the stand-ins would need more
+processor time than the daemon under test.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import pathlib
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.request
+
+ENGINES = 12
+INTERVAL_S = 0.03
+START_POLLS = 200
+KEY = "00112233445566778899aabbccddeeff"
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+class FakeEngine:
+    """Sends one token to each of its streams at each step."""
+
+    def __init__(self, interval_s: float) -> None:
+        self._interval_s = interval_s
+        self._streams: list[tuple[asyncio.StreamWriter, dict[str, int]]] = []
+
+    async def serve(self, port: int) -> None:
+        """Serves and steps for ever."""
+        await asyncio.start_server(self._handle, "127.0.0.1", port)
+        await asyncio.sleep(self._interval_s * (port % ENGINES) / ENGINES)
+        next_s = time.monotonic()
+        while True:
+            next_s += self._interval_s
+            await asyncio.sleep(max(0.0, next_s - time.monotonic()))
+            for stream in list(self._streams):
+                self._send_token(stream)
+
+    def _send_token(
+        self, stream: tuple[asyncio.StreamWriter, dict[str, int]]
+    ) -> None:
+        writer, order = stream
+        if writer.is_closing():
+            self._streams.remove(stream)
+            return
+        head = (
+            f'data: {{"generation_id": "{order["id"]}", "attempt": 1,'
+            f' "index": {order["index"]}, "version": "v1", '
+        )
+        if order["index"] == order["length"]:
+            self._streams.remove(stream)
+            end = f'{head}"finish_reason": "stop"}}\n\n'
+            writer.write(_chunk(end) + b"0\r\n\r\n")
+            writer.close()
+            return
+        order["index"] += 1
+        token = f"{time.monotonic_ns()} {order['arrived_ns']} "
+        writer.write(_chunk(f'{head}"token": "{token}"}}\n\n'))
+
+    async def _handle(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        if not head.startswith(b"POST /v1/completions"):
+            body = b'{"boot_id": "b", "version": "v1", "state": "ready"}'
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+            )
+            writer.write(body)
+            writer.close()
+            return
+        arrived_ns = time.monotonic_ns()
+        size = int(head.lower().split(b"content-length: ")[1].split(b"\r")[0])
+        body = json.loads(await reader.readexactly(size))
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nX-Boot-Id: b\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n" + _chunk(": accepted\n\n")
+        )
+        order = {
+            "arrived_ns": arrived_ns,
+            "id": body["generation_id"],
+            "index": 0,
+            "length": body["max_tokens"],
+        }
+        self._streams.append((writer, order))
+
+
+def _chunk(text: str) -> bytes:
+    data = text.encode()
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+async def _run_engines(first_port: int, interval_s: float) -> None:
+    engines = [FakeEngine(interval_s) for _ in range(ENGINES)]
+    serving = [
+        engine.serve(first_port + number)
+        for number, engine in enumerate(engines)
+    ]
+    await asyncio.gather(*serving)
+
+
+class Reader:
+    """Reads streams and collects the delay of each token."""
+
+    def __init__(self, port: int, tokens: int) -> None:
+        self._port = port
+        self._tokens = tokens
+        self.delays_ms: list[float] = []
+        self.first_delays_ms: list[float] = []
+        self.gap_changes_ms: list[float] = []
+
+    async def read_stream(self) -> None:
+        """Reads one answer."""
+        body = json.dumps(
+            {
+                "model": "m",
+                "prompt": "p",
+                "stream": True,
+                "max_tokens": self._tokens,
+            }
+        )
+        reader, writer = await asyncio.open_connection("127.0.0.1", self._port)
+        writer.write(
+            "POST /v1/completions HTTP/1.1\r\nHost: d\r\n"
+            f"Authorization: Bearer a\r\nContent-Length: {len(body)}\r\n\r\n"
+            f"{body}".encode()
+        )
+        start_ns = time.monotonic_ns()
+        previous: tuple[int, int] | None = None
+        while line := await reader.readline():
+            if line.startswith(b"data: [DONE]"):
+                break
+            _, found, rest = line.partition(b'"text":"')
+            if not found or not rest[:1].isdigit():
+                continue
+            sent, arrived = [int(part) for part in rest.split(b" ", 2)[:2]]
+            times = (sent, time.monotonic_ns())
+            if previous is None:
+                wait_ns = times[1] - start_ns - (sent - arrived)
+                self.first_delays_ms.append(wait_ns / 1e6)
+            else:
+                self._note(times, previous)
+            previous = times
+        writer.close()
+
+    def _note(self, times: tuple[int, int], previous: tuple[int, int]) -> None:
+        sent, received = times
+        self.delays_ms.append((received - sent) / 1e6)
+        gap_ms = (received - previous[1]) - (sent - previous[0])
+        self.gap_changes_ms.append(abs(gap_ms / 1e6))
+
+
+def _cpu_s(pid: int) -> float:
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().split()
+    return (int(fields[13]) + int(fields[14])) / _TICKS_PER_S
+
+
+def _rss_kb(pid: int) -> float:
+    fields = pathlib.Path(f"/proc/{pid}/statm").read_text().split()
+    return int(fields[1]) * _PAGE_BYTES / 1024
+
+
+def _quantiles(values: list[float]) -> str:
+    cuts = statistics.quantiles(values, n=100)
+    return f"p50 {cuts[49]:.2f} p95 {cuts[94]:.2f} p99 {cuts[98]:.2f}"
+
+
+async def _measure(
+    arguments: argparse.Namespace, port: int, daemon_pid: int
+) -> None:
+    reader = Reader(port, arguments.tokens)
+    idle_kb = _rss_kb(daemon_pid)
+    start_cpu_s = _cpu_s(daemon_pid)
+    streams = []
+    for _ in range(arguments.streams):
+        streams.append(asyncio.create_task(reader.read_stream()))
+        await asyncio.sleep(arguments.ramp_s / arguments.streams)
+    ramp_cpu_s = _cpu_s(daemon_pid) - start_cpu_s
+    steady_s, steady_cpu_s = time.monotonic(), _cpu_s(daemon_pid)
+    steady_count = len(reader.delays_ms)
+    await asyncio.sleep(arguments.steady_s)
+    duration_s = time.monotonic() - steady_s
+    cpu_s = _cpu_s(daemon_pid) - steady_cpu_s
+    count = len(reader.delays_ms) - steady_count
+    stream_kb = (_rss_kb(daemon_pid) - idle_kb) / arguments.streams
+    lines = (
+        f"streams {arguments.streams}, ramp {ramp_cpu_s:.2f} s of processor",
+        f"tokens/s {count / duration_s:.0f}",
+        f"processor {cpu_s / duration_s:.1%}",
+        f"processor time {cpu_s / count * 1e6:.0f} us/token",
+        f"memory {idle_kb / 1024:.1f} MB idle, {stream_kb:.1f} KB/stream",
+        f"added to the first token, ms: {_quantiles(reader.first_delays_ms)}",
+        f"added to later tokens, ms: {_quantiles(reader.delays_ms)}",
+        f"change of gaps, ms: {_quantiles(reader.gap_changes_ms)}",
+    )
+    print("\n".join(lines))
+    for stream in streams:
+        stream.cancel()
+    await asyncio.gather(*streams, return_exceptions=True)
+
+
+def _put(url: str, key: str, rows: object) -> None:
+    value = {"value": {"schema": 1, "rows": rows}}
+    request = urllib.request.Request(
+        f"{url}/objects/{key}",
+        json.dumps(value).encode(),
+        {"If-None-Match": "*"},
+        method="PUT",
+    )
+    urllib.request.urlopen(request).read()
+
+
+def _write_tables(url: str, first_port: int) -> None:
+    targets = {
+        f"e{number}": {
+            "url": f"http://127.0.0.1:{first_port + number}",
+            "failure_domain": "north",
+            "version": "v1",
+        }
+        for number in range(ENGINES)
+    }
+    pool = {"kind": "engine", "versions": {"v1": {}}, "targets": targets}
+    route = {
+        "kind": "engine",
+        "pool": "p",
+        "match": {"model": "m"},
+        "max_tokens": 65536,
+    }
+    _put(url, "tables/pools", {"p": pool})
+    _put(url, "tables/routes", {"r": route})
+
+
+def _settings(port: int, platform_port: int) -> dict[str, object]:
+    return {
+        "name": "entry-1",
+        "failure_domain": "north",
+        "listen": {"host": "127.0.0.1", "port": port},
+        "platform": {"url": f"http://127.0.0.1:{platform_port}"},
+        "statsd": None,
+        "resume_keys": [KEY],
+        "account_keys": [],
+        "peers": None,
+        "log_level": "INFO",
+    }
+
+
+def _wait_for(url: str) -> None:
+    for _ in range(START_POLLS):
+        try:
+            urllib.request.urlopen(url).read()
+        except OSError:
+            time.sleep(0.05)
+        else:
+            return
+    raise TimeoutError(f"{url} does not answer")
+
+
+def _start(processes: list[subprocess.Popen[bytes]], *command: str) -> int:
+    packages = pathlib.Path(__file__).parents[3]
+    sources = [str(path) for path in packages.glob("*/src")]
+    path = {"PYTHONPATH": os.pathsep.join(sources)}
+    process = subprocess.Popen(
+        [sys.executable, *command], env={**os.environ, **path}
+    )
+    processes.append(process)
+    return process.pid
+
+
+def _run(arguments: argparse.Namespace, directory: pathlib.Path) -> None:
+    port = arguments.port
+    platform_url = f"http://127.0.0.1:{port + 1}"
+    listen = {"host": "127.0.0.1", "port": port + 1}
+    platform_path = directory / "platform.json"
+    platform_path.write_text(json.dumps({"listen": listen, "hosts": []}))
+    daemon_path = directory / "daemon.json"
+    daemon_path.write_text(json.dumps(_settings(port, port + 1)))
+    processes: list[subprocess.Popen[bytes]] = []
+    try:
+        _start(
+            processes,
+            *("-m", "rattanpulley_standins.platform"),
+            *("--settings", str(platform_path)),
+        )
+        interval_s = str(arguments.interval_s)
+        _start(
+            processes,
+            *(__file__, "--engines", str(port + 10)),
+            *("--interval-s", interval_s),
+        )
+        _wait_for(f"{platform_url}/health")
+        _write_tables(platform_url, port + 10)
+        daemon = ("-m", "rattanpulleyd", "serve", "--settings")
+        profiler = ("-m", "cProfile", "-o", arguments.profile)
+        command = [*daemon, str(daemon_path)]
+        if arguments.profile:
+            command = [*profiler, *command]
+        daemon_pid = _start(processes, *command)
+        _wait_for(f"http://127.0.0.1:{port}/ready")
+        asyncio.run(_measure(arguments, port, daemon_pid))
+    finally:
+        for process in reversed(processes):
+            process.terminate()
+            process.wait()
+
+
+def main() -> None:
+    """Plays the engines, or runs one measurement."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--streams", type=int, default=77)
+    parser.add_argument("--tokens", type=int, default=60_000)
+    parser.add_argument("--ramp-s", type=float, default=3.0)
+    parser.add_argument("--steady-s", type=float, default=10.0)
+    parser.add_argument("--interval-s", type=float, default=INTERVAL_S)
+    parser.add_argument("--port", type=int, default=18700)
+    parser.add_argument("--engines", type=int, help="first port of engines")
+    parser.add_argument("--profile", default="", help="file for cProfile")
+    arguments = parser.parse_args()
+    if arguments.engines:
+        asyncio.run(_run_engines(arguments.engines, arguments.interval_s))
+        return
+    with tempfile.TemporaryDirectory() as directory:
+        _run(arguments, pathlib.Path(directory))
+
+
+if __name__ == "__main__":
+    main()
