Read engine streams from the socket

Cause: http.client and urllib3 return one chunk per read through several layers and set a timer for each read. Change: after the headers, an attempt reads its socket without a timer and decodes the chunks itself; all chunks of one read are handled together.

--- a/packages/daemon/src/rattanpulleyd/_internal/engine/attempt.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/engine/attempt.py
@@ -1,11 +1,13 @@
 """Reads one attempt's answer and reports it."""
 
 from http import client
+import socket
 
 import urllib3.connection
 
 from rattanpulley_core import generations
 from rattanpulley_core import interfaces
+from rattanpulleyd._internal.engine import body_reader
 from rattanpulleyd._internal.engine import connection
 from rattanpulleyd._internal.engine import event_stream
 from rattanpulleyd._internal.engine import orders
@@ -44,21 +46,25 @@
 
     def _run_on(self, opened: urllib3.connection.HTTPConnection) -> None:
         """Sends the order on an open connection and reads the answer."""
+        sock = opened.sock
+        assert sock is not None
         try:
-            response = connection.send(opened, orders.request_for(self._order))
+            request = orders.request_for(self._order)
+            response = connection.open_stream(opened, request)
         except _BROKEN as error:
             self._fail(_Reason.REFUSED, type(error).__name__)
             return
         try:
-            self._read(response)
+            self._read(sock, response)
         except _BROKEN as error:
             self._fail(_Reason.RESET, type(error).__name__)
         except event_stream.CorruptStreamError as error:
             self._fail(_Reason.CORRUPT, str(error))
         finally:
             response.close()
+            sock.close()
 
-    def _read(self, response: connection.Response) -> None:
+    def _read(self, sock: socket.socket, response: client.HTTPResponse) -> None:
         """Reports the answer by its status and events."""
         if response.status != 200:
             self._fail(*self._refusal(response))
@@ -73,8 +79,9 @@
         stream = event_stream.EventStream(
             self._order.generation_id, self._order.attempt
         )
+        reader = body_reader.BodyReader(sock, response)
         while not self.cancelled:
-            data = response.read1(connection.READ_BYTES)
+            data = reader.read()
             if not data:
                 self._fail(_Reason.RESET, "the stream ended early")
                 return
@@ -84,7 +91,7 @@
                     return
 
     def _refusal(
-        self, response: connection.Response
+        self, response: client.HTTPResponse
     ) -> tuple[generations.FailureReason, str]:
         """Returns the reason and the target's message for a status."""
         attach = isinstance(self._order, generations.AttachAttempt)
--- a/packages/daemon/src/rattanpulleyd/_internal/engine/connection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/engine/connection.py
@@ -6,6 +6,7 @@
 """
 
 import functools
+from http import client
 import json
 from typing import Any
 import urllib.parse
@@ -16,8 +17,8 @@
 from rattanpulleyd._internal.engine import orders
 
 CONNECT_TIMEOUT_S = 0.25
-# Stalls are detected by the generation part. This limit only frees the
-# connection when that part no longer waits for it.
+# Longest wait for the headers of a stream. Stalls are detected earlier by the
+# generation part; this limit frees a connection that it no longer waits for.
 READ_TIMEOUT_S = 30.0
 READ_BYTES = 65536
 
@@ -66,6 +67,16 @@
     Raises:
         CallError: The connection failed before the headers were complete.
     """
+    _send(connection, request, timeout_s)
+    return connection.getresponse()
+
+
+def _send(
+    connection: urllib3.connection.HTTPConnection,
+    request: orders.HttpRequest,
+    timeout_s: float,
+) -> None:
+    """Sends a request and limits the time of the reads."""
     connection.timeout = timeout_s
     if connection.sock is not None:
         connection.sock.settimeout(timeout_s)
@@ -77,7 +88,27 @@
         headers=headers,
         preload_content=False,
     )
-    return connection.getresponse()
+
+
+def open_stream(
+    connection: urllib3.connection.HTTPConnection,
+    request: orders.HttpRequest,
+) -> client.HTTPResponse:
+    """Sends a request and returns the plain response with its headers.
+
+    The response of `http.client` gives access to its socket, which a stream is
+    read from.
+
+    Args:
+        connection: An open connection.
+        request: The request.
+
+    Raises:
+        CallError: The connection failed before the headers were complete.
+        client.HTTPException: The answer is not HTTP.
+    """
+    _send(connection, request, READ_TIMEOUT_S)
+    return client.HTTPConnection.getresponse(connection)
 
 
 def read_json(response: Response) -> Any:
