--- a/packages/core/src/rattanpulley_core/claims.py
+++ b/packages/core/src/rattanpulley_core/claims.py
@@ -42,6 +42,7 @@
 OUTCOME_LIMIT_BYTES = records.OUTCOME_LIMIT_BYTES
 claim_key = records.claim_key
 request_fingerprint = records.request_fingerprint
+outcome_of = records.outcome_of
 to_json = records.to_json
 from_json = records.from_json
 
