--- a/packages/core/src/rattanpulley_core/_internal/claims/answers.py
+++ b/packages/core/src/rattanpulley_core/_internal/claims/answers.py
@@ -74,6 +74,14 @@
     )
 
 
+def earlier_outcome_unknown() -> messages.Answer:
+    """An earlier call with the key may have run."""
+    return _refusal(
+        _CODE.OUTCOME_UNKNOWN,
+        "the outcome of an earlier call with this key is not known",
+    )
+
+
 def unreadable_record() -> messages.Answer:
     """The record of the key cannot be understood."""
     return _refusal(
@@ -110,7 +118,7 @@
     started = record.state is records.ClaimState.STARTED
     if started and wall_s - record.wall_s <= record.max_call_s:
         return _refusal(_CODE.IN_PROGRESS, "a call with this key is running")
-    return outcome_unknown()
+    return earlier_outcome_unknown()
 
 
 def _replay(outcome: records.Outcome) -> messages.Answer:
