--- a/packages/core/src/rattanpulley_core/_internal/moves/evidence.py
+++ b/packages/core/src/rattanpulley_core/_internal/moves/evidence.py
@@ -12,9 +12,12 @@
 from rattanpulley_core._internal.tables import rows
 
 # Chance that a move to a version that is no worse is ever taken back. It is
-# divided by the number of signals, routes and daemons, each of which may give
-# a verdict.
+# divided by the number of signals, of routes with all of them together as one
+# more, and of daemons, since each of these may give a verdict.
 FALSE_ALARM_RATE = 0.005
+# Name of the test over all routes together, which needs fewer bad requests if
+# every route is affected. It cannot be the name of a route.
+ALL_ROUTES = "*"
 # One or two bad requests are never enough, whatever the assumed rates.
 MIN_BAD_REQUESTS = 3
 
@@ -42,8 +45,11 @@
     def describe(self) -> str:
         """Returns the evidence for people."""
         c = self.counts
+        place = f"route {self.route}"
+        if self.route == ALL_ROUTES:
+            place = "all routes"
         return (
-            f"{self.signal.value} on route {self.route}: new version"
+            f"{self.signal.value} on {place}: new version"
             f" {c.new_bad} of {c.new_bad + c.new_ok}, old version"
             f" {c.old_bad} of {c.old_bad + c.old_ok}; log evidence"
             f" {self.log_capital:.1f}, threshold {self.threshold:.1f}"
@@ -136,7 +142,7 @@
         daemon_count: int,
     ) -> None:
         """Takes a changed row of the same move; the evidence is kept."""
-        tests = len(messages.Signal) * max(1, route_count)
+        tests = len(messages.Signal) * (route_count + 1)
         tests *= max(1, daemon_count)
         self.threshold = math.log(tests / FALSE_ALARM_RATE)
         self._is_stale = True
@@ -277,7 +283,17 @@
         self._unpublished_crashes.append(observation)
 
     def _apply(self, observation: messages.Observation) -> None:
-        key = (observation.signal, observation.route)
+        for route in (observation.route, ALL_ROUTES):
+            self._apply_to((observation.signal, route), observation)
+        if observation.signal is messages.Signal.ERRORS:
+            counts = observation.counts
+            self.new_requests += counts.new_ok + counts.new_bad
+
+    def _apply_to(
+        self,
+        key: tuple[messages.Signal, str],
+        observation: messages.Observation,
+    ) -> None:
         test = self._tests.get(key)
         if test is None:
             test = sequential_test.SequentialTest(observation.signal)
@@ -286,9 +302,6 @@
         self._is_stale = True
         test.update(observation.counts, observation.share)
         self._bad_targets.setdefault(key, set()).update(observation.bad_targets)
-        if observation.signal is messages.Signal.ERRORS:
-            counts = observation.counts
-            self.new_requests += counts.new_ok + counts.new_bad
 
     def _finding(self, key: tuple[messages.Signal, str]) -> Finding:
         test = self._tests[key]
--- a/packages/core/src/rattanpulley_core/_internal/moves/messages.py
+++ b/packages/core/src/rattanpulley_core/_internal/moves/messages.py
@@ -286,17 +286,29 @@
                 _observation(row) for row in value["observations"]
             ),
         )
-    except (KeyError, TypeError) as error:
+    except (AttributeError, KeyError, TypeError) as error:
         raise ValueError(f"not an evidence batch: {error!r}") from error
 
 
 def _observation(row: Any) -> Observation:
     crash = row["crash"]
+    counts = Counts(**{key: int(n) for key, n in row["counts"].items()})
+    if min(dataclasses.astuple(counts)) < 0:
+        raise ValueError("not an evidence batch: a count is negative")
     return Observation(
         signal=Signal(row["signal"]),
         route=str(row["route"]),
         share=float(row["share"]),
-        counts=Counts(**{k: int(n) for k, n in row["counts"].items()}),
+        counts=counts,
         bad_targets=tuple(str(name) for name in row["bad_targets"]),
-        crash=None if crash is None else CrashEvent(**crash),
+        crash=None if crash is None else _crash(crash),
+    )
+
+
+def _crash(row: Any) -> CrashEvent:
+    return CrashEvent(
+        failure_domain=str(row["failure_domain"]),
+        target=str(row["target"]),
+        is_new=bool(row["is_new"]),
+        wall_s=float(row["wall_s"]),
     )
--- a/packages/core/src/rattanpulley_core/_internal/moves/suspicion.py
+++ b/packages/core/src/rattanpulley_core/_internal/moves/suspicion.py
@@ -14,8 +14,10 @@
 START_LOG = math.log(20.0)
 # Evidence below which a suspicion has faded.
 END_LOG = 1.0
-# A suspicion without new evidence ends after this part of the window, so that
-# chance does not hold up a good version until its date.
+# Evidence above which a suspicion does not end with time; odds of 100 to 1.
+STRONG_LOG = math.log(100.0)
+# A weaker suspicion without new evidence ends after this part of the window, so
+# that chance does not hold up a good version until its date.
 HOLD_PART = 0.1
 # Evidence above the former peak that renews a suspicion which has ended so.
 RENEW_LOG = 1.0
@@ -58,5 +60,6 @@
         elif log < END_LOG:
             self.is_active = False
             self._peak_log = START_LOG - RENEW_LOG
-        elif wall_s - self._since_s > HOLD_PART * span_s:
-            self.is_active = False
+        elif log < STRONG_LOG:
+            held_s = wall_s - self._since_s
+            self.is_active = self.is_active and held_s <= HOLD_PART * span_s
--- a/packages/core/src/rattanpulley_core/_internal/moves/system.py
+++ b/packages/core/src/rattanpulley_core/_internal/moves/system.py
@@ -154,6 +154,9 @@
             else:
                 item = controller.MoveController(setup, self.verdicts)
             self._controllers_by_pool[name] = item
+        if not self._controllers_by_pool:
+            # Numbers of processes that have ended would pile up otherwise.
+            self._seen_seq.clear()
 
     def _setup(self, pool: rows.Pool, move: rows.Move) -> controller.MoveSetup:
         routes = [
