Test each row of the detection, resume and crash tables

The tests found three faults, which are repaired: a reset request was placed again without suspicion until the probe confirmed the crash; new requests overtook queued resumes that had a target excluded; a generation on hold counted as a full pool.

--- a/packages/core/src/rattanpulley_core/_internal/generations/placement.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/placement.py
@@ -26,16 +26,20 @@
     if not ctx.queued_by_id:
         return
     full_groups: set[_Group] = set()
+    reserved: set[str] = set()
     for generation in _ordered(ctx):
         group = (generation.request.pool, generation.version)
         if group in full_groups:
             continue
         excluded = generation.excluded(now_s)
-        if not generation.is_resume:
-            excluded |= _reserved(ctx, generation, full_groups)
-        if place(ctx, generation, now_s, excluded):
+        behind = frozenset() if generation.is_resume else frozenset(reserved)
+        if place(ctx, generation, now_s, excluded | behind):
             continue
-        if not excluded and _waits_for_slot(ctx, generation, now_s):
+        if _waits_for_itself(ctx, generation, now_s):
+            continue
+        if generation.is_resume:
+            reserved.update(_wanted(ctx, group, excluded))
+        if not excluded:
             full_groups.add(group)
 
 
@@ -103,32 +107,26 @@
     )
 
 
-def _waits_for_slot(
+def _waits_for_itself(
     ctx: context.Context, generation: rows.Generation, now_s: float
 ) -> bool:
-    """Returns whether a resume waits because no target has a free slot."""
+    """Returns whether a generation waits although targets may be free."""
     fingerprint = generation.request.fingerprint
-    return generation.is_resume and not ctx.ledger.is_on_hold(
-        fingerprint, now_s
-    )
+    return generation.needs_permit or ctx.ledger.is_on_hold(fingerprint, now_s)
 
 
-def _reserved(
-    ctx: context.Context,
-    generation: rows.Generation,
-    full_groups: set[_Group],
-) -> frozenset[str]:
-    """Returns the targets that queued resumes wait for."""
-    pool = generation.request.pool
-    versions = {version for name, version in full_groups if name == pool}
-    if not versions:
-        return frozenset()
-    return frozenset(
+def _wanted(
+    ctx: context.Context, group: _Group, excluded: frozenset[str]
+) -> list[str]:
+    """Returns the targets that a queued resume waits for."""
+    pool, version = group
+    return [
         target.name
         for target in ctx.targets.targets_by_name.values()
         if target.pool == pool
-        and (None in versions or target.version in versions)
-    )
+        and version in (None, target.version)
+        and target.name not in excluded
+    ]
 
 
 def _is_whole(generation: rows.Generation) -> bool:
@@ -195,6 +193,6 @@
         prefix_block_hashes=generation.prefix_block_hashes,
         excluded=excluded,
         is_resume=generation.is_resume,
-        suspect=ctx.suspects.is_suspect(request.fingerprint, now_s),
+        suspect=ctx.ledger.is_suspect(request.fingerprint, now_s),
         prefix_tokens=len(generation.journal),
     )
--- a/packages/core/src/rattanpulley_core/_internal/suspects/attribution.py
+++ b/packages/core/src/rattanpulley_core/_internal/suspects/attribution.py
@@ -129,12 +129,18 @@
         Until then another attempt could cost a third target.
         """
         crashes = self._suspects.crash_count(fingerprint, now_s)
-        open_cases = sum(
-            fingerprint in case.has_token_by_fingerprint
-            for case in self._cases_by_target.values()
-        )
+        open_cases = self._open_cases(fingerprint)
         return crashes + open_cases >= reports.REFUSED_AT_CRASHES
 
+    def is_suspect(self, fingerprint: str, now_s: float) -> bool:
+        """Returns whether the request has a report or may soon get one.
+
+        A reset request is placed again before the probe confirms the crash.
+        """
+        if self._open_cases(fingerprint):
+            return True
+        return self._suspects.is_suspect(fingerprint, now_s)
+
     def settle(self, now_s: float) -> list[ConfirmedReport]:
         """Confirms or withdraws the provisional reports that are due."""
         confirmed: list[ConfirmedReport] = []
@@ -151,6 +157,12 @@
         ]
         return confirmed
 
+    def _open_cases(self, fingerprint: str) -> int:
+        return sum(
+            fingerprint in case.has_token_by_fingerprint
+            for case in self._cases_by_target.values()
+        )
+
     def _settle_one(
         self, pending: _Pending, now_s: float
     ) -> Iterable[ConfirmedReport]:
--- /dev/null
+++ b/packages/core/tests/suspects/test_attribution.py
@@ -0,0 +1,108 @@
+"""Rules that say which request caused a crash."""
+
+import pytest
+
+from rattanpulley_core import suspects
+from rattanpulley_core._internal.suspects import attribution
+
+
+class Crashes:
+    """Feeds crashes of targets to a ledger."""
+
+    def __init__(self):
+        self.table = suspects.SuspectTable()
+        self.ledger = attribution.CrashLedger(self.table)
+        self.now_s = 10.0
+
+    def crash(self, target, domain="z0", **has_token_by_fingerprint):
+        for fingerprint, has_token in has_token_by_fingerprint.items():
+            self.ledger.record_reset(
+                target, domain, "boot", fingerprint, has_token, self.now_s
+            )
+        self.ledger.record_loss(target, domain, self.now_s)
+        self.ledger.confirm_crash(target, self.now_s)
+
+    def settle(self):
+        self.now_s += 2.0
+        return {r.fingerprint for r in self.ledger.settle(self.now_s)}
+
+
+@pytest.fixture
+def crashes():
+    return Crashes()
+
+
+def test_first_crash_makes_every_request_a_suspect(crashes):
+    # Guards against a cause that is never found.
+    crashes.crash("t1", a=True, b=False)
+    assert crashes.settle() == {"a", "b"}
+    assert not crashes.table.is_refused("a", crashes.now_s)
+
+
+@pytest.mark.parametrize(
+    ("second", "causes"),
+    [
+        ({"a": True, "c": True}, {"a"}),
+        ({"a": True, "b": False, "c": False}, {"b"}),
+        ({"a": True, "b": True, "c": True}, set()),
+        ({"c": True, "d": True}, {"c", "d"}),
+    ],
+    ids=["one suspect", "without token", "all had tokens", "no suspect"],
+)
+def test_second_crash(crashes, second, causes):
+    # Guards requests that only shared a target with the cause.
+    crashes.crash("t1", a=True, b=True)
+    crashes.settle()
+    crashes.crash("t2", **second)
+    assert crashes.settle() == causes
+    refused = {
+        name for name in "abcd" if crashes.table.is_refused(name, crashes.now_s)
+    }
+    assert refused == causes & {"a", "b"}
+
+
+@pytest.mark.parametrize(
+    ("domains", "gap_s", "reported"),
+    [("zzz", 0.4, False), ("zzz", 0.6, True), ("zzy", 0.1, True)],
+)
+def test_common_cause(crashes, domains, gap_s, reported):
+    # Guards requests against blame for the loss of a rack.
+    for number, domain in enumerate(domains):
+        crashes.crash(f"t{number}", domain, **{f"f{number}": True})
+        crashes.now_s += gap_s
+    assert bool(crashes.settle()) is reported
+    assert crashes.table.is_suspect("f0", crashes.now_s) is reported
+
+
+def test_hold_until_the_cause_is_settled(crashes):
+    # Guards the bound of two targets lost to one request.
+    crashes.crash("t1", a=True)
+    assert not crashes.ledger.is_on_hold("a", crashes.now_s)
+    crashes.ledger.record_reset("t2", "z0", "boot", "a", True, crashes.now_s)
+    assert crashes.ledger.is_on_hold("a", crashes.now_s)
+    crashes.ledger.dismiss("t2")
+    assert not crashes.ledger.is_on_hold("a", crashes.now_s)
+
+
+def test_remote_reports_count_once_per_crash_and_expire(crashes):
+    # Guards against a refusal for one crash that two daemons report.
+    table, now_s = crashes.table, crashes.now_s
+    crashes.crash("t1", a=True)
+    crashes.settle()
+    table.apply_remote("a", "t1", "boot", now_s)
+    assert not table.is_refused("a", now_s)
+    table.apply_remote("a", "t2", "boot", now_s, ttl_s=60.0)
+    assert table.is_refused("a", now_s)
+    assert table.take_newly_refused() == ["a"]
+    assert not table.is_refused("a", now_s + 61.0)
+    table.expire(now_s + 3601.0)
+    assert len(table) == 0
+
+
+def test_cleared_request_is_not_suspected_again_for_the_same_crash(crashes):
+    # Guards against a peer's late report of a crash that was cleared.
+    table, now_s = crashes.table, crashes.now_s
+    table.apply_remote("a", "t1", "boot", now_s)
+    table.clear("a")
+    table.apply_remote("a", "t1", "boot", now_s)
+    assert not table.is_suspect("a", now_s)
