Measure the generation core and count tokens from before an attach

Cause: the per-token path and the tick had no figures; a stream that had attached again looked as if its request had never produced a token on the target, which makes it the cause of a crash more easily.

--- a/packages/core/src/rattanpulley_core/_internal/generations/attempts.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/attempts.py
@@ -78,6 +78,9 @@
     attempt.version = previous.version
     attempt.boot_id = previous.boot_id
     attempt.accepted = previous.accepted
+    attempt.has_produced = previous.has_produced
+    if previous.suspect:
+        attempt.first_index = previous.first_index
     attempt.estimator = previous.estimator
     attempt.estimator.restart(now_s)
 
@@ -112,6 +115,7 @@
 def record_first_token(attempt: rows.Attempt, now_s: float) -> None:
     """Records the first token of an attempt in its target's row."""
     attempt.has_token = True
+    attempt.has_produced = True
     target = attempt.target
     target.awaiting_first_token -= 1
     target.resumes_awaiting_first_token -= attempt.is_resume
--- a/packages/core/src/rattanpulley_core/_internal/generations/probes.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/probes.py
@@ -178,7 +178,7 @@
         target.failure_domain,
         attempt.boot_id or target.boot_id,
         generation.request.fingerprint,
-        attempt.has_token,
+        attempt.has_produced,
         now_s,
     )
 
--- a/packages/core/src/rattanpulley_core/_internal/generations/rows.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/rows.py
@@ -56,6 +56,8 @@
         suspect: Whether the request was a suspect at the start.
         accepted: Whether the target accepted the order.
         has_token: Whether a token of the attempt arrived.
+        has_produced: Whether the target has sent a token of the generation,
+            also before an attach.
         boot_id: Process of the target; empty when not known.
         idle_probes: Probes in a row that showed no progress in the engine.
     """
@@ -71,6 +73,7 @@
     suspect: bool = False
     accepted: bool = False
     has_token: bool = False
+    has_produced: bool = False
     boot_id: str = ""
     idle_probes: int = 0
 
--- a/packages/core/src/rattanpulley_core/_internal/generations/streams.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/streams.py
@@ -64,9 +64,8 @@
         ctx.counters.version_mismatches += 1
         end_corrupt(ctx, generation, attempt, now_s)
         return
-    duplicates = checks.count_duplicates(
-        len(generation.journal), event.first_index
-    )
+    length = len(generation.journal)
+    duplicates = checks.count_duplicates(length, event.first_index)
     if duplicates is None:
         ctx.counters.gaps += 1
         end_corrupt(ctx, generation, attempt, now_s)
@@ -75,9 +74,9 @@
     if duplicates:
         ctx.counters.duplicate_tokens += min(duplicates, len(tokens))
         tokens = tokens[duplicates:]
-        if not tokens:
-            return
-    if len(generation.journal) + len(tokens) > journals.MAX_TOKENS:
+    if not tokens:
+        return
+    if length + len(tokens) > journals.MAX_TOKENS:
         attempts.cancel(ctx, generation)
         lifecycle.end(
             ctx,
--- /dev/null
+++ b/packages/core/tests/measure/measure_core.py
@@ -0,0 +1,163 @@
+"""Measures the cost of the generation core.
+
+Run from the repository root:
+
+    PYTHONPATH=packages/core/src .venv/bin/python \
+        packages/core/tests/measure/measure_core.py
+
+Prints one line of JSON per measurement.
+"""
+
+import json
+import random
+import statistics
+import time
+import tracemalloc
+
+from rattanpulley_core import generations
+from rattanpulley_core import resume_token
+from rattanpulley_core import suspects
+from rattanpulley_core import tables
+from rattanpulley_core import targets
+
+TARGETS = 600
+ROUNDS = 15
+
+
+def new_core():
+    """Returns a core with as many targets as the design size."""
+    specs = {
+        f"e{i}": tables.TargetSpec(
+            f"e{i}", f"http://10.0.0.1:{i}", f"z{i % 11}", "v1"
+        )
+        for i in range(TARGETS)
+    }
+    versions = {"v1": tables.VersionSpec("v1")}
+    kind = tables.TargetKind.ENGINE
+    pool = tables.Pool("pool", kind, versions, specs)
+    rng = random.Random(1)
+    table = targets.TargetTable("z0")
+    table.apply_pools(tables.PoolTable(1, {"pool": pool}), 0.0)
+    return generations.GenerationCore(
+        target_table=table,
+        chooser=targets.LeastOutstandingChooser(table, rng),
+        signer=resume_token.Signer([b"0123456789abcdef"]),
+        suspect_table=suspects.SuspectTable(),
+        rng=rng,
+    )
+
+
+def arrive(core, number, now_s):
+    """Starts a generation and lets its target accept it."""
+    name = f"{number:032x}"
+    request = generations.GenerationRequest(
+        name,
+        "account",
+        "route",
+        "pool",
+        "model",
+        f"{number:064x}",
+        "prompt",
+        generations.Sampling(65_536, 1, 1.0),
+        0,
+        1e6,
+    )
+    core.handle(generations.CallerArrived(number, request), now_s)
+    core.handle(generations.AttemptAccepted(name, 1, "boot"), now_s)
+    return name
+
+
+def token(name, index):
+    return generations.TokensReceived(name, 1, index, (f" word{index}",), "v1")
+
+
+def measure_tokens():
+    """Cost of one token event of one token for one caller."""
+    core = new_core()
+    name = arrive(core, 1, 1.0)
+    count = 4_000
+    per_round_us = []
+    for number in range(ROUNDS):
+        events = [token(name, number * count + i) for i in range(count)]
+        started_s = time.process_time()
+        for event in events:
+            core.handle(event, 1.0 + event.first_index * 0.03)
+        elapsed_s = time.process_time() - started_s
+        per_round_us.append(elapsed_s / count * 1e6)
+    return {
+        "measurement": "handle(TokensReceived), one token per event",
+        "us_per_token_median": round(statistics.median(per_round_us), 2),
+        "us_per_token_min": round(min(per_round_us), 2),
+    }
+
+
+def measure_event_ids():
+    """Cost of encoding one event id."""
+    signer = resume_token.Signer([b"0123456789abcdef"])
+    binding = signer.binding("0" * 32, "account", "print", "v1")
+    encoder = signer.encoder(binding, "0" * 32, 1, "e1", "v1")
+    chain = signer.start_chain(binding)
+    count = 20_000
+    started_s = time.process_time()
+    for index in range(count):
+        encoder.encode(index, chain)
+    elapsed_s = time.process_time() - started_s
+    return {
+        "measurement": "EventIdEncoder.encode",
+        "us_per_token": round(elapsed_s / count * 1e6, 2),
+    }
+
+
+def measure_ticks(streams):
+    """Cost of a tick while every stream gets a token every 30 ms."""
+    core = new_core()
+    names = [arrive(core, number, 1.0) for number in range(streams)]
+    now_s = 1.0
+    per_tick_ms = []
+    for index in range(ROUNDS):
+        now_s += 0.05
+        for name in names:
+            core.handle(token(name, index), now_s)
+        started_s = time.process_time()
+        core.tick(now_s)
+        per_tick_ms.append((time.process_time() - started_s) * 1e3)
+    return {
+        "measurement": "tick",
+        "streams": streams,
+        "targets": TARGETS,
+        "ms_per_tick_median": round(statistics.median(per_tick_ms), 3),
+        "ms_per_tick_max": round(max(per_tick_ms), 3),
+    }
+
+
+def measure_memory(streams, tokens):
+    """Memory of one stream, with and without its journal."""
+    core = new_core()
+    tracemalloc.start()
+    names = [arrive(core, number, 1.0) for number in range(streams)]
+    fixed = tracemalloc.get_traced_memory()[0]
+    for index in range(tokens):
+        for name in names:
+            core.handle(token(name, index), 1.0)
+    total = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return {
+        "measurement": "memory",
+        "streams": streams,
+        "bytes_per_stream": round(fixed / streams),
+        "journal_bytes_per_token": round((total - fixed) / streams / tokens, 1),
+        "token_bytes": sum(len(f" word{i}") for i in range(tokens)) / tokens,
+    }
+
+
+def main():
+    """Prints all measurements."""
+    print(json.dumps(measure_tokens()))
+    print(json.dumps(measure_event_ids()))
+    for streams in (100, 1_000, 5_000):
+        print(json.dumps(measure_ticks(streams)))
+    print(json.dumps(measure_memory(1_000, 500)))
+
+
+if __name__ == "__main__":
+    main()
