Write streams from the greenlet that reads the engine

Cause: after the read, the largest part of a token's cost was the way through the queue of the connection's greenlet: a timer, a wake-up of the event loop, two switches and the server's write. Change: after the first bytes, a delivery is written to the caller's socket at once; the connection's greenlet continues partial writes, sends comments and notices the end.

--- a/packages/daemon/src/rattanpulleyd/_internal/api/answers.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/answers.py
@@ -1,12 +1,14 @@
 """Bodies of the answers to generation requests."""
 
 from collections.abc import Callable, Iterator
+from typing import Any
 
 from rattanpulley_core import generations
 from rattanpulley_core import results
 from rattanpulley_core import resume_token
 from rattanpulleyd import exceptions
 from rattanpulleyd._internal.api import caller
+from rattanpulleyd._internal.api import direct_writer
 from rattanpulleyd._internal.api import errors
 from rattanpulleyd._internal.api import openai_format
 from rattanpulleyd._internal.runtime import runtime as runtime_lib
@@ -41,6 +43,14 @@
         """Returns queued deliveries, or none after the keep-alive time."""
         return self._caller.take(KEEP_ALIVE_S)
 
+    def redirect(self, sink: Callable[[caller.Delivery], None]) -> None:
+        """Passes queued and later deliveries to a function.
+
+        Args:
+            sink: Takes the deliveries; must not wait.
+        """
+        self._caller.redirect(sink)
+
     def close(self) -> None:
         """Notes the end of the connection; may be called again."""
         self._runtime.remove_caller(self._caller_id, self._generation_id)
@@ -58,6 +68,7 @@
         call: Call,
         first: list[caller.Delivery],
         stream_format: openai_format.StreamFormat,
+        handler: Any = None,
     ) -> None:
         """Prepares the body.
 
@@ -65,7 +76,11 @@
             call: The caller's request.
             first: Deliveries that were taken already.
             stream_format: Renders the deliveries.
+            handler: The server's handler, when the body may write to its
+                connection itself.
         """
+        self._handler = handler
+        self._has_begun = False
         self._call = call
         self._first = first
         self._format = stream_format
@@ -77,14 +92,29 @@
 
     def __next__(self) -> bytes:
         """Returns all queued events, or a comment when none came in time."""
+        if self._has_begun and self._handler is not None and not self._over:
+            self._write_rest(self._handler)
         if self._over:
             raise StopIteration
+        self._has_begun = True
         deliveries = self._first or self._call.take()
         self._first = []
         if not deliveries:
             return openai_format.KEEP_ALIVE
         return b"".join([self._render(item) for item in deliveries])
 
+    def _write_rest(self, handler: Any) -> None:
+        """Writes all later events to the connection."""
+        writer = direct_writer.DirectWriter(handler)
+
+        def write(delivery: caller.Delivery) -> None:
+            writer.write(self._render(delivery))
+            if self._over:
+                writer.finish()
+
+        self._call.redirect(write)
+        writer.run(KEEP_ALIVE_S)
+
     def close(self) -> None:
         """Called by the server when the connection or the body ends."""
         self._call.close()
--- a/packages/daemon/src/rattanpulleyd/_internal/api/app.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/app.py
@@ -17,6 +17,7 @@
 from rattanpulleyd._internal.api import router
 from rattanpulleyd._internal.api import service_calls
 from rattanpulleyd._internal.api import status
+from rattanpulleyd._internal.runtime import http_server
 from rattanpulleyd._internal.runtime import runtime as runtime_lib
 from rattanpulleyd._internal.settings import model
 from rattanpulleyd._internal.telemetry import counters
@@ -145,7 +146,8 @@
         )
         bottle.response.content_type = "text/event-stream; charset=utf-8"
         bottle.response.set_header("Cache-Control", "no-cache")
-        return answers.StreamBody(call, first, stream_format)
+        handler = bottle.request.environ.get(http_server.HANDLER_KEY)
+        return answers.StreamBody(call, first, stream_format, handler)
 
     def _verify(
         self, event_id: str, account: str, fingerprint: str, stream: bool
--- a/packages/daemon/src/rattanpulleyd/_internal/api/caller.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/caller.py
@@ -1,5 +1,7 @@
 """A caller's answer on its way to the connection."""
 
+from collections.abc import Callable
+
 import gevent.event
 
 from rattanpulley_core import generations
@@ -21,6 +23,7 @@
     def __init__(self) -> None:
         self._deliveries: list[Delivery] = []
         self._ready = gevent.event.Event()
+        self._sink: Callable[[Delivery], None] | None = None
 
     def deliver(self, action: generations.DeliverTokens) -> None:
         """Queues tokens."""
@@ -47,6 +50,20 @@
         self._deliveries = []
         return taken
 
+    def redirect(self, sink: Callable[[Delivery], None]) -> None:
+        """Passes queued and later deliveries to a function.
+
+        Args:
+            sink: Takes the deliveries; must not wait.
+        """
+        for delivery in self._deliveries:
+            sink(delivery)
+        self._deliveries = []
+        self._sink = sink
+
     def _put(self, delivery: Delivery) -> None:
+        if self._sink is not None:
+            self._sink(delivery)
+            return
         self._deliveries.append(delivery)
         self._ready.set()
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/http_server.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/http_server.py
@@ -13,6 +13,7 @@
 # that vanished without closing would hold their connections for ever.
 IDLE_TIMEOUT_S = 120.0
 SOCKET_KEY = "rattanpulleyd.socket"
+HANDLER_KEY = "rattanpulleyd.handler"
 
 
 class _Handler(pywsgi.WSGIHandler):
@@ -25,6 +26,7 @@
     def get_environ(self) -> dict[str, Any]:
         environ: dict[str, Any] = super().get_environ()
         environ[SOCKET_KEY] = self.socket
+        environ[HANDLER_KEY] = self
         return environ
 
 
--- /dev/null
+++ b/packages/daemon/tests/engine/test_http_engine.py
@@ -0,0 +1,202 @@
+"""Tests of the engine client against scripted connections."""
+
+from collections.abc import Callable, Iterator
+import json
+import socket
+from typing import Any
+
+import gevent
+import gevent.event
+import gevent.queue
+import gevent.server
+import pytest
+
+from rattanpulley_core import generations
+from rattanpulleyd._internal.engine import attempt as attempt_lib
+from rattanpulleyd._internal.engine import connection
+from rattanpulleyd._internal.engine import http_engine
+from rattanpulleyd._internal.engine import prober
+from rattanpulleyd._internal.telemetry import counters
+
+GENERATION = "0123456789abcdef" * 2
+OK = b"HTTP/1.1 200 OK\r\nX-Boot-Id: b1\r\n\r\n"
+WAIT_S = 20.0
+Reason = generations.FailureReason
+
+
+@pytest.fixture(autouse=True)
+def _cooperative_sockets(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Gives the client gevent's sockets, as the binary does for all."""
+    from urllib3.util import connection as urllib3_connection
+
+    monkeypatch.setattr(
+        urllib3_connection,
+        "create_connection",
+        lambda address, timeout, **_: gevent.socket.create_connection(
+            address, timeout
+        ),
+    )
+
+
+class Target:
+    """A target that answers each connection with prepared bytes."""
+
+    def __init__(self) -> None:
+        self.answer = b""
+        self.holds_open = False
+        self.requests = gevent.queue.Queue()
+        self.ends = gevent.queue.Queue()
+        self._server = gevent.server.StreamServer(
+            ("127.0.0.1", 0), self._handle
+        )
+        self._server.start()
+        self.url = f"http://127.0.0.1:{self._server.server_port}"
+
+    def _handle(self, sock: Any, _: Any) -> None:
+        self.requests.put(sock.recv(65536).split(b"\r\n")[0].decode())
+        sock.sendall(self.answer)
+        if self.holds_open:
+            self.ends.put(sock.recv(1))
+
+    def stop(self) -> None:
+        """Refuses connections from now on."""
+        self._server.stop()
+
+
+@pytest.fixture
+def target() -> Iterator[Target]:
+    found = Target()
+    yield found
+    found.stop()
+
+
+def _event(index: int, **fields: Any) -> bytes:
+    row = {"generation_id": GENERATION, "attempt": 2, "version": "v1"}
+    return f"data: {json.dumps(row | {'index': index} | fields)}\n\n".encode()
+
+
+def _attach(url: str) -> generations.AttachAttempt:
+    return generations.AttachAttempt(GENERATION, 2, "e1", url, 5)
+
+
+def _start(url: str) -> generations.StartAttempt:
+    return generations.StartAttempt(
+        generation_id=GENERATION,
+        attempt=2,
+        target="e1",
+        url=url,
+        model="m",
+        version="v1",
+        prompt="p",
+        sampling=generations.Sampling(9, 1, 1.0),
+        priority=0,
+        resume_tokens=(),
+    )
+
+
+def _run(order: Any) -> list[generations.Event]:
+    events: list[generations.Event] = []
+    attempt_lib.Attempt(order, events.append).run()
+    return events
+
+
+def test_answer_is_reported_in_order(target: Target) -> None:
+    """Guards against tokens lost behind the headers of the response."""
+    target.answer = (
+        OK
+        + _event(5, token="a")
+        + _event(6, token="b")
+        + _event(7, finish_reason="stop")
+    )
+    assert _run(_attach(target.url)) == [
+        generations.AttemptAccepted(GENERATION, 2, "b1"),
+        generations.TokensReceived(GENERATION, 2, 5, ("a", "b"), "v1"),
+        generations.AttemptFinished(GENERATION, 2, 7, "stop", "v1"),
+    ]
+    path = f"GET /generations/{GENERATION}?from=5&attempt=2 HTTP/1.1"
+    assert target.requests.get() == path
+
+
+@pytest.mark.parametrize(
+    ("order", "answer", "reason"),
+    [
+        (_start, b"", Reason.REFUSED),
+        (_start, b"HTTP/1.1 503 X\r\n\r\n", Reason.REFUSED),
+        (_start, b"HTTP/1.1 404 X\r\n\r\n", Reason.REJECTED),
+        (_start, b"HTTP/1.1 422 X\r\n\r\nwhy", Reason.REJECTED),
+        (_attach, b"HTTP/1.1 404 X\r\n\r\n", Reason.NOT_HELD),
+        (_attach, b"no HTTP\r\n\r\n", Reason.REFUSED),
+        (_attach, OK, Reason.RESET),
+        (_attach, OK + _event(5, token="a"), Reason.RESET),
+        (_attach, OK + _event(5, attempt=1), Reason.CORRUPT),
+    ],
+)
+def test_failure_has_its_reason(
+    target: Target,
+    order: Callable[[str], Any],
+    answer: bytes,
+    reason: generations.FailureReason,
+) -> None:
+    """Guards against a failure that is taken for one of another kind."""
+    target.answer = answer
+    *_, last = _run(order(target.url))
+    assert isinstance(last, generations.AttemptFailed)
+    assert last.reason is reason
+    if b"why" in answer:
+        assert last.message == "why"
+
+
+def test_closed_port_is_not_connected(target: Target) -> None:
+    """Guards against a crash report for a request that never arrived."""
+    target.stop()
+    (event,) = _run(_start(target.url))
+    assert isinstance(event, generations.AttemptFailed)
+    assert event.reason is Reason.NOT_CONNECTED
+    probe = generations.ProbeTarget("e1", target.url, 3, (), 0.25)
+    events: list[generations.Event] = []
+    prober.probe(probe, events.append)
+    assert events == [generations.ProbeFailed("e1", 3, refused=True)]
+
+
+def test_cancel_closes_the_connection_and_tells_the_target(
+    target: Target,
+) -> None:
+    """Guards against tokens of an attempt that was given up."""
+    target.answer = OK + _event(5, token="a")
+    target.holds_open = True
+    events: list[generations.Event] = []
+    received = gevent.event.Event()
+
+    def sink(event: generations.Event) -> None:
+        events.append(event)
+        if isinstance(event, generations.TokensReceived):
+            received.set()
+
+    engine = http_engine.HttpEngineApi(counters.Counters(None))
+    engine.attach(_attach(target.url), sink)
+    assert received.wait(WAIT_S)
+    engine.cancel(generations.CancelAttempt(GENERATION, 2, "e1", target.url))
+    assert target.ends.get(timeout=WAIT_S) == b""
+    target.requests.get(timeout=WAIT_S)
+    path = f"DELETE /generations/{GENERATION}?attempt=2 HTTP/1.1"
+    assert target.requests.get(timeout=WAIT_S) == path
+    assert [type(event) for event in events] == [
+        generations.AttemptAccepted,
+        generations.TokensReceived,
+    ]
+
+
+def test_probe_without_progress_answers_says_that_nothing_is_new(
+    target: Target,
+) -> None:
+    """Guards against recomputation because a probe was cut short."""
+    target.answer = (
+        b'HTTP/1.1 200 OK\r\nContent-Length: 18\r\n\r\n{"boot_id":  "b1"}'
+    )
+    probe = generations.ProbeTarget("e1", target.url, 3, (GENERATION,), 5.0)
+    event = prober.probe(probe, lambda _: None)
+    assert isinstance(event, generations.ProbeAnswered)
+    assert event.boot_id == "b1"
+    assert event.next_index_by_generation_id == {GENERATION: 0}
+    assert connection.CONNECT_TIMEOUT_S == 0.25
+    assert socket.getdefaulttimeout() is None
