Open engine connections without a name look-up

Cause: urllib3 looks up numeric addresses, which gevent does in a thread that waits for the interpreter's lock. Change: the socket is opened directly and given to the connection.

--- a/packages/daemon/src/rattanpulleyd/_internal/engine/connection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/engine/connection.py
@@ -8,6 +8,7 @@
 import functools
 from http import client
 import json
+import socket
 from typing import Any
 import urllib.parse
 
@@ -45,13 +46,29 @@
         CallError: The target cannot be reached.
     """
     host, port = _host_and_port(url)
-    connection = urllib3.connection.HTTPConnection(
-        host, port, timeout=timeout_s
-    )
-    connection.connect()
+    connection = urllib3.connection.HTTPConnection(host, port)
+    connection.sock = _open_socket(host, port, timeout_s)
     return connection
 
 
+def _open_socket(host: str, port: int, timeout_s: float) -> socket.socket:
+    """Opens a socket without the look-up of a name.
+
+    `urllib3` looks up numeric addresses, too, and gevent does that in a thread
+    that has to wait for the interpreter's lock.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    opened = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        opened.settimeout(timeout_s)
+        opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        opened.connect((host, port))
+    except BaseException:
+        opened.close()
+        raise
+    return opened
+
+
 def send(
     connection: urllib3.connection.HTTPConnection,
     request: orders.HttpRequest,
--- a/packages/daemon/src/rattanpulleyd/_internal/services/http_service.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/services/http_service.py
@@ -4,9 +4,9 @@
 import urllib.parse
 
 import urllib3
-import urllib3.connection
 
 from rattanpulley_core import interfaces
+from rattanpulleyd._internal.engine import connection as connections
 
 CONNECT_TIMEOUT_S = 0.25
 POOL_CONNECTIONS = 16
@@ -44,14 +44,9 @@
         self, order: interfaces.ServiceOrder
     ) -> interfaces.ServiceAnswer:
         """Makes the call on a connection of its own."""
-        parts = urllib.parse.urlsplit(order.url)
-        connection = urllib3.connection.HTTPConnection(
-            parts.hostname or "",
-            parts.port or 80,
-            timeout=min(CONNECT_TIMEOUT_S, order.timeout_s),
-        )
+        timeout_s = min(CONNECT_TIMEOUT_S, order.timeout_s)
         try:
-            connection.connect()
+            connection = connections.connect(order.url, timeout_s)
         except _BROKEN as error:
             raise interfaces.ServiceNotSentError(_name(error)) from error
         try:
--- a/packages/daemon/tests/engine/test_http_engine.py
+++ b/packages/daemon/tests/engine/test_http_engine.py
@@ -27,15 +27,7 @@
 @pytest.fixture(autouse=True)
 def _cooperative_sockets(monkeypatch: pytest.MonkeyPatch) -> None:
     """Gives the client gevent's sockets, as the binary does for all."""
-    from urllib3.util import connection as urllib3_connection
-
-    monkeypatch.setattr(
-        urllib3_connection,
-        "create_connection",
-        lambda address, timeout, **_: gevent.socket.create_connection(
-            address, timeout
-        ),
-    )
+    monkeypatch.setattr(connection, "socket", gevent.socket)
 
 
 class Target:
