--- a/packages/adapters/src/rattanpulley_adapters/_internal/platform/http_json.py
+++ b/packages/adapters/src/rattanpulley_adapters/_internal/platform/http_json.py
@@ -12,7 +12,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 3.0
-POOL_CONNECTIONS = 4
+# One waits for changes; the others serve claims while the store is slow.
+POOL_CONNECTIONS = 16
 # The object API stores values up to 1 MB; a list holds several of them.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
--- a/packages/daemon/src/rattanpulleyd/_internal/api/app.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/app.py
@@ -22,6 +22,10 @@
 from rattanpulleyd._internal.settings import model
 from rattanpulleyd._internal.telemetry import counters
 
+# A stream takes about 70 KB, so that this many fit in 128 MB. The design size
+# has 77 streams on a daemon.
+MAX_IN_FLIGHT = 1000
+
 _Counter = counters.Counter
 
 
@@ -101,6 +105,11 @@
     def _accept(self) -> str:
         """Counts a new request and returns its account."""
         self._runtime.counts.count(_Counter.REQUESTS)
+        in_flight = bottle.request.environ.get(http_server.IN_FLIGHT_KEY, 0)
+        if in_flight > MAX_IN_FLIGHT:
+            raise exceptions.RequestError(
+                results.ResultCode.OVERLOADED, "Too many answers are in flight."
+            )
         return self._account()
 
     def _generate(self, is_chat: bool) -> Any:
--- a/packages/daemon/src/rattanpulleyd/_internal/api/status.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/status.py
@@ -39,10 +39,28 @@
             for kind in tables.TableKind
         },
         "generations": dataclasses.asdict(runtime.core.status(now_s)),
+        "targets": _target_reports(runtime),
         "counters": runtime.counts.totals_by_name(),
     }
 
 
+def _target_reports(runtime: runtime_lib.Runtime) -> dict[str, Any]:
+    """Returns what the daemon knows about each target, by name."""
+    targets_by_name = runtime.target_table.targets_by_name
+    return {
+        name: {
+            "pool": target.pool,
+            "version": target.version,
+            "failure_domain": target.failure_domain,
+            "state": target.state.value,
+            "in_pool": target.in_pool,
+            "in_flight": target.in_flight,
+            "consecutive_failures": target.consecutive_failures,
+        }
+        for name, target in sorted(targets_by_name.items())
+    }
+
+
 def _table_report(
     config: tables.ConfigState, kind: tables.TableKind, now_s: float
 ) -> dict[str, Any]:
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/daemon.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/daemon.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import random
+import resource
 import signal
 
 import gevent
@@ -34,6 +35,8 @@
 # refused with an answer.
 LINGER_S = 0.25
 JOB_RESTART_S = 1.0
+# Files besides the connections of answers.
+SPARE_FILES = 200
 CORE_PREFIX = "generation"
 
 _Counter = counters.Counter
@@ -184,6 +187,16 @@
             self._runtime.log_target_states()
 
 
+def _raise_file_limit() -> None:
+    """Allows two connections for each answer in flight, where possible."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = 2 * app.MAX_IN_FLIGHT + SPARE_FILES
+    if hard != resource.RLIM_INFINITY:
+        wanted = min(wanted, hard)
+    if soft != resource.RLIM_INFINITY and soft < wanted:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+
+
 def serve(settings: model.Settings) -> None:
     """Runs a daemon until SIGTERM and the end of its answers in flight.
 
@@ -194,6 +207,7 @@
         exceptions.SettingsError: The listening address is not available.
     """
     logs.configure(settings.log_level)
+    _raise_file_limit()
     daemon = Daemon(settings)
     gevent.signal_handler(signal.SIGTERM, daemon.stop_gracefully)
     gevent.signal_handler(signal.SIGINT, daemon.stop_gracefully)
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/http_server.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/http_server.py
@@ -14,6 +14,7 @@
 IDLE_TIMEOUT_S = 120.0
 SOCKET_KEY = "rattanpulleyd.socket"
 HANDLER_KEY = "rattanpulleyd.handler"
+IN_FLIGHT_KEY = "rattanpulleyd.in_flight"
 
 
 class _Handler(pywsgi.WSGIHandler):
@@ -64,6 +65,7 @@
     def _answer(self, environ: dict[str, Any], start_response: Any) -> Any:
         """Counts an answer from its request to its last byte."""
         self.in_flight += 1
+        environ[IN_FLIGHT_KEY] = self.in_flight
         try:
             body = self._app(environ, start_response)
         except BaseException:
--- a/packages/daemon/tests/golden/conftest.py
+++ b/packages/daemon/tests/golden/conftest.py
@@ -22,6 +22,7 @@
 from rattanpulleyd._internal.api import service_calls
 from rattanpulleyd._internal.config import host_poll
 from rattanpulleyd._internal.config import table_watch
+from rattanpulleyd._internal.runtime import http_server
 from rattanpulleyd._internal.runtime import runtime as runtime_lib
 from rattanpulleyd._internal.settings import parser
 from rattanpulleyd._internal.telemetry import counters
@@ -311,6 +312,8 @@
             "wsgi.errors": io.StringIO(),
             "HTTP_AUTHORIZATION": "Bearer acme.x",
         }
+        in_flight = int(headers.pop("IN_FLIGHT", 0))
+        environ[http_server.IN_FLIGHT_KEY] = in_flight
         for name, value in headers.items():
             environ[f"HTTP_{name.upper()}"] = value
         caller = Caller(self._session, self._app, environ)
--- a/packages/daemon/tests/golden/test_sessions.py
+++ b/packages/daemon/tests/golden/test_sessions.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from rattanpulley_core import interfaces
+from rattanpulleyd._internal.api import app
 from rattanpulleyd._internal.config import table_watch
 
 COMPLETION = {"model": "m", "prompt": "p", "seed": 7, "stream": True}
@@ -127,6 +128,7 @@
     daemon.request(path, COMPLETION, x_route="other")
     daemon.request(path, COMPLETION, authorization="")
     daemon.request(path, COMPLETION, last_event_id="1:2")
+    daemon.request(path, COMPLETION, IN_FLIGHT=str(app.MAX_IN_FLIGHT + 1))
     daemon.request("/v1/nothing", {})
     daemon.request("/services/none/x", {})
     daemon.request(path, COMPLETION, idempotency_key="r")
