Choose targets by expected cost

Cause: the least outstanding target says nothing about prefix caches, and a target that refuses at once looks idle.

Change: ExpectedCostChooser compares two targets that the prompt's prefix hashes to (rendezvous hashing within 1.1 times the mean load) with two random ones, and weighs recomputation against queueing. Failing targets are ejected for a growing time, 30 % at most; targets that come back start slowly; load reports lose weight with their age; each target has a limit by additive increase and multiplicative decrease. New names: targets.ExpectedCostChooser, targets.LoadReport, TargetTable.apply_load, targets.prefix_block_hashes, targets.eligible_targets. LeastOutstandingChooser is unchanged.

--- a/packages/core/src/rattanpulley_core/_internal/generations/arrivals.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/arrivals.py
@@ -8,6 +8,7 @@
 from rattanpulley_core._internal.generations import placement
 from rattanpulley_core._internal.generations import rows
 from rattanpulley_core._internal.resume_token import signer as token_signer
+from rattanpulley_core._internal.targets import prefixes
 
 _State = rows.GenerationState
 _Code = results.ResultCode
@@ -134,7 +135,12 @@
 ) -> None:
     request = event.request
     generation = rows.Generation(
-        request=request, arrived_at_s=now_s, deadline_s=request.deadline_s
+        request=request,
+        arrived_at_s=now_s,
+        deadline_s=request.deadline_s,
+        prefix_block_hashes=prefixes.block_hashes(
+            request.model, request.prompt
+        ),
     )
     ctx.generations_by_id[request.generation_id] = generation
     _add_caller(generation, event)
--- a/packages/core/src/rattanpulley_core/_internal/generations/placement.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/placement.py
@@ -16,6 +16,9 @@
 # Longest wait of a new request; afterwards another daemon may do better.
 NEW_REQUEST_WAIT_S = 2.0
 
+# Characters of a token of usual text.
+CHARS_PER_TOKEN = 4
+
 _Code = results.ResultCode
 # Pool and version, or None for any version.
 _Group = tuple[str, str | None]
@@ -195,4 +198,5 @@
         is_resume=generation.is_resume,
         suspect=ctx.ledger.is_suspect(request.fingerprint, now_s),
         prefix_tokens=len(generation.journal),
+        prompt_tokens=len(request.prompt) // CHARS_PER_TOKEN,
     )
--- a/packages/core/src/rattanpulley_core/_internal/generations/streams.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/streams.py
@@ -199,6 +199,7 @@
     now_s: float,
 ) -> None:
     generation.exclude(attempt.target.name, now_s + REFUSED_EXCLUSION_S)
+    attempt.target.load.record_refusal()
     _retry(ctx, generation, attempt, now_s)
 
 
--- a/packages/core/src/rattanpulley_core/_internal/targets/choosers.py
+++ b/packages/core/src/rattanpulley_core/_internal/targets/choosers.py
@@ -27,6 +27,7 @@
         suspect: Whether the request is suspected of crashing targets.
         kind: Kind of target.
         prefix_tokens: Tokens that a resume has to compute again.
+        prompt_tokens: Estimated tokens of the prompt.
     """
 
     pool: str
@@ -37,6 +38,7 @@
     suspect: bool = False
     kind: table_rows.TargetKind = table_rows.TargetKind.ENGINE
     prefix_tokens: int = 0
+    prompt_tokens: int = 0
 
 
 class TargetChooser(abc.ABC):
--- a/packages/core/src/rattanpulley_core/_internal/targets/rows.py
+++ b/packages/core/src/rattanpulley_core/_internal/targets/rows.py
@@ -4,6 +4,7 @@
 import enum
 
 from rattanpulley_core._internal.tables import rows as table_rows
+from rattanpulley_core._internal.targets import loads
 
 # Weight of a new sample in the smoothed time to the first token.
 FIRST_TOKEN_WEIGHT = 0.125
@@ -42,6 +43,7 @@
         leaving_since_s: Monotonic time since which it is leaving, or None.
         leaving_by_list: Whether the host list says that it is leaving.
         leaving_by_health: Whether its health answer says so.
+        load: Reported load, limit and slow start.
     """
 
     name: str
@@ -63,9 +65,13 @@
     leaving_since_s: float | None = None
     leaving_by_list: bool = False
     leaving_by_health: bool = False
+    load: loads.TargetLoad = dataclasses.field(default_factory=loads.TargetLoad)
 
     def record_first_token(self, elapsed_s: float) -> None:
         """Adds a sample of the time to the first token."""
+        self.load.record_first_token(
+            elapsed_s, self.first_token_s, self.in_flight
+        )
         if self.first_token_s == 0.0:
             self.first_token_s = elapsed_s
             return
@@ -95,4 +101,5 @@
         self.doubtful = False
         if self.state is TargetState.LOST:
             self.state = TargetState.LIVE
+            self.load.live_since_s = now_s
         self.update_leaving(now_s)
--- a/packages/core/src/rattanpulley_core/_internal/targets/table.py
+++ b/packages/core/src/rattanpulley_core/_internal/targets/table.py
@@ -4,6 +4,7 @@
 
 from rattanpulley_core._internal.tables import rows as table_rows
 from rattanpulley_core._internal.targets import hosts
+from rattanpulley_core._internal.targets import loads
 from rattanpulley_core._internal.targets import rows
 
 
@@ -31,10 +32,13 @@
     ) -> None:
         """Adopts the pools table; removed targets receive no new work."""
         named: set[str] = set()
+        is_first = not self.targets_by_name
         for pool in pool_table.pools_by_name.values():
             for spec in pool.targets_by_name.values():
                 named.add(spec.name)
-                self._apply_spec(pool, spec, now_s)
+                target = self._apply_spec(pool, spec, now_s)
+                if target is not None and not is_first:
+                    target.load.live_since_s = now_s
         for target in list(self.targets_by_name.values()):
             if target.name not in named:
                 target.in_pool = False
@@ -63,6 +67,17 @@
             target.leaving_by_list = target.name in self._leaving_names
             target.update_leaving(now_s)
 
+    def apply_load(
+        self, name: str, report: loads.LoadReport, now_s: float
+    ) -> None:
+        """Adopts a target's answer to the load call."""
+        target = self.targets_by_name.get(name)
+        if target is not None:
+            waiting = target.awaiting_first_token
+            target.load.apply_report(
+                report, target.in_flight - waiting, waiting, now_s
+            )
+
     def set_version_weights(
         self, pool: str, weights_by_version: dict[str, float] | None
     ) -> None:
@@ -105,7 +120,8 @@
         pool: table_rows.Pool,
         spec: table_rows.TargetSpec,
         now_s: float,
-    ) -> None:
+    ) -> rows.Target | None:
+        """Adopts a row; returns the target if it is new."""
         target = self.targets_by_name.get(spec.name)
         if target is None:
             target = rows.Target(
@@ -119,10 +135,11 @@
             self.targets_by_name[spec.name] = target
             target.leaving_by_list = spec.name in self._leaving_names
             target.update_leaving(now_s)
-            return
+            return target
         target.url = spec.url
         target.failure_domain = spec.failure_domain
         target.kind = pool.kind
         target.pool = pool.name
         target.version = spec.version
         target.in_pool = True
+        return None
--- a/packages/core/src/rattanpulley_core/targets.py
+++ b/packages/core/src/rattanpulley_core/targets.py
@@ -1,7 +1,10 @@
 """Public names of the targets subject."""
 
 from rattanpulley_core._internal.targets import choosers
+from rattanpulley_core._internal.targets import cost_chooser
 from rattanpulley_core._internal.targets import hosts
+from rattanpulley_core._internal.targets import loads
+from rattanpulley_core._internal.targets import prefixes
 from rattanpulley_core._internal.targets import rows
 from rattanpulley_core._internal.targets import table
 
@@ -12,5 +15,9 @@
 TargetTable = table.TargetTable
 TargetQuery = choosers.TargetQuery
 TargetChooser = choosers.TargetChooser
+LoadReport = loads.LoadReport
+ExpectedCostChooser = cost_chooser.ExpectedCostChooser
 LeastOutstandingChooser = choosers.LeastOutstandingChooser
+eligible_targets = choosers.eligible_targets
+prefix_block_hashes = prefixes.block_hashes
 RESUME_SLOTS_PER_TARGET = choosers.RESUME_SLOTS_PER_TARGET
