--- a/packages/core/src/rattanpulley_core/_internal/generations/streams.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/streams.py
@@ -64,9 +64,8 @@
         ctx.counters.version_mismatches += 1
         end_corrupt(ctx, generation, attempt, now_s)
         return
-    duplicates = checks.count_duplicates(
-        len(generation.journal), event.first_index
-    )
+    length = len(generation.journal)
+    duplicates = checks.count_duplicates(length, event.first_index)
     if duplicates is None:
         ctx.counters.gaps += 1
         end_corrupt(ctx, generation, attempt, now_s)
@@ -75,9 +74,9 @@
     if duplicates:
         ctx.counters.duplicate_tokens += min(duplicates, len(tokens))
         tokens = tokens[duplicates:]
-        if not tokens:
-            return
-    if len(generation.journal) + len(tokens) > journals.MAX_TOKENS:
+    if not tokens:
+        return
+    if length + len(tokens) > journals.MAX_TOKENS:
         attempts.cancel(ctx, generation)
         lifecycle.end(
             ctx,
@@ -200,6 +199,7 @@
     now_s: float,
 ) -> None:
     generation.exclude(attempt.target.name, now_s + REFUSED_EXCLUSION_S)
+    attempt.target.load.record_refusal()
     _retry(ctx, generation, attempt, now_s)
 
 
@@ -237,14 +237,7 @@
     generation.exclude(target.name, now_s + FAILED_EXCLUSION_S)
     target.consecutive_failures += 1
     if attempt.accepted:
-        ctx.ledger.record_reset(
-            target.name,
-            target.failure_domain,
-            attempt.boot_id or target.boot_id,
-            generation.request.fingerprint,
-            attempt.has_token,
-            now_s,
-        )
+        probes.record_reset(ctx, generation, attempt, now_s)
     attempts.cancel(ctx, generation)
     probes.examine(ctx, target, now_s)
     lifecycle.interrupt(ctx, generation, now_s)
