Add the measurement of resume latency and tests of the processes

Cause: the bounds on resume latency need figures against baselines, and the processes were only tried by hand.

Change: rounds of faults hit callers of the daemons and two baselines at the same moment: restart from the beginning, and resume after a fixed 5 s of silence. Baselines use the engines directly. Tests start real stand-ins.

--- a/packages/standins/src/rattanpulley_standins/_internal/load/direct.py
+++ b/packages/standins/src/rattanpulley_standins/_internal/load/direct.py
@@ -65,6 +65,7 @@
         self._attempt = 1
         self._tokens: list[str] = []
         self._longest = 0
+        self._has_read = False
 
     def run(self) -> record_lib.AnswerRecord:
         """Reads until the answer ends or time is up."""
@@ -103,6 +104,7 @@
         raise event_source.BrokenError("the stream ended without its end")
 
     def _take(self, token: str) -> None:
+        self._has_read = True
         self._tokens.append(token)
         count = self.record.checker.feed(token)
         if self.record.checker.next_index > self._longest:
@@ -119,10 +121,12 @@
             self._attempt += 1
         else:
             self._restart()
+        self._engine = self._rng.choice(others)
         # The engine that is chosen may be lost, too; the pause keeps a caller
         # without any live engine from a busy loop.
-        time.sleep(RETRY_S)
-        self._engine = self._rng.choice(others)
+        if not self._has_read:
+            time.sleep(RETRY_S)
+        self._has_read = False
 
     def _restart(self) -> None:
         self._generation_id = f"{self._rng.getrandbits(128):032x}"
--- /dev/null
+++ b/packages/standins/src/rattanpulley_standins/_internal/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Internals of the measurement of resume latency."""
--- /dev/null
+++ b/packages/standins/src/rattanpulley_standins/_internal/measure/command.py
@@ -0,0 +1,126 @@
+"""Command line of the measurement of resume latency."""
+
+import argparse
+import datetime
+import json
+import pathlib
+import sys
+from typing import Any
+
+import gevent
+
+from rattanpulley_standins._internal.injection import costs as costs_lib
+from rattanpulley_standins._internal.injection import injector as injector_lib
+from rattanpulley_standins._internal.launch import command
+from rattanpulley_standins._internal.launch import deployment as deployment_lib
+from rattanpulley_standins._internal.load import run as load_run
+from rattanpulley_standins._internal.measure import crowd as crowd_lib
+from rattanpulley_standins._internal.measure import results
+from rattanpulley_standins._internal.measure import rounds as rounds_lib
+
+WARM_UP_S = 6.0
+COUNTERS_SETTLE_S = 0.5
+
+
+def main() -> None:
+    """Measures and writes the results."""
+    parser = argparse.ArgumentParser(
+        prog="rattanpulley_standins.measure_resume"
+    )
+    command.add_options(parser)
+    parser.add_argument("--rounds", type=int, default=6)
+    parser.add_argument("--daemon-callers", type=int, default=48)
+    parser.add_argument("--baseline-callers", type=int, default=16)
+    parser.add_argument("--length", type=int, default=300)
+    parser.add_argument(
+        "--output",
+        type=pathlib.Path,
+        default=pathlib.Path("docs/measurements/resume.json"),
+    )
+    arguments = parser.parse_args()
+    command.handle_end_signals()
+    try:
+        values = _measure(arguments)
+    except KeyboardInterrupt:
+        sys.exit(130)
+    arguments.output.parent.mkdir(parents=True, exist_ok=True)
+    text = json.dumps(values, indent=2) + "\n"
+    arguments.output.write_text(text, "utf-8")
+    print(text, end="")
+
+
+def _measure(arguments: argparse.Namespace) -> dict[str, Any]:
+    options = command.options_from(arguments)
+    with deployment_lib.Deployment(options) as running:
+        without_faults = _measure_without_faults(running, arguments)
+    with deployment_lib.Deployment(options) as running:
+        with_faults = _measure_faults(running, arguments)
+    return {
+        "date": datetime.datetime.now(datetime.UTC).date().isoformat(),
+        "options": {
+            "seed": options.seed,
+            "domains": list(options.domains),
+            "engines": len(running.engines),
+            "daemons": options.daemons,
+            "token_interval_ms": options.token_interval_ms,
+            "rounds": arguments.rounds,
+            "daemon_callers": arguments.daemon_callers,
+            "baseline_callers": arguments.baseline_callers,
+            "answer_tokens": arguments.length,
+        },
+        "without_faults": without_faults,
+        **with_faults,
+    }
+
+
+def _measure_without_faults(
+    running: deployment_lib.Deployment, arguments: argparse.Namespace
+) -> dict[str, Any]:
+    options = load_run.LoadOptions(
+        urls=[daemon.url for daemon in running.daemons],
+        callers=arguments.daemon_callers,
+        length=arguments.length,
+        seed=arguments.seed,
+    )
+    records = load_run.run_load(options)
+    gevent.sleep(COUNTERS_SETTLE_S)
+    meter = costs_lib.CostMeter(running)
+    meter.sample()
+    delivered = sum(len(record.token_times_s) for record in records)
+    return {
+        "answers": len(records),
+        "whole": sum(record.is_whole for record in records),
+        "delivered_tokens": delivered,
+        "generated_tokens": meter.costs().generated_tokens,
+        "extra_token_share": round(meter.costs().extra_share(delivered), 5),
+        "limit": 0.01,
+    }
+
+
+def _measure_faults(
+    running: deployment_lib.Deployment, arguments: argparse.Namespace
+) -> dict[str, Any]:
+    crowd = crowd_lib.Crowd(
+        running,
+        crowd_lib.CrowdOptions(
+            daemon_callers=arguments.daemon_callers,
+            baseline_callers=arguments.baseline_callers,
+            length=arguments.length,
+            seed=arguments.seed,
+        ),
+    )
+    injector = injector_lib.Injector(running, arguments.seed)
+    rounds = rounds_lib.Rounds(injector, len(running.engines))
+    crowd.start()
+    gevent.sleep(WARM_UP_S)
+    for number in range(arguments.rounds):
+        for kind in rounds_lib.KINDS:
+            injection = rounds.run(kind)
+            names = ", ".join(injection.names)
+            print(f"round {number + 1}: {kind.value} {names}", file=sys.stderr)
+    crowd.stop()
+    interval_ms = arguments.token_interval_ms
+    return {
+        "resume_latency_ms": results.fault_results(rounds, crowd, interval_ms),
+        "answers": results.answer_results(crowd),
+    }
--- /dev/null
+++ b/packages/standins/src/rattanpulley_standins/measure_resume/__init__.py
@@ -0,0 +1,1 @@
+"""Measurement of the resume latency and of what resuming costs."""
