--- a/packages/core/src/rattanpulley_core/_internal/tables/pool_parser.py
+++ b/packages/core/src/rattanpulley_core/_internal/tables/pool_parser.py
@@ -47,12 +47,14 @@
 def _parse_versions(row: reader.Reader) -> dict[str, rows.VersionSpec]:
     holders_by_name = row.children("versions")
     row.check_names(holders_by_name)
+    faults_before = len(row.found)
     versions_by_name = {
         name: rows.VersionSpec(name, holder.number("weight", 0, MAX_WEIGHT, 1))
         for name, holder in holders_by_name.items()
     }
-    is_map = isinstance(row.fields.get("versions"), dict)
-    if is_map and not sum(v.weight for v in versions_by_name.values()):
+    is_sound = isinstance(row.fields.get("versions"), dict)
+    is_sound = is_sound and len(row.found) == faults_before
+    if is_sound and not any(v.weight for v in versions_by_name.values()):
         row.report(
             "versions",
             "no version has a weight above 0",
@@ -127,6 +129,8 @@
         start_at_s=holder.number("start_at_s", MIN_WALL_S, MAX_WALL_S),
         finish_by_s=holder.number("finish_by_s", MIN_WALL_S, MAX_WALL_S),
         paused=holder.flag("paused", default=False),
+        paused_at_s=_parse_paused_at(holder),
+        taken_back=holder.flag("taken_back", default=False),
     )
     for key in ("from_version", "to_version"):
         version = getattr(move, key)
@@ -137,6 +141,12 @@
     return move
 
 
+def _parse_paused_at(holder: reader.Reader) -> float | None:
+    if holder.fields.get("paused_at_s") is None:
+        return None
+    return holder.number("paused_at_s", MIN_WALL_S, MAX_WALL_S)
+
+
 def _check_move(
     holder: reader.Reader,
     move: rows.Move,
