--- a/packages/cli/src/rattanpulley/_internal/commands/status_command.py
+++ b/packages/cli/src/rattanpulley/_internal/commands/status_command.py
@@ -62,15 +62,14 @@
     for answer in answers:
         report = answer.status
         versions = _object(report.get("tables"))
-        state = "silent" if answer.is_silent else report.get("state", "up")
         rows.append(
             (
                 text.printable(answer.url),
                 text.cell(report.get("name")),
                 text.cell(report.get("failure_domain")),
-                text.cell(state),
-                text.cell(versions.get("routes")),
-                text.cell(versions.get("pools")),
+                _state(answer),
+                text.cell(_object(versions.get("routes")).get("version")),
+                text.cell(_object(versions.get("pools")).get("version")),
                 text.cell(answer.problem),
             )
         )
@@ -106,5 +105,13 @@
     return text.Grid(headers, rows)
 
 
+def _state(answer: status.DaemonStatus) -> str:
+    if answer.is_silent:
+        return "silent"
+    if answer.status.get("draining"):
+        return "draining"
+    return "ready" if answer.status.get("ready") else "not ready"
+
+
 def _object(value: Any) -> dict[str, Any]:
     return value if isinstance(value, dict) else {}
