--- a/packages/adapters/src/rattanpulley_adapters/_internal/platform/object_store.py
+++ b/packages/adapters/src/rattanpulley_adapters/_internal/platform/object_store.py
@@ -39,7 +39,7 @@
         )
         _raise_on_conflict(answer, key)
         body = _checked(answer, f"PUT {path}")
-        return _object({"key": key, **body, "value": value}, f"PUT {path}")
+        return _object(body, f"PUT {path}")
 
     def delete(self, key: str, expected_version: int) -> None:
         """Deletes conditionally; see the base class."""
