Send evidence in a compact form and keep a stale read out of a refusal

Cause: a batch of evidence repeated the field names in every observation. A refused apply read the table again, and a stale read could name the expected version as the present one.

Change: an observation is a list; the refusal uses the read that decided it; the race machine also makes reads stale.

--- a/packages/cli/src/rattanpulley/_internal/store/table_writer.py
+++ b/packages/cli/src/rattanpulley/_internal/store/table_writer.py
@@ -76,6 +76,7 @@
     change: Change
     entry: tables.ChangeEntry
     known_version: int
+    seen: table_reader.StoredTable
     unclear: bool = False
 
 
@@ -121,7 +122,7 @@
         self._copy_entry(stored)
         entry = self._new_entry(change, stored.value)
         value = tables.with_change(stored.value, change.value, entry)
-        write = _Write(change, entry, stored.version)
+        write = _Write(change, entry, stored.version, stored)
         version = self._write(write, value)
         return Applied(version, entry.change_id, differences, write.unclear)
 
@@ -211,8 +212,7 @@
             if found is _Found.APPLIED:
                 return version
             if found is _Found.LOST:
-                stored = table_reader.read_table(self._store, write.change.kind)
-                raise self._conflict(write.change, stored)
+                raise self._conflict(write.change, write.seen)
         raise _unknown(write)
 
     def _read_back(self, write: _Write) -> tuple[_Found, int]:
@@ -225,6 +225,7 @@
         if stored.version < write.known_version:
             # The read is older than an answer that the store gave before.
             return _Found.UNCLEAR, 0
+        write.seen = stored
         if self._is_own(write, stored.entry):
             return _Found.APPLIED, stored.version
         if stored.version == expected:
--- a/packages/cli/tests/conftest.py
+++ b/packages/cli/tests/conftest.py
@@ -12,8 +12,9 @@
 
     Attributes:
         plan: What happens to the next calls: "ok", "lost" (takes effect, no
-            answer), "down" (no effect, no answer), or a function to call
-            first; "ok" when empty.
+            answer), "down" (no effect, no answer), "stale" (a read of the
+            state before the newest), or a function to call first; "ok" when
+            empty.
     """
 
     def __init__(self):
@@ -25,6 +26,9 @@
     def get(self, key):
         self._begin()
         stored = self.objects_by_key.get(key)
+        former = [s for s in self.history if s.key == key][:-1]
+        if self._fate == "stale" and former:
+            stored = former[-1]
         self._end()
         return copy.deepcopy(stored)
 
--- a/packages/cli/tests/store/test_table_writer.py
+++ b/packages/cli/tests/store/test_table_writer.py
@@ -12,6 +12,7 @@
 from rattanpulley._internal.store import table_writer
 from rattanpulley_core import tables
 
+FATES = ["ok", "lost", "down", "stale"]
 KIND = tables.TableKind.POOLS
 
 
@@ -73,7 +74,7 @@
             self.confirmed.append((weight, applied.version))
 
     @stateful.rule(
-        fates=st.lists(st.sampled_from(["ok", "lost", "down"]), max_size=8),
+        fates=st.lists(st.sampled_from(FATES), max_size=8),
         rival_at=st.integers(0, 9),
         stale=st.integers(0, 1),
     )
@@ -169,6 +170,13 @@
         operators.apply("ana", 1, 0)
 
 
+def test_a_stale_read_does_not_hide_a_change_that_took_effect(operators):
+    # The reads after the write show the state before it.
+    operators.apply("ana", 1, 0)
+    operators.store.plan = [*["ok"] * 3, "lost", "stale", "ok", "stale"]
+    assert operators.apply("ana", 2, 1).version == 2
+
+
 def test_unknown_fields_beside_the_rows_are_kept(operators):
     # Guards against an older program dropping what a newer one wrote.
     operators.store.put(KIND.key, {**pools_value(1), "notes": "x"}, 0)
--- a/packages/core/src/rattanpulley_core/_internal/moves/messages.py
+++ b/packages/core/src/rattanpulley_core/_internal/moves/messages.py
@@ -260,17 +260,23 @@
 
 
 def batch_to_json(batch: EvidenceBatch) -> dict[str, Any]:
-    """Returns the JSON form of a batch."""
-    fields = dataclasses.asdict(batch)
-    for row, item in zip(
-        fields["observations"], batch.observations, strict=True
-    ):
-        row["signal"] = item.signal.value
+    """Returns the JSON form of a batch.
+
+    An observation is a list without field names, because every daemon gets the
+    batches of all others within its budget for control messages.
+    """
+    fields = {
+        field.name: getattr(batch, field.name)
+        for field in dataclasses.fields(batch)
+    }
+    fields["observations"] = [
+        _observation_row(item) for item in batch.observations
+    ]
     return fields
 
 
 def batch_from_json(value: Any) -> EvidenceBatch:
-    """Returns the batch of a JSON form.
+    """Returns the batch of a JSON form; unknown fields are ignored.
 
     Raises:
         ValueError: The value is not a batch.
@@ -286,29 +292,36 @@
                 _observation(row) for row in value["observations"]
             ),
         )
-    except (AttributeError, KeyError, TypeError) as error:
+    except (IndexError, KeyError, TypeError) as error:
         raise ValueError(f"not an evidence batch: {error!r}") from error
 
 
+def _observation_row(item: Observation) -> list[Any]:
+    crash = item.crash
+    return [
+        item.signal.value,
+        item.route,
+        float(f"{item.share:.4g}"),
+        list(dataclasses.astuple(item.counts)),
+        list(item.bad_targets),
+        None if crash is None else list(dataclasses.astuple(crash)),
+    ]
+
+
 def _observation(row: Any) -> Observation:
-    crash = row["crash"]
-    counts = Counts(**{key: int(n) for key, n in row["counts"].items()})
-    if min(dataclasses.astuple(counts)) < 0:
+    signal, route, share, counts, bad_targets, crash = row[:6]
+    numbers = [int(number) for number in counts[:4]]
+    if min(numbers) < 0:
         raise ValueError("not an evidence batch: a count is negative")
     return Observation(
-        signal=Signal(row["signal"]),
-        route=str(row["route"]),
-        share=float(row["share"]),
-        counts=counts,
-        bad_targets=tuple(str(name) for name in row["bad_targets"]),
+        signal=Signal(signal),
+        route=str(route),
+        share=float(share),
+        counts=Counts(*numbers),
+        bad_targets=tuple(str(name) for name in bad_targets),
         crash=None if crash is None else _crash(crash),
     )
 
 
 def _crash(row: Any) -> CrashEvent:
-    return CrashEvent(
-        failure_domain=str(row["failure_domain"]),
-        target=str(row["target"]),
-        is_new=bool(row["is_new"]),
-        wall_s=float(row["wall_s"]),
-    )
+    return CrashEvent(str(row[0]), str(row[1]), bool(row[2]), float(row[3]))
--- a/packages/core/tests/moves/test_verdicts.py
+++ b/packages/core/tests/moves/test_verdicts.py
@@ -59,6 +59,6 @@
     batch = moves.EvidenceBatch("a", "boot", 3, "p", "m1", (observation,))
     assert moves.batch_from_json(moves.batch_to_json(batch)) == batch
     value = moves.batch_to_json(batch)
-    value["observations"][0]["counts"]["new_ok"] = -1
+    value["observations"][0][3][0] = -1
     with pytest.raises(ValueError, match="negative"):
         moves.batch_from_json(value)
