Limit the requests in flight of each account

Cause: the routes table had limits of accounts that nothing enforced.

Change: each daemon admits twice its even share of an account's limit, from the number of daemons alive; 1207 beyond it, not_run. A caller that comes back for the rest of its answer is counted and not refused. A refusal of an unrepeatable call, also for overload, first looks at the record of its key.

Weighed: an exact count at an owner of each account, which needs a stream or a message for each request; an even share without slack, which refuses accounts that the balancer spreads unevenly.

Measured: a hypothesis test holds the bound of 2 c + n requests for a limit of c and n daemons, and that no daemon refuses below c / n.

Conclusion: the bound is stated and tested; shares do not follow demand.

--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of accounts."""
--- /dev/null
+++ b/packages/core/tests/limits/test_accounts.py
@@ -0,0 +1,69 @@
+"""Tests of the limits of accounts."""
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from rattanpulley_core import limits
+from rattanpulley_core import tables
+
+
+def make_route(concurrent, **limits_by_account):
+    return tables.Route(
+        name="assistant",
+        match=tables.Match(model="assistant"),
+        pool="assistant",
+        kind=tables.TargetKind.ENGINE,
+        default_limit=tables.AccountLimit(concurrent),
+        limits_by_account={
+            name: tables.AccountLimit(value)
+            for name, value in limits_by_account.items()
+        },
+    )
+
+
+def test_account_at_its_limit_is_refused_and_others_are_not():
+    # Guards against an account that starves the others.
+    route = make_route(2, large=3)
+    found = limits.AccountLimits()
+    assert [found.admit(route, "a") for _ in range(3)] == [True, True, False]
+    assert [found.admit(route, "large") for _ in range(4)].count(True) == 3
+    assert found.admit(route, "b")
+    found.release(route.name, "a")
+    assert found.admit(route, "a")
+
+
+def test_returning_caller_is_admitted_at_the_limit():
+    # Guards against an answer that is lost because its old connection counts.
+    route = make_route(1)
+    found = limits.AccountLimits()
+    assert found.admit(route, "a")
+    assert found.admit(route, "a", returning=True)
+
+
+@hypothesis.settings(derandomize=True, deadline=None)
+@hypothesis.given(
+    concurrent=st.integers(1, 500),
+    daemons=st.integers(1, 380),
+    choices=st.lists(st.integers(0, 379), max_size=300),
+)
+def test_over_admission_is_bounded(concurrent, daemons, choices):
+    # Guards against a sum of shares beyond the stated bound, and against a
+    # refusal at a daemon that has less than its even share.
+    route = make_route(concurrent)
+    parts = [limits.AccountLimits() for _ in range(daemons)]
+    for part in parts:
+        part.set_daemon_count(daemons)
+    shares = [part.share(route, "a") for part in parts]
+    assert sum(shares) <= limits.UNEVEN_FACTOR * concurrent + daemons
+    admitted = [0] * daemons
+    for choice in choices:
+        index = choice % daemons
+        ok = parts[index].admit(route, "a")
+        assert ok or admitted[index] >= concurrent / daemons
+        admitted[index] += ok
+
+
+def test_no_daemons_are_refused():
+    with pytest.raises(ValueError, match="0 daemons"):
+        limits.AccountLimits().set_daemon_count(0)
--- a/packages/daemon/src/rattanpulleyd/_internal/api/answers.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/answers.py
@@ -25,6 +25,7 @@
         runtime: runtime_lib.Runtime,
         request: generations.GenerationRequest,
         resume: generations.ResumePoint | None,
+        on_close: Callable[[], None],
     ) -> None:
         """Starts the answer.
 
@@ -32,8 +33,10 @@
             runtime: Runtime of the daemon.
             request: The routed request.
             resume: Where a caller that comes back goes on.
+            on_close: Called at the end of the connection.
         """
         self._runtime = runtime
+        self._on_close = on_close
         self._generation_id = request.generation_id
         self._caller_id = runtime.next_caller_id()
         self._caller = caller.QueuedCaller()
@@ -53,6 +56,7 @@
 
     def close(self) -> None:
         """Notes the end of the connection; may be called again."""
+        self._on_close()
         self._runtime.remove_caller(self._caller_id, self._generation_id)
 
 
--- a/packages/daemon/src/rattanpulleyd/_internal/api/app.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/app.py
@@ -10,6 +10,7 @@
 from rattanpulley_core import resume_token
 from rattanpulley_core import tables
 from rattanpulleyd import exceptions
+from rattanpulleyd._internal.api import admission
 from rattanpulleyd._internal.api import answers
 from rattanpulleyd._internal.api import http_io
 from rattanpulleyd._internal.api import identity
@@ -23,10 +24,6 @@
 from rattanpulleyd._internal.settings import model
 from rattanpulleyd._internal.telemetry import counters
 
-# A stream takes about 70 KB, so that this many fit in 128 MB. The design size
-# has 77 streams on a daemon.
-MAX_IN_FLIGHT = 1000
-
 _Counter = counters.Counter
 
 
@@ -86,7 +83,8 @@
     def _service(self, service: str, path: str) -> bytes:
         account = self._accept()
         route = router.service_route(self._runtime.config.routes, service)
-        return self._services.answer(route, account, path)
+        with admission.admitted(self._runtime, route, account) as refusal:
+            return self._services.answer(route, account, path, refusal)
 
     def _ready(self) -> dict[str, Any]:
         ready = status.is_ready(self._runtime)
@@ -106,11 +104,6 @@
     def _accept(self) -> str:
         """Counts a new request and returns its account."""
         self._runtime.counts.count(_Counter.REQUESTS)
-        in_flight = bottle.request.environ.get(http_server.IN_FLIGHT_KEY, 0)
-        if in_flight > MAX_IN_FLIGHT:
-            raise exceptions.RequestError(
-                results.ResultCode.OVERLOADED, "Too many answers are in flight."
-            )
         return self._account()
 
     def _generate(self, is_chat: bool) -> Any:
@@ -128,7 +121,8 @@
             is_chat=is_chat,
             include_usage=parsed.include_usage,
         )
-        call = answers.Call(self._runtime, request, resume)
+        hold = admission.Hold(self._runtime, request, resume is not None)
+        call = answers.Call(self._runtime, request, resume, hold.release)
         if parsed.stream:
             return self._stream(call, head, request)
         try:
--- a/packages/daemon/src/rattanpulleyd/_internal/api/service_calls.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/service_calls.py
@@ -68,25 +68,33 @@
         self._new_token = new_token
         self._recent_keys = recent_keys.RecentKeys()
 
-    def answer(self, route: tables.Route, account: str, path: str) -> bytes:
+    def answer(
+        self,
+        route: tables.Route,
+        account: str,
+        path: str,
+        refusal: exceptions.RequestError | None,
+    ) -> bytes:
         """Answers the current request.
 
         Args:
             route: Route of the request.
             account: Account of the caller.
             path: Path below the route's name.
+            refusal: Why no new call may be made, or None. A call that may not
+                run twice still gets the answer of an earlier one.
 
         Raises:
             exceptions.RequestError: There is no answer of the service.
         """
-        if route.repeatable and self._runtime.draining:
-            raise _draining()
+        if route.repeatable and refusal is not None:
+            raise refusal
         body = http_io.read_body(MAX_BODY_BYTES)
         self._runtime.counts.count(_Counter.SERVICE_CALLS)
         if route.repeatable:
             answer = self._call_repeatable(route, path, body)
         else:
-            answer = self._call_claimed(route, account, path, body)
+            answer = self._call_claimed(route, account, path, body, refusal)
         return _passed_on(answer)
 
     def _call_repeatable(
@@ -118,7 +126,12 @@
         )
 
     def _call_claimed(
-        self, route: tables.Route, account: str, path: str, body: bytes
+        self,
+        route: tables.Route,
+        account: str,
+        path: str,
+        body: bytes,
+        refusal: exceptions.RequestError | None,
     ) -> interfaces.ServiceAnswer:
         """Makes a call that must run at most once.
 
@@ -129,7 +142,7 @@
         answer: claims.Answer | None = None
         for _ in range(MAX_TRIES):
             target = None
-            if not self._runtime.draining:
+            if refusal is None:
                 target = self._choose(route, tried)
             if target is None:
                 break
@@ -139,6 +152,8 @@
                 break
         if answer is None:
             answer = self._look_up(route, account, path, body)
+        if answer is None:
+            raise refusal or _no_target()
         return self._checked(answer, account)
 
     def _checked(
@@ -183,15 +198,12 @@
 
     def _look_up(
         self, route: tables.Route, account: str, path: str, body: bytes
-    ) -> claims.Answer:
+    ) -> claims.Answer | None:
         """Returns the recorded answer of a call that cannot be made now."""
         order = _order(route, None, path, body, fresh=True)
         request = self._request(route, account, order)
         wall_s = self._runtime.clock.wall_s()
-        found = claims.look_up(request, self._store, wall_s)
-        if found is not None:
-            return found
-        raise _draining() if self._runtime.draining else _no_target()
+        return claims.look_up(request, self._store, wall_s)
 
     def _request(
         self,
@@ -270,10 +282,6 @@
     )
 
 
-def _draining() -> exceptions.RequestError:
-    return exceptions.RequestError(_Code.DRAINING, "This daemon is stopping.")
-
-
 def _no_target() -> exceptions.RequestError:
     return exceptions.RequestError(
         _Code.NO_TARGET, "No target of the service stands ready."
--- a/packages/daemon/src/rattanpulleyd/_internal/api/status.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/status.py
@@ -7,6 +7,8 @@
 from rattanpulleyd._internal.runtime import runtime as runtime_lib
 from rattanpulleyd._internal.settings import model
 
+LARGEST_ACCOUNTS = 20
+
 
 def is_ready(runtime: runtime_lib.Runtime) -> bool:
     """Returns whether the daemon can serve new requests.
@@ -38,6 +40,12 @@
             kind.value: _table_report(runtime.config, kind, now_s)
             for kind in tables.TableKind
         },
+        "accounts": [
+            {"route": route, "account": account, "in_flight": in_flight}
+            for route, account, in_flight in runtime.limits.largest(
+                LARGEST_ACCOUNTS
+            )
+        ],
         "generations": dataclasses.asdict(runtime.core.status(now_s)),
         "targets": _target_reports(runtime),
         "counters": runtime.counts.totals_by_name(),
--- a/packages/daemon/src/rattanpulleyd/_internal/peers/peer_runtime.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/peers/peer_runtime.py
@@ -11,6 +11,7 @@
 import loguru
 
 from rattanpulley_core import interfaces
+from rattanpulley_core import limits
 from rattanpulley_core import peers
 from rattanpulley_core import suspects
 from rattanpulley_core import tables
@@ -46,6 +47,7 @@
         config: tables.ConfigState,
         suspect_table: suspects.SuspectTable,
         offer_table: TableOffer,
+        account_limits: limits.AccountLimits,
     ) -> None:
         """Prepares the part and listens; `start` accepts streams.
 
@@ -57,11 +59,13 @@
             config: The tables in force.
             suspect_table: Takes the crash reports of other daemons.
             offer_table: Offers a table that a peer sent.
+            account_limits: Takes the number of daemons alive.
         """
         self._clock = clock
         self._config = config
         self._suspects = suspect_table
         self._offer_table = offer_table
+        self._limits = account_limits
         self.on_move_fact: Callable[[peers.Fact], None] | None = None
         self.on_members: Callable[[set[str]], None] | None = None
         self._wanted_since_s: dict[tables.TableKind, float] = {}
@@ -239,6 +243,10 @@
         member = action.member
         if self.on_members is not None:
             self.on_members(self._expected_daemons())
+        alive = self.core.state.peer_table.in_state(
+            peers.MemberState.ALIVE, peers.MemberState.SUSPECT
+        )
+        self._limits.set_daemon_count(len(alive) + 1)
         loguru.logger.info(
             "peer {} in {}: {} (incarnation {})",
             member.name,
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/daemon.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/daemon.py
@@ -17,6 +17,7 @@
 from rattanpulley_core import tables
 from rattanpulley_core import targets
 from rattanpulleyd import exceptions
+from rattanpulleyd._internal.api import admission
 from rattanpulleyd._internal.api import app
 from rattanpulleyd._internal.api import service_calls
 from rattanpulleyd._internal.config import host_poll
@@ -151,6 +152,7 @@
             config=self._runtime.config,
             suspect_table=self._suspect_table,
             offer_table=self._watch.offer,
+            account_limits=self._runtime.limits,
         )
         self._runtime.on_crash_report = part.publish_crash_report
         part.on_move_fact = self._moves.learn_fact
@@ -261,7 +263,7 @@
 def _raise_file_limit() -> None:
     """Allows two connections for each answer in flight, where possible."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    wanted = 2 * app.MAX_IN_FLIGHT + SPARE_FILES
+    wanted = 2 * admission.MAX_IN_FLIGHT + SPARE_FILES
     if hard != resource.RLIM_INFINITY:
         wanted = min(wanted, hard)
     if soft != resource.RLIM_INFINITY and soft < wanted:
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/runtime.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/runtime.py
@@ -8,6 +8,7 @@
 
 from rattanpulley_core import generations
 from rattanpulley_core import interfaces
+from rattanpulley_core import limits
 from rattanpulley_core import tables
 from rattanpulley_core import targets
 from rattanpulleyd._internal.runtime import health
@@ -53,6 +54,7 @@
         self.target_table = target_table
         self.draining = False
         self.on_crash_report: Callable[[str, str, str], None] | None = None
+        self.limits = limits.AccountLimits()
         self.health: health.HealthObserver = health.NoObserver()
         self._engine = engine
         self._callers_by_id: dict[int, interfaces.CallerStream] = {}
--- a/packages/daemon/tests/golden/conftest.py
+++ b/packages/daemon/tests/golden/conftest.py
@@ -37,7 +37,11 @@
 }
 ROUTES = {
     "chat": {"match": {"model": "m"}, "pool": "chat", "kind": "engine"},
-    "stock": {"match": {"service": "stock"}, "pool": "plain"},
+    "stock": {
+        "match": {"service": "stock"},
+        "pool": "plain",
+        "limits_by_account": {"acme": {"concurrent": 1}},
+    },
     "pay": {"match": {"service": "pay"}, "pool": "plain", "repeatable": False},
 }
 
--- a/packages/daemon/tests/golden/test_sessions.py
+++ b/packages/daemon/tests/golden/test_sessions.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from rattanpulley_core import interfaces
-from rattanpulleyd._internal.api import app
+from rattanpulleyd._internal.api import admission
 from rattanpulleyd._internal.config import table_watch
 
 COMPLETION = {"model": "m", "prompt": "p", "seed": 7, "stream": True}
@@ -128,9 +128,13 @@
     daemon.request(path, COMPLETION, x_route="other")
     daemon.request(path, COMPLETION, authorization="")
     daemon.request(path, COMPLETION, last_event_id="1:2")
-    daemon.request(path, COMPLETION, IN_FLIGHT=str(app.MAX_IN_FLIGHT + 1))
+    daemon.request(path, COMPLETION, IN_FLIGHT=str(admission.MAX_IN_FLIGHT + 1))
     daemon.request("/v1/nothing", {})
     daemon.request("/services/none/x", {})
+    stock = daemon.runtime.config.routes.routes_by_name["stock"]
+    assert daemon.runtime.limits.admit(stock, "acme")
+    daemon.request("/services/stock/x", {})
+    daemon.runtime.limits.release("stock", "acme")
     daemon.request(path, COMPLETION, idempotency_key="r")
     daemon.engines.fail("rejected", "the prompt is too long")
     daemon.runtime.set_draining()
