Show stored tables of any form

Cause: a table that another program wrote with other fields ended get and move in a traceback, where an operator needs them most.

Change: the views take any JSON value; move commands report the faults of such a table.

Conclusion: the commands' tests cover four such values.

--- a/packages/cli/src/rattanpulley/_internal/commands/move_commands.py
+++ b/packages/cli/src/rattanpulley/_internal/commands/move_commands.py
@@ -41,19 +41,24 @@
         """Returns the changed fields and the new version."""
         kind = tables.TableKind.POOLS
         stored = table_reader.read_table(self.store(), kind)
-        change = table_writer.Change(
-            kind=kind,
+        try:
+            if stored.version > 0:
+                # Only a table without faults has the form that is edited.
+                tables.parse_pools(stored.value, stored.version)
+            applied = self.writer().apply(self._change(stored))
+        except tables.TableError as error:
+            raise _pools_error(error) from error
+        return table_views.applied_output(kind, applied)
+
+    def _change(self, stored: table_reader.StoredTable) -> table_writer.Change:
+        return table_writer.Change(
+            kind=stored.kind,
             value=self.edit(stored.value),
             expected_version=stored.version,
             who=self.who(),
             what=f"{self.name} {self.argument('pool')}",
             reason=self.option("reason"),
         )
-        try:
-            applied = self.writer().apply(change)
-        except tables.TableError as error:
-            raise _pools_error(error) from error
-        return table_views.applied_output(kind, applied)
 
 
 class MoveStartCommand(PoolEditCommand):
--- a/packages/cli/src/rattanpulley/_internal/moves/times.py
+++ b/packages/cli/src/rattanpulley/_internal/moves/times.py
@@ -35,6 +35,9 @@
 
 
 def format_time(wall_s: float) -> str:
-    """Returns a date in UTC with seconds."""
-    moment = datetime.datetime.fromtimestamp(wall_s, datetime.UTC)
+    """Returns a date in UTC with seconds, or the number if it is no date."""
+    try:
+        moment = datetime.datetime.fromtimestamp(wall_s, datetime.UTC)
+    except (OSError, OverflowError, ValueError):
+        return str(wall_s)
     return moment.strftime("%Y-%m-%dT%H:%M:%SZ")
--- a/packages/cli/src/rattanpulley/_internal/views/table_views.py
+++ b/packages/cli/src/rattanpulley/_internal/views/table_views.py
@@ -24,7 +24,8 @@
     title = f"{stored.kind.value} version {stored.version}"
     if entry is not None:
         title += f", changed {times.format_time(entry.wall_s)} by {entry.who}"
-    rows = stored.value.get("rows", {})
+    # A table that another program wrote may have any form.
+    rows = _objects(tables.without_change(stored.value).get("rows"))
     if stored.kind is tables.TableKind.ROUTES:
         grid = _route_grid(rows)
     else:
@@ -36,7 +37,7 @@
     headers = ("route", "kind", "matches", "pool", "repeatable", "deadline_s")
     cells = []
     for name, row in sorted(rows.items()):
-        match = row.get("match", {})
+        match = _object(row.get("match"))
         cells.append(
             (
                 text.printable(name),
@@ -54,15 +55,15 @@
     headers = ("pool", "kind", "versions", "targets", "move", "finish by")
     cells = []
     for name, row in sorted(rows.items()):
-        versions = row.get("versions", {})
+        versions = _objects(row.get("versions"))
         shares = [f"{v}:{s.get('weight', 1)}" for v, s in versions.items()]
-        move, finish_by = _move_cells(row.get("move"))
+        move, finish_by = _move_cells(_object(row.get("move")))
         cells.append(
             (
                 text.printable(name),
                 text.cell(row.get("kind")),
                 text.cell(" ".join(shares)),
-                text.cell(len(row.get("targets", {}))),
+                text.cell(len(_object(row.get("targets")))),
                 move,
                 finish_by,
             )
@@ -70,7 +71,15 @@
     return text.Grid(headers, cells)
 
 
-def _move_cells(move: dict[str, Any] | None) -> tuple[str, str]:
+def _object(value: Any) -> dict[str, Any]:
+    return value if isinstance(value, dict) else {}
+
+
+def _objects(value: Any) -> dict[str, dict[str, Any]]:
+    return {name: _object(row) for name, row in _object(value).items()}
+
+
+def _move_cells(move: dict[str, Any]) -> tuple[str, str]:
     if not move:
         return "-", "-"
     state = ""
@@ -78,8 +87,11 @@
         state = " (paused)"
     if move.get("taken_back"):
         state = " (taken back)"
-    shown = f"{move['from_version']} to {move['to_version']}{state}"
-    return text.cell(shown), times.format_time(move["finish_by_s"])
+    shown = f"{move.get('from_version')} to {move.get('to_version')}{state}"
+    finish_by_s = move.get("finish_by_s")
+    if not isinstance(finish_by_s, int | float):
+        return text.cell(shown), text.cell(finish_by_s)
+    return text.cell(shown), times.format_time(finish_by_s)
 
 
 def applied_output(
--- a/packages/cli/tests/commands/test_golden.py
+++ b/packages/cli/tests/commands/test_golden.py
@@ -236,6 +236,21 @@
     assert "<error>c</error>" in shown
 
 
+@pytest.mark.parametrize(
+    "value",
+    [None, [], {"rows": 3}, {"rows": {"p": {"move": {"finish_by_s": 1e99}}}}],
+)
+def test_a_stored_table_of_another_form_is_shown(terminal, value):
+    # Guards against a command that ends in a traceback where it is needed.
+    terminal.store.put("tables/pools", value, 0)
+    terminal.store.put("tables/routes", value, 0)
+    assert terminal.run("get pools") == 0
+    assert terminal.run("get routes") == 0
+    assert terminal.run("audit") == 0
+    assert terminal.run("move pause p") == 2
+    assert terminal.run("apply pools pools.json --at-version 1") == 0
+
+
 def test_an_unavailable_store_is_an_error_of_its_own(terminal):
     terminal.store.plan = ["down"]
     assert terminal.run("get pools") == 4
