--- a/packages/core/src/rattanpulley_core/_internal/peers/connections.py
+++ b/packages/core/src/rattanpulley_core/_internal/peers/connections.py
@@ -71,7 +71,7 @@
 
     def restart_silence_timers(self, now_s: float) -> None:
         """Gives all peers a full limit after a pause of this process."""
-        self._state.counters["peers.own_pauses"] += 1
+        self._state.counters.own_pauses += 1
         for row in self._state.stream_table:
             row.heard_s = now_s
         for member_row in self._state.peer_table:
@@ -83,7 +83,7 @@
         for row in self._state.stream_table:
             if now_s - row.heard_s <= _SILENCE_LIMIT_BY_STATE[row.state]:
                 continue
-            self._state.counters["peers.silent_streams"] += 1
+            self._state.counters.silent_streams += 1
             actions.append(messages.CloseStream(row.stream_id))
             actions += self._forget_stream(row, now_s)
         return actions
@@ -189,7 +189,7 @@
         return self._count_connect_failure(event.address, now_s)
 
     def _count_connect_failure(self, address: str, now_s: float) -> Actions:
-        self._state.counters["peers.connect_failures"] += 1
+        self._state.counters.connect_failures += 1
         self._failures_by_address[address] += 1
         if self._failures_by_address[address] < CONNECT_FAILURES_TO_SUSPECT:
             return []
@@ -215,7 +215,7 @@
     ) -> Actions:
         """Answers a hello with the proof of a shared key."""
         if hello.member.name == self._state.own.name:
-            self._state.counters["peers.own_name_refused"] += 1
+            self._state.counters.own_name_refused += 1
             return self.refuse(row, now_s)
         row.peer_name = hello.member.name
         row.peer_nonce = hello.nonce
@@ -233,7 +233,7 @@
             self._keys, welcome.proof, row.peer_name, row.peer_nonce, row.nonce
         )
         if not proven:
-            self._state.counters["peers.bad_proofs"] += 1
+            self._state.counters.bad_proofs += 1
             return self.refuse(row, now_s)
         row.state = streams.StreamState.OPEN
         if row.address is not None:
--- a/packages/core/src/rattanpulley_core/_internal/peers/core.py
+++ b/packages/core/src/rattanpulley_core/_internal/peers/core.py
@@ -95,7 +95,7 @@
             return []
         handler = self._message_handlers.get((row.state, type(event.message)))
         if handler is None:
-            self.state.counters["peers.unexpected_messages"] += 1
+            self.state.counters.unexpected_messages += 1
             return self._connections.refuse(row, now_s)
         row.heard_s = now_s
         return handler(row, event.message, now_s)
--- a/packages/core/src/rattanpulley_core/_internal/peers/dissemination.py
+++ b/packages/core/src/rattanpulley_core/_internal/peers/dissemination.py
@@ -79,10 +79,10 @@
                     fact.key, fact.version, fact.value
                 )
             except members.MemberFormatError:
-                self._state.counters["peers.malformed_facts"] += 1
+                self._state.counters.malformed_facts += 1
                 return False, []
         result = self._state.fact_table.merge(fact)
-        self._state.counters[f"peers.facts_{result.value}"] += 1
+        self._state.counters.count_fact(result)
         if result is not facts.MergeResult.NEW:
             return False, []
         if member is None:
@@ -94,7 +94,7 @@
         """Answers a report that this daemon is gone, or an old self of it."""
         if fact.version <= self._state.own.version:
             return []
-        self._state.counters["peers.refutations"] += 1
+        self._state.counters.refutations += 1
         incarnation = fact.version // members.RANKS_PER_INCARNATION + 1
         self._state.own = dataclasses.replace(
             self._state.own, incarnation=incarnation
--- a/packages/core/src/rattanpulley_core/_internal/peers/state.py
+++ b/packages/core/src/rattanpulley_core/_internal/peers/state.py
@@ -1,6 +1,6 @@
 """State that the modules of the peer part share, owned by one `PeerCore`."""
 
-import collections
+import dataclasses
 import random
 
 from rattanpulley_core._internal.peers import facts
@@ -11,6 +11,30 @@
 Actions = list[messages.Action]
 
 
+@dataclasses.dataclass(slots=True)
+class Counters:
+    """Counts since the start."""
+
+    bad_proofs: int = 0
+    connect_failures: int = 0
+    facts_new: int = 0
+    facts_known: int = 0
+    facts_older: int = 0
+    facts_contradicts: int = 0
+    malformed_facts: int = 0
+    malformed_tables: int = 0
+    own_name_refused: int = 0
+    own_pauses: int = 0
+    refutations: int = 0
+    silent_streams: int = 0
+    unexpected_messages: int = 0
+
+    def count_fact(self, result: facts.MergeResult) -> None:
+        """Counts a received fact by what its merge did."""
+        name = f"facts_{result.value}"
+        setattr(self, name, getattr(self, name) + 1)
+
+
 class PeerState:
     """The tables of one daemon's peer part.
 
@@ -29,7 +53,7 @@
         self.peer_table = members.PeerTable()
         self.fact_table = facts.FactTable()
         self.stream_table = streams.StreamTable()
-        self.counters: collections.Counter[str] = collections.Counter()
+        self.counters = Counters()
         self.fact_table.merge(self.own_fact())
 
     def own_fact(self) -> facts.Fact:
--- a/packages/core/src/rattanpulley_core/peers.py
+++ b/packages/core/src/rattanpulley_core/peers.py
@@ -5,9 +5,11 @@
 from rattanpulley_core._internal.peers import facts
 from rattanpulley_core._internal.peers import members
 from rattanpulley_core._internal.peers import messages
+from rattanpulley_core._internal.peers import state
 
 PeerCore = core.PeerCore
 PeerSettings = connections.PeerSettings
+PeerCounters = state.Counters
 
 Fact = facts.Fact
 FactKind = facts.FactKind
--- a/packages/core/tests/peers/test_core.py
+++ b/packages/core/tests/peers/test_core.py
@@ -85,7 +85,7 @@
     assert fleet.states_at("d0")["d1"] is peers.MemberState.ALIVE
     core = fleet.cores_by_name["d0"]
     assert core.state.stream_table.open_peer_names() == {"d1"}
-    assert core.state.counters["peers.silent_streams"] > 0
+    assert core.state.counters.silent_streams > 0
 
 
 def test_wrong_key_is_refused():
@@ -96,7 +96,7 @@
     fleet.add(peer_fleet.make_member("d1"), seeds=("d0:1",))
     fleet.run(5)
     assert fleet.states_at("d0") == {}
-    assert fleet.cores_by_name["d0"].state.counters["peers.bad_proofs"] > 0
+    assert fleet.cores_by_name["d0"].state.counters.bad_proofs > 0
 
 
 def test_keys_rotate_without_a_stop():
--- a/packages/daemon/src/rattanpulleyd/_internal/peers/peer_runtime.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/peers/peer_runtime.py
@@ -1,6 +1,7 @@
 """Runs the peer part: streams, ticks, and what its facts mean to the daemon."""
 
 from collections.abc import Callable
+import dataclasses
 import hashlib
 import json
 import random
@@ -162,7 +163,6 @@
     def report(self) -> dict[str, Any]:
         """Returns the state of the peer part for operators."""
         state = self.core.state
-        counters = {**state.counters, **self.streams.counters}
         return {
             "incarnation": self.core.own.incarnation,
             "connected": sorted(state.stream_table.open_peer_names()),
@@ -174,7 +174,13 @@
                 for row in state.peer_table
             },
             "facts": len(state.fact_table),
-            "counters": counters,
+        }
+
+    def counters_by_name(self) -> dict[str, int]:
+        """Returns the counts of the part since the start."""
+        return {
+            **dataclasses.asdict(self.core.state.counters),
+            **dataclasses.asdict(self.streams.counters),
         }
 
     def _carry_out(self, actions: list[peers.Action]) -> None:
@@ -191,7 +197,7 @@
         try:
             fingerprint, target, boot_id = json.loads(fact.value)
         except ValueError:
-            self.core.state.counters["peers.malformed_facts"] += 1
+            self.core.state.counters.malformed_facts += 1
             return
         expires_s = fact.expires_s
         ttl_s = CRASH_REPORT_TTL_S if expires_s is None else expires_s - now_s
@@ -203,7 +209,7 @@
         try:
             self.on_move_fact(fact)
         except ValueError:
-            self.core.state.counters["peers.malformed_facts"] += 1
+            self.core.state.counters.malformed_facts += 1
 
     def _on_table_version(self, fact: peers.Fact) -> None:
         kind = _KINDS_BY_NAME.get(fact.key)
@@ -227,7 +233,7 @@
         try:
             value = json.loads(_decompress(action.content))
         except (ValueError, zlib.error):
-            self.core.state.counters["peers.malformed_tables"] += 1
+            self.core.state.counters.malformed_tables += 1
             return
         self._offer_table(kind, action.version, value, SOURCE)
 
--- a/packages/daemon/src/rattanpulleyd/_internal/peers/tcp_streams.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/peers/tcp_streams.py
@@ -1,7 +1,7 @@
 """Peer streams over TCP with gevent."""
 
-import collections
 import contextlib
+import dataclasses
 import itertools
 from typing import Any
 
@@ -19,6 +19,17 @@
 MAX_QUEUED_MESSAGES = 1_000
 
 
+@dataclasses.dataclass(slots=True)
+class Counters:
+    """Counts since the start."""
+
+    broken_streams: int = 0
+    full_queues: int = 0
+    received_bytes: int = 0
+    sent_bytes: int = 0
+    unknown_messages: int = 0
+
+
 class _Stream:
     """One connection with its reader, its writer and its queue."""
 
@@ -38,7 +49,7 @@
     def __init__(
         self, host: str, port: int, sink: interfaces.PeerEventSink
     ) -> None:
-        self.counters: collections.Counter[str] = collections.Counter()
+        self.counters = Counters()
         self._sink = sink
         self._ids = itertools.count(1)
         self._streams_by_id: dict[int, _Stream] = {}
@@ -72,7 +83,7 @@
         try:
             stream.outbox.put_nowait(peer_codec.encode(order.message))
         except queue.Full:
-            self.counters["peers.full_queues"] += 1
+            self.counters.full_queues += 1
             self._end(stream)
 
     def close(self, order: peers.CloseStream) -> None:
@@ -112,18 +123,18 @@
         unpacker = peer_codec.make_unpacker()
         try:
             while data := stream.connection.recv(READ_BYTES):
-                self.counters["peers.received_bytes"] += len(data)
+                self.counters.received_bytes += len(data)
                 unpacker.feed(data)
                 for value in unpacker:
                     self._receive(stream, value)
         except (OSError, ValueError, peer_codec.MalformedMessageError):
             # ValueError covers msgpack's format and buffer errors.
-            self.counters["peers.broken_streams"] += 1
+            self.counters.broken_streams += 1
 
     def _receive(self, stream: _Stream, value: Any) -> None:
         message = peer_codec.decode(value)
         if message is None:
-            self.counters["peers.unknown_messages"] += 1
+            self.counters.unknown_messages += 1
         elif stream.stream_id in self._streams_by_id:
             self._sink(peers.MessageReceived(stream.stream_id, message))
 
@@ -132,7 +143,7 @@
             while True:
                 data = stream.outbox.get()
                 stream.connection.sendall(data)
-                self.counters["peers.sent_bytes"] += len(data)
+                self.counters.sent_bytes += len(data)
         except OSError:
             self._end(stream)
 
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/daemon.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/daemon.py
@@ -43,6 +43,7 @@
 # Files besides the connections of answers.
 SPARE_FILES = 200
 CORE_PREFIX = "generation"
+PEERS_PREFIX = "peers"
 
 _Counter = counters.Counter
 
@@ -256,6 +257,9 @@
             self._counts.gauge(_Counter.GENERATIONS_ACTIVE, status.active_count)
             self._counts.gauge(_Counter.JOURNAL_BYTES, status.journal_bytes)
             self._counts.absorb(CORE_PREFIX, status.counters_by_name)
+            if self._peers is not None:
+                counters_by_name = self._peers.counters_by_name()
+                self._counts.absorb(PEERS_PREFIX, counters_by_name)
             self._counts.flush()
             self._runtime.log_target_states()
 
--- a/packages/daemon/tests/peers/test_tcp_streams.py
+++ b/packages/daemon/tests/peers/test_tcp_streams.py
@@ -54,5 +54,5 @@
         client.sendall(b"\xc1 GET / HTTP/1.1\r\n\r\n")
         closed = events.get(timeout=WAIT_S)
     assert closed == peers.StreamClosed(opened.stream_id)
-    assert streams.counters["peers.broken_streams"] == 1
+    assert streams.counters.broken_streams == 1
     streams.stop()
--- a/packages/daemon/tests/telemetry/test_counters.py
+++ b/packages/daemon/tests/telemetry/test_counters.py
@@ -1,14 +1,17 @@
 """Tests of the counters."""
 
+import dataclasses
 import pathlib
 import random
 import re
 import socket
 
 from rattanpulley_core import generations
+from rattanpulley_core import peers
 from rattanpulley_core import resume_token
 from rattanpulley_core import suspects
 from rattanpulley_core import targets
+from rattanpulleyd._internal.peers import tcp_streams
 from rattanpulleyd._internal.settings import model
 from rattanpulleyd._internal.telemetry import counters
 
@@ -28,7 +31,10 @@
         rng=rng,
     )
     names = [counter.value for counter in counters.Counter]
-    assert listed == names + list(core.status(0.0).counters_by_name)
+    names += core.status(0.0).counters_by_name
+    for part in (peers.PeerCounters, tcp_streams.Counters):
+        names += [field.name for field in dataclasses.fields(part)]
+    assert listed == names
 
 
 def test_totals_of_another_part_are_sent_as_changes() -> None:
