Examine silent streams sooner, and learn which targets pause in health

Cause: a silent connection took 360 ms and a paused engine 598 ms at the median, of which 300 ms were the floor of the stall threshold.

Change: the floor is 0.12 s, four intervals; each false alarm raises the stall thresholds on its target by half, up to 2.5, and the margin halves in 60 s.

--- a/packages/core/src/rattanpulley_core/_internal/detection/estimator.py
+++ b/packages/core/src/rattanpulley_core/_internal/detection/estimator.py
@@ -6,11 +6,11 @@
 
 MEAN_WEIGHT = 1 / 8
 DEVIATION_WEIGHT = 1 / 4
-MEAN_FACTOR = 6.0
+MEAN_FACTOR = 4.0
 DEVIATION_FACTOR = 4.0
-# Streams of 30 ms intervals pause for a batch of prefills now and then; a lower
-# floor would probe on each of them.
-MIN_THRESHOLD_S = 0.30
+# Four intervals of 30 ms. Engines that pause for longer now and then raise
+# their own margin, so the floor need not cover them.
+MIN_THRESHOLD_S = 0.12
 MAX_THRESHOLD_S = 5.0
 # A first token is late after the usual time of the target plus this.
 FIRST_TOKEN_LATE_S = 1.5
@@ -44,12 +44,18 @@
         self.backoff *= 2.0
         self.last_event_s = now_s
 
-    def threshold_s(self) -> float:
-        """Returns the silence after which the stream is examined."""
+    def threshold_s(self, margin: float = 1.0) -> float:
+        """Returns the silence after which the stream is examined.
+
+        Args:
+            margin: Factor of the target; a larger backoff of the stream itself
+                takes its place.
+        """
         threshold_s = (
             MEAN_FACTOR * self.mean_s + DEVIATION_FACTOR * self.deviation_s
         )
-        threshold_s = max(MIN_THRESHOLD_S, threshold_s) * self.backoff
+        threshold_s = max(MIN_THRESHOLD_S, threshold_s)
+        threshold_s *= max(margin, self.backoff)
         return min(MAX_THRESHOLD_S, threshold_s)
 
     def first_token_threshold_s(self, expected_s: float) -> float:
--- a/packages/core/src/rattanpulley_core/_internal/generations/probes.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/probes.py
@@ -21,7 +21,7 @@
 ATTACH_AFTER_IDLE_PROBES = 2
 # A target that answers probes but makes no progress for about 10 s is left, if
 # the retry budget allows: an engine can hang on one stream.
-STUCK_AFTER_IDLE_PROBES = 5
+STUCK_AFTER_IDLE_PROBES = 6
 STUCK_EXCLUSION_S = 30.0
 
 
@@ -233,7 +233,10 @@
     if generation is None or generation.attempt is None:
         return
     attempt = generation.attempt
-    if attempt.number != number or len(generation.journal) > next_index:
+    if attempt.number != number:
+        return
+    if len(generation.journal) > next_index:
+        attempt.target.record_false_alarm(now_s)
         return
     engine_index = event.next_index_by_generation_id.get(generation_id)
     if engine_index is None:
@@ -244,6 +247,7 @@
         _reattach(ctx, generation, now_s)
         return
     attempt.idle_probes += 1
+    attempt.target.record_false_alarm(now_s)
     if attempt.idle_probes >= STUCK_AFTER_IDLE_PROBES and _may_leave(
         ctx, generation, now_s
     ):
--- a/packages/core/src/rattanpulley_core/_internal/generations/stalls.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/stalls.py
@@ -15,7 +15,9 @@
         # No threshold is below the minimum, so most streams end here.
         if attempt is None or attempt.estimator.last_event_s > quiet_since_s:
             continue
-        if now_s - attempt.estimator.last_event_s > _threshold_s(attempt):
+        if now_s - attempt.estimator.last_event_s > _threshold_s(
+            attempt, now_s
+        ):
             stalled = stalled_by_target.setdefault(attempt.target.name, [])
             stalled.append(generation)
     for name, stalled in stalled_by_target.items():
@@ -26,9 +28,10 @@
             probes.send(ctx, target.target, stalled, now_s)
 
 
-def _threshold_s(attempt: rows.Attempt) -> float:
+def _threshold_s(attempt: rows.Attempt, now_s: float) -> float:
     if attempt.has_token or attempt.is_attach:
-        return attempt.estimator.threshold_s()
+        margin = attempt.target.stall_margin(now_s)
+        return attempt.estimator.threshold_s(margin)
     return attempt.estimator.first_token_threshold_s(
         attempt.target.first_token_s
     )
--- a/packages/core/src/rattanpulley_core/_internal/targets/rows.py
+++ b/packages/core/src/rattanpulley_core/_internal/targets/rows.py
@@ -2,12 +2,20 @@
 
 import dataclasses
 import enum
+import math
 
 from rattanpulley_core._internal.tables import rows as table_rows
 from rattanpulley_core._internal.targets import loads
 
 # Weight of a new sample in the smoothed time to the first token.
 FIRST_TOKEN_WEIGHT = 0.125
+# A target whose streams pause in good health, for a batch of prefills, would be
+# probed at each pause. Each false alarm raises its stall thresholds; the margin
+# halves in a minute, so that a target that has become steady is watched closely
+# again.
+MARGIN_STEP = 1.5
+MAX_MARGIN = 2.5
+MARGIN_HALF_LIFE_S = 60.0
 
 
 class TargetState(enum.Enum):
@@ -44,6 +52,9 @@
         leaving_by_list: Whether the host list says that it is leaving.
         leaving_by_health: Whether its health answer says so.
         load: Reported load, limit and slow start.
+        false_alarm_margin: Factor of the stall thresholds at the last false
+            alarm.
+        false_alarm_at_s: Monotonic time of the last false alarm.
     """
 
     name: str
@@ -66,6 +77,21 @@
     leaving_by_list: bool = False
     leaving_by_health: bool = False
     load: loads.TargetLoad = dataclasses.field(default_factory=loads.TargetLoad)
+    false_alarm_margin: float = 1.0
+    false_alarm_at_s: float = 0.0
+
+    def stall_margin(self, now_s: float) -> float:
+        """Returns the factor of the stall thresholds of its streams."""
+        if self.false_alarm_margin <= 1.0:
+            return 1.0
+        halvings = (now_s - self.false_alarm_at_s) / MARGIN_HALF_LIFE_S
+        return max(1.0, self.false_alarm_margin * math.pow(0.5, halvings))
+
+    def record_false_alarm(self, now_s: float) -> None:
+        """Records that a probe found a stalled stream in good health."""
+        raised = self.stall_margin(now_s) * MARGIN_STEP
+        self.false_alarm_margin = min(MAX_MARGIN, raised)
+        self.false_alarm_at_s = now_s
 
     def record_first_token(self, elapsed_s: float) -> None:
         """Adds a sample of the time to the first token."""
--- a/packages/core/tests/targets/test_table.py
+++ b/packages/core/tests/targets/test_table.py
@@ -101,3 +101,15 @@
     target.leaving_by_health = True
     target.mark_alive(5.0)
     assert target.state is targets.TargetState.LEAVING
+
+
+def test_false_alarms_raise_the_stall_margin_for_a_while():
+    # Guards a target that pauses in good health against a probe at each pause,
+    # and against a margin that stays.
+    target = targets.Target("a", "http://127.0.0.1:1", "n", ENGINE, "p", "v1")
+    assert target.stall_margin(0.0) == 1.0
+    for _ in range(10):
+        target.record_false_alarm(100.0)
+    assert target.stall_margin(100.0) == targets.MAX_MARGIN
+    assert target.stall_margin(160.0) == targets.MAX_MARGIN / 2
+    assert target.stall_margin(1_000.0) == 1.0
