--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/leases/holder.py
@@ -0,0 +1,238 @@
+"""One daemon's view of the lease of a key range.
+
+The holder judges its lease by its own monotonic clock, counted from before it
+sent the last confirmed write. Another daemon takes the lease over when it has
+seen the same version of the object for the lease's duration by its own clock,
+so that no two clocks are compared. Each takeover raises the fence.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import enum
+import math
+from typing import Any
+
+from rattanpulley_core._internal.claims import messages
+
+SCHEMA = 1
+KEY_PREFIX = "leases/"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseSettings:
+    """Times of a lease, the same on all daemons.
+
+    Attributes:
+        duration_s: Time without a write after which others may take over.
+        margin_s: How much earlier the holder stops. It covers the difference
+            of the clocks' rates over `duration_s`.
+        fencing_wait_s: Time that a new holder waits before its first effect.
+            It covers an effect that the old holder checked in time and that
+            reaches the target later; targets that refuse old fences do not
+            need it.
+    """
+
+    duration_s: float = 10.0
+    margin_s: float = 2.0
+    fencing_wait_s: float = 5.0
+
+    def __post_init__(self) -> None:
+        if not 0 <= self.margin_s < self.duration_s:
+            raise ValueError("margin_s must be at least 0 and < duration_s")
+        if self.fencing_wait_s < 0:
+            raise ValueError("fencing_wait_s must not be negative")
+
+    @property
+    def renew_s(self) -> float:
+        """Time after which the holder renews; leaves room for a retry."""
+        return (self.duration_s - self.margin_s) / 3
+
+
+class LeaseState(enum.Enum):
+    """What a daemon does about a lease."""
+
+    IDLE = "idle"
+    READING = "reading"
+    WATCHING = "watching"
+    WRITING = "writing"
+    HELD = "held"
+
+
+class Lease:
+    """Acquires, renews and judges one lease; holds no clock.
+
+    `tick` and `handle` return at most one store action, which is answered by a
+    store event of the claims subject. The caller ticks at least twice in
+    `LeaseSettings.renew_s` and never deletes the object, which keeps the fence.
+
+    Attributes:
+        state: What the daemon does about the lease.
+        fence: Fence of the newest lease that this daemon held; 0 for none.
+    """
+
+    def __init__(
+        self, range_name: str, token: str, settings: LeaseSettings
+    ) -> None:
+        """Prepares a lease.
+
+        Args:
+            range_name: Name of the key range.
+            token: Unique for each start of the process, because a restarted
+                process does not know when its lease was written.
+            settings: Times of the lease.
+        """
+        self.state = LeaseState.IDLE
+        self.fence = 0
+        self._key = KEY_PREFIX + range_name
+        self._token = token
+        self._settings = settings
+        self._writes = 0
+        self._written_fence = 0
+        self._sent_s_by_write: dict[int, float] = {}
+        self._seen_version = -1
+        self._seen_s = -math.inf
+        self._seen_fence = 0
+        self._held_version = 0
+        self._renew_at_s = math.inf
+        self._valid_until_s = -math.inf
+        self._act_from_s = math.inf
+
+    def may_act(self, now_s: float) -> bool:
+        """Returns whether an effect may start; asked right before each one."""
+        return self._act_from_s <= now_s < self._valid_until_s
+
+    def tick(self, now_s: float) -> list[messages.Action]:
+        """Reads, takes over or renews when it is time to."""
+        if self.state is LeaseState.IDLE:
+            return self._read()
+        if self.state is LeaseState.WATCHING:
+            return self._watch(now_s)
+        if self.state is LeaseState.HELD and now_s >= self._renew_at_s:
+            return self._renew(now_s)
+        return []
+
+    def handle(
+        self, event: messages.Event, now_s: float
+    ) -> list[messages.Action]:
+        """Takes the result of the last action.
+
+        Raises:
+            ValueError: The lease does not wait for such an event.
+        """
+        handler = TRANSITIONS.get((self.state, type(event)))
+        if handler is None:
+            raise ValueError(
+                f"{type(event).__name__} does not occur in {self.state.value}"
+            )
+        return handler(self, event, now_s)
+
+    def _read(self) -> list[messages.Action]:
+        self.state = LeaseState.READING
+        return [messages.StoreGet(self._key)]
+
+    def _watch(self, now_s: float) -> list[messages.Action]:
+        if now_s - self._seen_s >= self._settings.duration_s:
+            return self._write(self._seen_fence + 1, self._seen_version, now_s)
+        return self._read()
+
+    def _renew(self, now_s: float) -> list[messages.Action]:
+        # A lapsed lease is not renewed: another daemon may have held it since.
+        if now_s >= self._valid_until_s:
+            self._lose()
+            return self._read()
+        return self._write(self.fence, self._held_version, now_s)
+
+    def _write(
+        self, fence: int, version: int, now_s: float
+    ) -> list[messages.Action]:
+        self.state = LeaseState.WRITING
+        self._writes += 1
+        self._written_fence = fence
+        self._sent_s_by_write[self._writes] = now_s
+        value = {
+            "schema": SCHEMA,
+            "token": self._token,
+            "fence": fence,
+            "write": self._writes,
+        }
+        return [messages.StorePut(self._key, value, version)]
+
+    def _lose(self) -> None:
+        self._valid_until_s = -math.inf
+        self._act_from_s = math.inf
+        self.state = LeaseState.IDLE
+
+    def _on_written(
+        self, event: messages.Event, now_s: float
+    ) -> list[messages.Action]:
+        assert isinstance(event, messages.StoreAnswered)
+        assert event.stored is not None
+        self._hold(
+            self._writes, self._written_fence, event.stored.version, now_s
+        )
+        return []
+
+    def _hold(self, write: int, fence: int, version: int, now_s: float) -> None:
+        sent_s = self._sent_s_by_write[write]
+        self._sent_s_by_write = {write: sent_s}
+        if fence > self.fence:
+            wait_s = self._settings.fencing_wait_s if fence > 1 else 0.0
+            self._act_from_s = now_s + wait_s
+        self.fence = fence
+        self.state = LeaseState.HELD
+        self._held_version = version
+        self._renew_at_s = sent_s + self._settings.renew_s
+        self._valid_until_s = (
+            sent_s + self._settings.duration_s - self._settings.margin_s
+        )
+
+    def _read_back(
+        self, event: messages.Event, now_s: float
+    ) -> list[messages.Action]:
+        del event, now_s
+        return self._read()
+
+    def _on_read(
+        self, event: messages.Event, now_s: float
+    ) -> list[messages.Action]:
+        assert isinstance(event, messages.StoreAnswered)
+        if event.stored is None:
+            return self._write(1, 0, now_s)
+        version = event.stored.version
+        value: dict[str, Any] = event.stored.value
+        fence, write = int(value["fence"]), int(value["write"])
+        if value["token"] == self._token and self._is_valid(write, now_s):
+            self._hold(write, fence, version, now_s)
+            return []
+        self._lose()
+        self.state = LeaseState.WATCHING
+        if version > self._seen_version:
+            self._seen_version = version
+            self._seen_fence = fence
+            self._seen_s = now_s
+        return []
+
+    def _is_valid(self, write: int, now_s: float) -> bool:
+        # A stale read can show a write that was forgotten; its time is over.
+        sent_s = self._sent_s_by_write.get(write, -math.inf)
+        valid_s = self._settings.duration_s - self._settings.margin_s
+        return now_s < sent_s + valid_s
+
+    def _on_read_unclear(
+        self, event: messages.Event, now_s: float
+    ) -> list[messages.Action]:
+        # A lease that was confirmed before stays valid until its time.
+        del event, now_s
+        self.state = LeaseState.IDLE
+        return []
+
+
+_Handler = Callable[[Lease, messages.Event, float], list[messages.Action]]
+
+TRANSITIONS: dict[tuple[LeaseState, type[messages.Event]], _Handler] = {
+    (LeaseState.READING, messages.StoreAnswered): Lease._on_read,
+    (LeaseState.READING, messages.StoreUnclear): Lease._on_read_unclear,
+    (LeaseState.WRITING, messages.StoreAnswered): Lease._on_written,
+    (LeaseState.WRITING, messages.StoreConflict): Lease._read_back,
+    (LeaseState.WRITING, messages.StoreUnclear): Lease._read_back,
+}
