--- a/packages/core/src/rattanpulley_core/_internal/leases/groups.py
+++ b/packages/core/src/rattanpulley_core/_internal/leases/groups.py
@@ -5,6 +5,9 @@
 once. A new holder reads the groups of the fences before its own and creates a
 seal in the first empty place of each. An old holder that still runs meets the
 seal at its next write, so the store decides, not a clock.
+
+Groups and seals are never deleted: a takeover takes the first empty place for
+the end of a fence, so a hole would hide the groups behind it.
 """
 
 from collections.abc import Callable, Mapping
