--- a/packages/daemon/tests/golden/conftest.py
+++ b/packages/daemon/tests/golden/conftest.py
@@ -1,11 +1,12 @@
 """In-process daemons with fakes, whose sessions are written to a transcript."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 import io
 import json
 import os
 import pathlib
 import random
+import sys
 from typing import Any
 
 import gevent
@@ -28,6 +29,10 @@
 from rattanpulleyd._internal.telemetry import counters
 
 DIRECTORY = pathlib.Path(__file__).parent
+sys.path.insert(0, str(DIRECTORY))
+
+import golden_fakes  # noqa: E402
+
 WRITE_VARIABLE = "RATTANPULLEY_WRITE_GOLDEN"
 KEY = "00112233445566778899aabbccddeeff"
 
@@ -80,97 +85,6 @@
         return 1_800_000_000.0 + self.now_s
 
 
-class FakeEngines(interfaces.EngineApi):
-    """Writes orders down; the session reports what happens."""
-
-    def __init__(self, session: "Session") -> None:
-        self._session = session
-        self._order: Any = None
-        self._probe: Any = None
-        self.sink: interfaces.EventSink = lambda event: None
-
-    def start(self, order: Any, sink: interfaces.EventSink) -> None:
-        self._order, self.sink = order, sink
-        self._session.write(
-            f"{order.target} < start {order.generation_id} attempt"
-            f" {order.attempt} {order.version} {order.sampling}"
-            f" prompt {order.prompt!r} after {list(order.resume_tokens)}"
-        )
-
-    def attach(self, order: Any, sink: interfaces.EventSink) -> None:
-        self._order, self.sink = order, sink
-        self._session.write(
-            f"{order.target} < attach {order.generation_id} attempt"
-            f" {order.attempt} from {order.from_index}"
-        )
-
-    def cancel(self, order: Any) -> None:
-        self._session.write(
-            f"{order.target} < cancel attempt {order.attempt}"
-            f" keep {order.keep_at_target}"
-        )
-
-    def probe(self, order: Any, sink: interfaces.EventSink) -> None:
-        self._probe, self.sink = order, sink
-        self._session.write(f"{order.target} < probe {order.generation_ids}")
-
-    def accept(self, boot_id: str = "boot-1") -> None:
-        """Reports that the newest order was accepted."""
-        self._report(generations.AttemptAccepted, boot_id=boot_id)
-
-    def tokens(self, first_index: int, *tokens: str) -> None:
-        """Reports tokens of the newest order."""
-        self._report(
-            generations.TokensReceived,
-            first_index=first_index,
-            tokens=tokens,
-            version="v1",
-        )
-
-    def finish(self, token_count: int) -> None:
-        """Reports the end of the answer."""
-        self._report(
-            generations.AttemptFinished,
-            token_count=token_count,
-            finish_reason="stop",
-            version="v1",
-        )
-
-    def fail(self, reason: str, message: str = "") -> None:
-        """Reports a failure of the newest order."""
-        self._report(
-            generations.AttemptFailed,
-            reason=generations.FailureReason(reason),
-            message=message,
-        )
-
-    def answer_probe(self, boot_id: str, progress: dict[str, int]) -> None:
-        """Reports the answer to the newest probe."""
-        probe = self._probe
-        self._session.write(f"{probe.target} > {boot_id} progress {progress}")
-        self.sink(
-            generations.ProbeAnswered(
-                probe.target, probe.probe_id, boot_id, False, progress
-            )
-        )
-        self._session.settle()
-
-    def fail_probe(self) -> None:
-        """Reports that the newest probe found nothing listening."""
-        probe = self._probe
-        self._session.write(f"{probe.target} > refuses the probe")
-        self.sink(generations.ProbeFailed(probe.target, probe.probe_id, True))
-        self._session.settle()
-
-    def _report(self, kind: Callable[..., Any], **fields: Any) -> None:
-        order = self._order
-        event = kind(order.generation_id, order.attempt, **fields)
-        shown = ", ".join(f"{name}={value}" for name, value in fields.items())
-        self._session.write(f"{order.target} > {kind.__name__} {shown}")
-        self.sink(event)
-        self._session.settle()
-
-
 class FakeStore(interfaces.ObjectStore, interfaces.HostList):
     """Objects in memory; unavailable while `down` is set."""
 
@@ -218,33 +132,14 @@
         return []
 
 
-class FakeServices(interfaces.ServiceApi):
-    """Answers or raises what the session has put into `results`."""
-
-    def __init__(self, session: "Session") -> None:
-        self._session = session
-        self.results: list[Any] = []
-
-    def call(self, order: interfaces.ServiceOrder) -> interfaces.ServiceAnswer:
-        self._session.write(
-            f"{order.target} < {order.method} {order.path}"
-            f" {dict(order.headers)} {order.body!r}"
-            f" fresh {order.fresh_connection}"
-        )
-        result = self.results.pop(0)
-        if isinstance(result, Exception):
-            raise result
-        return interfaces.ServiceAnswer(200, (("X-Service", "1"),), result)
-
-
 class FakeDaemon:
     """The parts of one daemon around the fakes."""
 
     def __init__(self, session: "Session", name: str) -> None:
         self._session = session
         self.name = name
-        self.engines = FakeEngines(session)
-        self.services = FakeServices(session)
+        self.engines = golden_fakes.FakeEngines(session)
+        self.services = golden_fakes.FakeServices(session)
         settings = parser.parse(
             {
                 "name": name,
