--- a/packages/core/src/rattanpulley_core/_internal/generations/attempts.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/attempts.py
@@ -78,6 +78,9 @@
     attempt.version = previous.version
     attempt.boot_id = previous.boot_id
     attempt.accepted = previous.accepted
+    attempt.has_produced = previous.has_produced
+    if previous.suspect:
+        attempt.first_index = previous.first_index
     attempt.estimator = previous.estimator
     attempt.estimator.restart(now_s)
 
@@ -112,6 +115,7 @@
 def record_first_token(attempt: rows.Attempt, now_s: float) -> None:
     """Records the first token of an attempt in its target's row."""
     attempt.has_token = True
+    attempt.has_produced = True
     target = attempt.target
     target.awaiting_first_token -= 1
     target.resumes_awaiting_first_token -= attempt.is_resume
@@ -153,7 +157,7 @@
         started_at_s=now_s,
         first_index=len(generation.journal),
         estimator=estimator.IntervalEstimator(now_s),
-        suspect=ctx.suspects.is_suspect(fingerprint, now_s),
+        suspect=ctx.ledger.is_suspect(fingerprint, now_s),
     )
 
 
--- a/packages/daemon/src/rattanpulleyd/_internal/api/app.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/app.py
@@ -1,5 +1,6 @@
 """Caller API."""
 
+from collections.abc import Callable
 from typing import Any
 
 import bottle
@@ -17,10 +18,15 @@
 from rattanpulleyd._internal.api import router
 from rattanpulleyd._internal.api import service_calls
 from rattanpulleyd._internal.api import status
+from rattanpulleyd._internal.runtime import http_server
 from rattanpulleyd._internal.runtime import runtime as runtime_lib
 from rattanpulleyd._internal.settings import model
 from rattanpulleyd._internal.telemetry import counters
 
+# A stream takes about 70 KB, so that this many fit in 128 MB. The design size
+# has 77 streams on a daemon.
+MAX_IN_FLIGHT = 1000
+
 _Counter = counters.Counter
 
 
@@ -37,6 +43,7 @@
         runtime: runtime_lib.Runtime,
         signer: resume_token.Signer,
         services: service_calls.ServiceCalls,
+        peers_report: Callable[[], dict[str, Any]] | None = None,
     ) -> None:
         """Builds the application.
 
@@ -45,12 +52,14 @@
             runtime: Runtime of the daemon.
             signer: Signs and verifies event ids.
             services: Calls to plain services.
+            peers_report: Returns the state of the peer part for operators.
         """
         self.app = http_io.new_app(runtime.counts)
         self._settings = settings
         self._runtime = runtime
         self._signer = signer
         self._services = services
+        self._peers_report = peers_report
         self._add_routes()
 
     def _add_routes(self) -> None:
@@ -89,7 +98,10 @@
         return {"ready": ready, "draining": self._runtime.draining}
 
     def _status(self) -> dict[str, Any]:
-        return status.report(self._settings, self._runtime)
+        report = status.report(self._settings, self._runtime)
+        if self._peers_report is not None:
+            report["peers"] = self._peers_report()
+        return report
 
     def _account(self) -> str:
         """Returns the account of the current request."""
@@ -100,6 +112,11 @@
     def _accept(self) -> str:
         """Counts a new request and returns its account."""
         self._runtime.counts.count(_Counter.REQUESTS)
+        in_flight = bottle.request.environ.get(http_server.IN_FLIGHT_KEY, 0)
+        if in_flight > MAX_IN_FLIGHT:
+            raise exceptions.RequestError(
+                results.ResultCode.OVERLOADED, "Too many answers are in flight."
+            )
         return self._account()
 
     def _generate(self, is_chat: bool) -> Any:
@@ -145,7 +162,8 @@
         )
         bottle.response.content_type = "text/event-stream; charset=utf-8"
         bottle.response.set_header("Cache-Control", "no-cache")
-        return answers.StreamBody(call, first, stream_format)
+        handler = bottle.request.environ.get(http_server.HANDLER_KEY)
+        return answers.StreamBody(call, first, stream_format, handler)
 
     def _verify(
         self, event_id: str, account: str, fingerprint: str, stream: bool
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/daemon.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/daemon.py
@@ -1,7 +1,9 @@
 """Builds the daemon's parts, runs them and stops them."""
 
 from collections.abc import Callable
+import gc
 import random
+import resource
 import signal
 
 import gevent
@@ -20,6 +22,7 @@
 from rattanpulleyd._internal.config import host_poll
 from rattanpulleyd._internal.config import table_watch
 from rattanpulleyd._internal.engine import http_engine
+from rattanpulleyd._internal.peers import peer_runtime
 from rattanpulleyd._internal.runtime import clock as clock_lib
 from rattanpulleyd._internal.runtime import http_server
 from rattanpulleyd._internal.runtime import runtime as runtime_lib
@@ -34,6 +37,11 @@
 # refused with an answer.
 LINGER_S = 0.25
 JOB_RESTART_S = 1.0
+# Events and actions are freed by their reference counts, so that frequent
+# passes of the collector find nothing.
+COLLECTOR_THRESHOLDS = (20_000, 20, 20)
+# Files besides the connections of answers.
+SPARE_FILES = 200
 CORE_PREFIX = "generation"
 
 _Counter = counters.Counter
@@ -60,10 +68,24 @@
         self._greenlets: list[gevent.Greenlet] = []
         signer = resume_token.Signer(settings.resume_keys)
         target_table = targets.TargetTable(settings.failure_domain)
+        self._suspect_table = suspects.SuspectTable()
         self._chooser = targets.LeastOutstandingChooser(target_table, self._rng)
         self._runtime = self._build_runtime(signer, target_table)
+        self._watch = table_watch.TableWatch(
+            self._store,
+            self._runtime.config,
+            self._clock,
+            self._counts,
+            self._rng,
+            self._apply_table,
+        )
+        self._peers = self._build_peers()
         api = app.CallerApi(
-            settings, self._runtime, signer, self._build_services()
+            settings,
+            self._runtime,
+            signer,
+            self._build_services(),
+            self._peers.report if self._peers is not None else None,
         )
         try:
             self._server = http_server.HttpServer(settings.listen, api.app)
@@ -80,7 +102,7 @@
             target_table=target_table,
             chooser=self._chooser,
             signer=signer,
-            suspect_table=suspects.SuspectTable(),
+            suspect_table=self._suspect_table,
             rng=self._rng,
         )
         return runtime_lib.Runtime(
@@ -102,23 +124,40 @@
             chooser=self._chooser,
         )
 
+    def _build_peers(self) -> peer_runtime.PeerRuntime | None:
+        """Builds the peer part, if the settings have one."""
+        if self._settings.peers is None:
+            return None
+        part = peer_runtime.PeerRuntime(
+            settings=self._settings,
+            peer_settings=self._settings.peers,
+            clock=self._clock,
+            rng=self._rng,
+            config=self._runtime.config,
+            suspect_table=self._suspect_table,
+            offer_table=self._watch.offer,
+        )
+        self._runtime.on_crash_report = part.publish_crash_report
+        return part
+
+    def _apply_table(self, kind: tables.TableKind) -> None:
+        """Brings an accepted table into force and tells the peers."""
+        self._runtime.apply_table(kind)
+        if self._peers is not None:
+            self._peers.announce_table(kind)
+
     def start(self) -> None:
         """Starts the background work and accepts connections."""
         runtime = self._runtime
-        watch = table_watch.TableWatch(
-            self._store,
-            runtime.config,
-            self._clock,
-            self._counts,
-            self._rng,
-            runtime.apply_table,
-        )
         poll = host_poll.HostPoll(
             platform.HttpHostList(self._settings.platform.url),
             self._counts,
             runtime.apply_hosts,
         )
-        jobs = (watch.run, poll.run, runtime.run_ticks, self._flush)
+        jobs = [self._watch.run, poll.run, runtime.run_ticks, self._flush]
+        if self._peers is not None:
+            self._peers.start()
+            jobs.append(self._peers.run_ticks)
         self._greenlets = [gevent.spawn(self._keep_running, j) for j in jobs]
         self._server.start()
         loguru.logger.info(
@@ -184,6 +223,26 @@
             self._runtime.log_target_states()
 
 
+def _raise_file_limit() -> None:
+    """Allows two connections for each answer in flight, where possible."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = 2 * app.MAX_IN_FLIGHT + SPARE_FILES
+    if hard != resource.RLIM_INFINITY:
+        wanted = min(wanted, hard)
+    if soft != resource.RLIM_INFINITY and soft < wanted:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+
+
+def _tune_collector() -> None:
+    """Keeps the objects of the start out of the garbage collector's passes.
+
+    A full pass over all modules stops every stream for its duration.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECTOR_THRESHOLDS)
+
+
 def serve(settings: model.Settings) -> None:
     """Runs a daemon until SIGTERM and the end of its answers in flight.
 
@@ -194,8 +253,10 @@
         exceptions.SettingsError: The listening address is not available.
     """
     logs.configure(settings.log_level)
+    _raise_file_limit()
     daemon = Daemon(settings)
     gevent.signal_handler(signal.SIGTERM, daemon.stop_gracefully)
     gevent.signal_handler(signal.SIGINT, daemon.stop_gracefully)
+    _tune_collector()
     daemon.start()
     daemon.wait()
