--- a/packages/core/src/rattanpulley_core/_internal/generations/placement.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/placement.py
@@ -16,6 +16,9 @@
 # Longest wait of a new request; afterwards another daemon may do better.
 NEW_REQUEST_WAIT_S = 2.0
 
+# Characters of a token of usual text.
+CHARS_PER_TOKEN = 4
+
 _Code = results.ResultCode
 # Pool and version, or None for any version.
 _Group = tuple[str, str | None]
@@ -23,30 +26,44 @@
 
 def place_waiting(ctx: context.Context, now_s: float) -> None:
     """Starts as many waiting generations as the targets take."""
+    full_groups: set[_Group] = set()
+    ctx.full_groups = full_groups
     if not ctx.queued_by_id:
         return
-    full_groups: set[_Group] = set()
+    reserved: set[str] = set()
     for generation in _ordered(ctx):
         group = (generation.request.pool, generation.version)
-        if group in full_groups:
+        if group in full_groups and _needs_slot(generation):
             continue
         excluded = generation.excluded(now_s)
-        if not generation.is_resume:
-            excluded |= _reserved(ctx, generation, full_groups)
-        if place(ctx, generation, now_s, excluded):
+        behind = frozenset() if generation.is_resume else frozenset(reserved)
+        if place(ctx, generation, now_s, excluded | behind):
             continue
-        if not excluded and _waits_for_slot(ctx, generation, now_s):
+        if _waits_for_itself(ctx, generation, now_s):
+            continue
+        if generation.is_resume:
+            reserved.update(_wanted(ctx, group, excluded))
+        if not _has_usable(ctx, excluded):
             full_groups.add(group)
 
 
-def place_new(
+def place_queued(
     ctx: context.Context, generation: rows.Generation, now_s: float
 ) -> None:
-    """Starts one generation at once unless others wait."""
-    if len(ctx.queued_by_id) > 1:
-        place_waiting(ctx, now_s)
-    else:
+    """Starts one generation at once unless others wait for the same targets.
+
+    Where the last run found no free target, the next run comes with a free
+    slot or the next tick. Running over the whole queue for every reset of a
+    mass failure would make its cost quadratic.
+    """
+    if generation.generation_id not in ctx.queued_by_id:
+        return
+    if len(ctx.queued_by_id) == 1:
         place(ctx, generation, now_s, generation.excluded(now_s))
+        return
+    group = (generation.request.pool, generation.version)
+    if group not in ctx.full_groups or not _needs_slot(generation):
+        place_waiting(ctx, now_s)
 
 
 def place(
@@ -103,32 +120,44 @@
     )
 
 
-def _waits_for_slot(
+def _waits_for_itself(
     ctx: context.Context, generation: rows.Generation, now_s: float
 ) -> bool:
-    """Returns whether a resume waits because no target has a free slot."""
+    """Returns whether a generation waits although targets may be free."""
     fingerprint = generation.request.fingerprint
-    return generation.is_resume and not ctx.ledger.is_on_hold(
-        fingerprint, now_s
-    )
+    return generation.needs_permit or ctx.ledger.is_on_hold(fingerprint, now_s)
 
 
-def _reserved(
-    ctx: context.Context,
-    generation: rows.Generation,
-    full_groups: set[_Group],
-) -> frozenset[str]:
-    """Returns the targets that queued resumes wait for."""
-    pool = generation.request.pool
-    versions = {version for name, version in full_groups if name == pool}
-    if not versions:
-        return frozenset()
-    return frozenset(
+def _needs_slot(generation: rows.Generation) -> bool:
+    """Returns whether the next step depends on a free target."""
+    return generation.attach_to is None and not _is_whole(generation)
+
+
+def _has_usable(ctx: context.Context, names: frozenset[str]) -> bool:
+    """Returns whether a generation without exclusions might use a target."""
+    for name in names:
+        target = ctx.targets.get(name)
+        if (
+            target is not None
+            and target.state is target_rows.TargetState.LIVE
+            and not target.doubtful
+        ):
+            return True
+    return False
+
+
+def _wanted(
+    ctx: context.Context, group: _Group, excluded: frozenset[str]
+) -> list[str]:
+    """Returns the targets that a queued resume waits for."""
+    pool, version = group
+    return [
         target.name
         for target in ctx.targets.targets_by_name.values()
         if target.pool == pool
-        and (None in versions or target.version in versions)
-    )
+        and version in (None, target.version)
+        and target.name not in excluded
+    ]
 
 
 def _is_whole(generation: rows.Generation) -> bool:
@@ -195,6 +224,7 @@
         prefix_block_hashes=generation.prefix_block_hashes,
         excluded=excluded,
         is_resume=generation.is_resume,
-        suspect=ctx.suspects.is_suspect(request.fingerprint, now_s),
+        suspect=ctx.ledger.is_suspect(request.fingerprint, now_s),
         prefix_tokens=len(generation.journal),
+        prompt_tokens=len(request.prompt) // CHARS_PER_TOKEN,
     )
--- a/packages/core/src/rattanpulley_core/_internal/generations/rows.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/rows.py
@@ -56,8 +56,11 @@
         suspect: Whether the request was a suspect at the start.
         accepted: Whether the target accepted the order.
         has_token: Whether a token of the attempt arrived.
+        has_produced: Whether the target has sent a token of the generation,
+            also before an attach.
         boot_id: Process of the target; empty when not known.
         idle_probes: Probes in a row that showed no progress in the engine.
+        first_token_at_s: Monotonic time of the first token, or None.
     """
 
     number: int
@@ -71,8 +74,10 @@
     suspect: bool = False
     accepted: bool = False
     has_token: bool = False
+    has_produced: bool = False
     boot_id: str = ""
     idle_probes: int = 0
+    first_token_at_s: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -101,6 +106,7 @@
         next_expiry_s: Next time at which a deadline or grace may end.
         done_at_s: Time at which the answer was whole.
         finish_reason: Reason of the target.
+        errored_attempts: Attempts that a target ended with an error.
     """
 
     request: messages.GenerationRequest
@@ -126,6 +132,7 @@
     next_expiry_s: float = math.inf
     done_at_s: float = 0.0
     finish_reason: str = ""
+    errored_attempts: int = 0
 
     @property
     def generation_id(self) -> str:
--- a/packages/core/src/rattanpulley_core/_internal/generations/streams.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/streams.py
@@ -10,9 +10,11 @@
 from rattanpulley_core._internal.generations import journal as journals
 from rattanpulley_core._internal.generations import lifecycle
 from rattanpulley_core._internal.generations import messages
+from rattanpulley_core._internal.generations import outcomes
 from rattanpulley_core._internal.generations import placement
 from rattanpulley_core._internal.generations import probes
 from rattanpulley_core._internal.generations import rows
+from rattanpulley_core._internal.targets import rows as target_rows
 
 # A target that refused may have room again soon.
 REFUSED_EXCLUSION_S = 0.5
@@ -20,6 +22,8 @@
 FAILED_EXCLUSION_S = 1.0
 # A target that broke the protocol is likely to do so again.
 CORRUPT_EXCLUSION_S = 10.0
+# An error on this many targets is taken as the request's own.
+MAX_ERRORED_ATTEMPTS = 3
 
 _State = rows.GenerationState
 _Reason = messages.FailureReason
@@ -64,9 +68,8 @@
         ctx.counters.version_mismatches += 1
         end_corrupt(ctx, generation, attempt, now_s)
         return
-    duplicates = checks.count_duplicates(
-        len(generation.journal), event.first_index
-    )
+    length = len(generation.journal)
+    duplicates = checks.count_duplicates(length, event.first_index)
     if duplicates is None:
         ctx.counters.gaps += 1
         end_corrupt(ctx, generation, attempt, now_s)
@@ -75,9 +78,9 @@
     if duplicates:
         ctx.counters.duplicate_tokens += min(duplicates, len(tokens))
         tokens = tokens[duplicates:]
-        if not tokens:
-            return
-    if len(generation.journal) + len(tokens) > journals.MAX_TOKENS:
+    if not tokens:
+        return
+    if length + len(tokens) > journals.MAX_TOKENS:
         attempts.cancel(ctx, generation)
         lifecycle.end(
             ctx,
@@ -89,6 +92,7 @@
     if not attempt.has_token:
         _begin_stream(ctx, generation, attempt, now_s)
     attempt.estimator.record(now_s)
+    attempt.idle_probes = 0
     delivery.append_tokens(ctx, generation, attempt, tokens)
     if not generation.callers:
         _drop_if_rejected(ctx, generation)
@@ -108,6 +112,7 @@
         end_corrupt(ctx, generation, attempt, now_s)
         return
     attempts.record_accepted(generation, attempt)
+    outcomes.report(ctx, generation, attempt, messages.AttemptResult.OK)
     attempts.release(ctx, generation)
     delivery.finish(ctx, generation, event.finish_reason, now_s)
     placement.place_waiting(ctx, now_s)
@@ -124,7 +129,7 @@
     if event.reason not in _WITHOUT_EFFECT:
         generation.may_have_run = True
     _FAILURE_HANDLERS[event.reason](ctx, generation, attempt, event, now_s)
-    placement.place_waiting(ctx, now_s)
+    placement.place_queued(ctx, generation, now_s)
 
 
 def end_corrupt(
@@ -138,6 +143,7 @@
     generation.may_have_run = True
     generation.exclude(attempt.target.name, now_s + CORRUPT_EXCLUSION_S)
     attempt.target.consecutive_failures += 1
+    outcomes.report(ctx, generation, attempt, messages.AttemptResult.ERROR)
     attempts.cancel(ctx, generation)
     lifecycle.interrupt(ctx, generation, now_s)
     placement.place_waiting(ctx, now_s)
@@ -200,9 +206,65 @@
     now_s: float,
 ) -> None:
     generation.exclude(attempt.target.name, now_s + REFUSED_EXCLUSION_S)
+    attempt.target.load.record_refusal()
     _retry(ctx, generation, attempt, now_s)
 
 
+def _on_errored(
+    ctx: context.Context,
+    generation: rows.Generation,
+    attempt: rows.Attempt,
+    event: messages.AttemptFailed,
+    now_s: float,
+) -> None:
+    """Retries on another target; an error on each of them is the answer."""
+    outcomes.report(ctx, generation, attempt, messages.AttemptResult.ERROR)
+    generation.errored_attempts += 1
+    if generation.errored_attempts >= MAX_ERRORED_ATTEMPTS:
+        attempts.release(ctx, generation)
+        lifecycle.end(
+            ctx, generation, results.ResultCode.TARGET_ERROR, event.message
+        )
+        return
+    generation.exclude(attempt.target.name, now_s + CORRUPT_EXCLUSION_S)
+    if generation.version is None:
+        _exclude_version(ctx, generation, attempt.version, now_s)
+    generation.needs_permit = True
+    attempt.target.consecutive_failures += 1
+    lifecycle.interrupt(ctx, generation, now_s)
+
+
+def _exclude_version(
+    ctx: context.Context,
+    generation: rows.Generation,
+    version: str,
+    now_s: float,
+) -> None:
+    """Prefers another version after an error, if one is live.
+
+    Otherwise each request that a bad version gets could fail on all its
+    targets before the version is taken back.
+    """
+    pool = [
+        target
+        for target in ctx.targets.targets_by_name.values()
+        if target.pool == generation.request.pool
+    ]
+    weights = ctx.targets.version_weights(generation.request.pool)
+    live = target_rows.TargetState.LIVE
+    has_other = any(
+        target.version != version
+        and target.state is live
+        and weights.get(target.version, 0.0) > 0.0
+        for target in pool
+    )
+    if not has_other:
+        return
+    for target in pool:
+        if target.version == version:
+            generation.exclude(target.name, now_s + CORRUPT_EXCLUSION_S)
+
+
 def _on_rejected(
     ctx: context.Context,
     generation: rows.Generation,
@@ -236,8 +298,10 @@
     target = attempt.target
     generation.exclude(target.name, now_s + FAILED_EXCLUSION_S)
     target.consecutive_failures += 1
-    if attempt.accepted:
-        probes.record_reset(ctx, generation, attempt, now_s)
+    # The order was sent, so the request may have run and crashed the target,
+    # also when the target died before it answered.
+    probes.record_reset(ctx, generation, attempt, now_s)
+    outcomes.hold_reset(ctx, generation, attempt)
     attempts.cancel(ctx, generation)
     probes.examine(ctx, target, now_s)
     lifecycle.interrupt(ctx, generation, now_s)
@@ -285,6 +349,7 @@
 ] = {
     _Reason.NOT_CONNECTED: _on_not_connected,
     _Reason.REFUSED: _on_refused,
+    _Reason.ERRORED: _on_errored,
     _Reason.REJECTED: _on_rejected,
     _Reason.NOT_HELD: _on_not_held,
     _Reason.RESET: _on_reset,
--- a/packages/core/src/rattanpulley_core/_internal/moves/evidence.py
+++ b/packages/core/src/rattanpulley_core/_internal/moves/evidence.py
@@ -12,9 +12,12 @@
 from rattanpulley_core._internal.tables import rows
 
 # Chance that a move to a version that is no worse is ever taken back. It is
-# divided by the number of signals, routes and daemons, each of which may give
-# a verdict.
+# divided by the number of signals, of routes with all of them together as one
+# more, and of daemons, since each of these may give a verdict.
 FALSE_ALARM_RATE = 0.005
+# Name of the test over all routes together, which needs fewer bad requests if
+# every route is affected. It cannot be the name of a route.
+ALL_ROUTES = "*"
 # One or two bad requests are never enough, whatever the assumed rates.
 MIN_BAD_REQUESTS = 3
 
@@ -42,8 +45,11 @@
     def describe(self) -> str:
         """Returns the evidence for people."""
         c = self.counts
+        place = f"route {self.route}"
+        if self.route == ALL_ROUTES:
+            place = "all routes"
         return (
-            f"{self.signal.value} on route {self.route}: new version"
+            f"{self.signal.value} on {place}: new version"
             f" {c.new_bad} of {c.new_bad + c.new_ok}, old version"
             f" {c.old_bad} of {c.old_bad + c.old_ok}; log evidence"
             f" {self.log_capital:.1f}, threshold {self.threshold:.1f}"
@@ -110,12 +116,11 @@
         route_count: int,
         daemon_count: int,
     ) -> None:
+        self._strongest: Finding | None = None
+        self._is_stale = False
         self.new_requests = 0
         self.expected_requests = 0.0
-        self.set_pool(pool, move)
-        tests = len(messages.Signal) * max(1, route_count)
-        tests *= max(1, daemon_count)
-        self.threshold = math.log(tests / FALSE_ALARM_RATE)
+        self.replan(pool, move, route_count, daemon_count)
         self._crashes = crashes.CrashFilter()
         self._progress = 0.0
         self._thresholds: dict[
@@ -129,8 +134,18 @@
         self._unpublished: dict[tuple[messages.Signal, str], _Tally] = {}
         self._unpublished_crashes: list[messages.Observation] = []
 
-    def set_pool(self, pool: rows.Pool, move: rows.Move) -> None:
+    def replan(
+        self,
+        pool: rows.Pool,
+        move: rows.Move,
+        route_count: int,
+        daemon_count: int,
+    ) -> None:
         """Takes a changed row of the same move; the evidence is kept."""
+        tests = len(messages.Signal) * (route_count + 1)
+        tests *= max(1, daemon_count)
+        self.threshold = math.log(tests / FALSE_ALARM_RATE)
+        self._is_stale = True
         self._move = move
         self._strata = strata.Strata(pool, move)
         self._target_count = sum(
@@ -149,12 +164,9 @@
             ended.route, ended.failure_domain, ended.share
         )
         for signal, is_bad in self._judge(ended, is_new):
-            key = (signal, ended.route, ended.failure_domain)
-            tally = self._pending.setdefault(key, _Tally())
-            tally.add(share, is_new, is_bad)
-            if is_new and is_bad:
-                tally.bad_targets.add(ended.target)
-        if ended.result is messages.Result.CRASH:
+            if share is not None:
+                self._tally(signal, ended, share, is_new, is_bad)
+        if ended.result is messages.Result.CRASH and share is not None:
             self._observe_crash(ended, is_new, share, wall_s)
         self._strata.remember(
             ended.route, ended.failure_domain, ended.share, is_new
@@ -198,12 +210,28 @@
 
     def strongest(self) -> Finding | None:
         """Returns the strongest evidence, or None before any request."""
-        findings = [self._finding(key) for key in self._tests]
-        return max(
-            findings,
-            key=lambda f: (f.is_condemning, f.log_capital),
-            default=None,
-        )
+        if self._is_stale:
+            self._is_stale = False
+            self._strongest = max(
+                (self._finding(key) for key in self._tests),
+                key=lambda f: (f.is_condemning, f.log_capital),
+                default=None,
+            )
+        return self._strongest
+
+    def _tally(
+        self,
+        signal: messages.Signal,
+        ended: messages.RequestEnded,
+        share: float,
+        is_new: bool,
+        is_bad: bool,
+    ) -> None:
+        key = (signal, ended.route, ended.failure_domain)
+        tally = self._pending.setdefault(key, _Tally())
+        tally.add(share, is_new, is_bad)
+        if is_new and is_bad:
+            tally.bad_targets.add(ended.target)
 
     def _judge(
         self, ended: messages.RequestEnded, is_new: bool
@@ -223,7 +251,7 @@
             threshold = self._thresholds.setdefault(
                 (signal, ended.route), latency.SlowThreshold()
             )
-            is_slow = threshold.is_slow(value_s)
+            is_slow = threshold.is_slow(value_s, is_new)
             if is_slow is not None:
                 yield signal, is_slow
             if not is_new:
@@ -255,17 +283,25 @@
         self._unpublished_crashes.append(observation)
 
     def _apply(self, observation: messages.Observation) -> None:
-        key = (observation.signal, observation.route)
+        for route in (observation.route, ALL_ROUTES):
+            self._apply_to((observation.signal, route), observation)
+        if observation.signal is messages.Signal.ERRORS:
+            counts = observation.counts
+            self.new_requests += counts.new_ok + counts.new_bad
+
+    def _apply_to(
+        self,
+        key: tuple[messages.Signal, str],
+        observation: messages.Observation,
+    ) -> None:
         test = self._tests.get(key)
         if test is None:
             test = sequential_test.SequentialTest(observation.signal)
             test.put_in(self._progress)
             self._tests[key] = test
+        self._is_stale = True
         test.update(observation.counts, observation.share)
         self._bad_targets.setdefault(key, set()).update(observation.bad_targets)
-        if observation.signal is messages.Signal.ERRORS:
-            counts = observation.counts
-            self.new_requests += counts.new_ok + counts.new_bad
 
     def _finding(self, key: tuple[messages.Signal, str]) -> Finding:
         test = self._tests[key]
--- a/packages/core/src/rattanpulley_core/_internal/peers/core.py
+++ b/packages/core/src/rattanpulley_core/_internal/peers/core.py
@@ -50,6 +50,7 @@
             messages.ConnectFailed: links.on_connect_failed,
             messages.MessageReceived: self._on_message,
             messages.FactPublished: spread.on_fact_published,
+            messages.Leaving: spread.on_leaving,
             messages.TableHeld: tables.on_held,
             messages.TableWanted: tables.on_wanted,
         }
@@ -94,7 +95,7 @@
             return []
         handler = self._message_handlers.get((row.state, type(event.message)))
         if handler is None:
-            self.state.counters["peers.unexpected_messages"] += 1
+            self.state.counters.unexpected_messages += 1
             return self._connections.refuse(row, now_s)
         row.heard_s = now_s
         return handler(row, event.message, now_s)
--- a/packages/core/src/rattanpulley_core/_internal/peers/dissemination.py
+++ b/packages/core/src/rattanpulley_core/_internal/peers/dissemination.py
@@ -79,10 +79,10 @@
                     fact.key, fact.version, fact.value
                 )
             except members.MemberFormatError:
-                self._state.counters["peers.malformed_facts"] += 1
+                self._state.counters.malformed_facts += 1
                 return False, []
         result = self._state.fact_table.merge(fact)
-        self._state.counters[f"peers.facts_{result.value}"] += 1
+        self._state.counters.count_fact(result)
         if result is not facts.MergeResult.NEW:
             return False, []
         if member is None:
@@ -94,7 +94,7 @@
         """Answers a report that this daemon is gone, or an old self of it."""
         if fact.version <= self._state.own.version:
             return []
-        self._state.counters["peers.refutations"] += 1
+        self._state.counters.refutations += 1
         incarnation = fact.version // members.RANKS_PER_INCARNATION + 1
         self._state.own = dataclasses.replace(
             self._state.own, incarnation=incarnation
@@ -122,6 +122,20 @@
         accepted, actions = self._learn(fact, now_s)
         return actions + self._spread([fact] if accepted else [], now_s)
 
+    def on_leaving(self, event: messages.Leaving, now_s: float) -> Actions:
+        """Tells the peers that this daemon stops."""
+        left = dataclasses.replace(
+            self._state.own, state=members.MemberState.LEFT
+        )
+        # Its own table says so too; otherwise it would refute the report when
+        # a peer passes it on.
+        self._state.own = left
+        fact = dataclasses.replace(
+            self._state.own_fact(), expires_s=now_s + TOMBSTONE_TTL_S
+        )
+        self._state.fact_table.merge(fact)
+        return self._spread([fact], now_s)
+
     def on_fact_published(
         self, event: messages.FactPublished, now_s: float
     ) -> Actions:
--- a/packages/core/src/rattanpulley_core/claims.py
+++ b/packages/core/src/rattanpulley_core/claims.py
@@ -8,6 +8,7 @@
 from rattanpulley_core._internal.claims import answers
 from rattanpulley_core._internal.claims import calls
 from rattanpulley_core._internal.claims import driver
+from rattanpulley_core._internal.claims import lookup
 from rattanpulley_core._internal.claims import messages
 from rattanpulley_core._internal.claims import records
 from rattanpulley_core._internal.claims import settlement
@@ -17,6 +18,7 @@
 CallState = calls.CallState
 TRANSITIONS = calls.TRANSITIONS
 run = driver.run
+look_up = lookup.look_up
 
 Event = messages.Event
 StoreAnswered = messages.StoreAnswered
@@ -42,6 +44,7 @@
 OUTCOME_LIMIT_BYTES = records.OUTCOME_LIMIT_BYTES
 claim_key = records.claim_key
 request_fingerprint = records.request_fingerprint
+outcome_of = records.outcome_of
 to_json = records.to_json
 from_json = records.from_json
 
--- a/packages/daemon/src/rattanpulleyd/_internal/api/app.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/app.py
@@ -10,6 +10,7 @@
 from rattanpulley_core import resume_token
 from rattanpulley_core import tables
 from rattanpulleyd import exceptions
+from rattanpulleyd._internal.api import admission
 from rattanpulleyd._internal.api import answers
 from rattanpulleyd._internal.api import http_io
 from rattanpulleyd._internal.api import identity
@@ -18,6 +19,7 @@
 from rattanpulleyd._internal.api import router
 from rattanpulleyd._internal.api import service_calls
 from rattanpulleyd._internal.api import status
+from rattanpulleyd._internal.runtime import http_server
 from rattanpulleyd._internal.runtime import runtime as runtime_lib
 from rattanpulleyd._internal.settings import model
 from rattanpulleyd._internal.telemetry import counters
@@ -38,7 +40,7 @@
         runtime: runtime_lib.Runtime,
         signer: resume_token.Signer,
         services: service_calls.ServiceCalls,
-        peers_report: Callable[[], dict[str, Any]] | None = None,
+        report_parts: Callable[[], dict[str, Any]] = dict,
     ) -> None:
         """Builds the application.
 
@@ -47,14 +49,14 @@
             runtime: Runtime of the daemon.
             signer: Signs and verifies event ids.
             services: Calls to plain services.
-            peers_report: Returns the state of the peer part for operators.
+            report_parts: Returns the state of the other parts for operators.
         """
         self.app = http_io.new_app(runtime.counts)
         self._settings = settings
         self._runtime = runtime
         self._signer = signer
         self._services = services
-        self._peers_report = peers_report
+        self._report_parts = report_parts
         self._add_routes()
 
     def _add_routes(self) -> None:
@@ -80,12 +82,9 @@
 
     def _service(self, service: str, path: str) -> bytes:
         account = self._accept()
-        if self._runtime.draining:
-            raise exceptions.RequestError(
-                results.ResultCode.DRAINING, "This daemon is stopping."
-            )
         route = router.service_route(self._runtime.config.routes, service)
-        return self._services.answer(route, account, path)
+        with admission.admitted(self._runtime, route, account) as refusal:
+            return self._services.answer(route, account, path, refusal)
 
     def _ready(self) -> dict[str, Any]:
         ready = status.is_ready(self._runtime)
@@ -94,9 +93,7 @@
 
     def _status(self) -> dict[str, Any]:
         report = status.report(self._settings, self._runtime)
-        if self._peers_report is not None:
-            report["peers"] = self._peers_report()
-        return report
+        return {**report, **self._report_parts()}
 
     def _account(self) -> str:
         """Returns the account of the current request."""
@@ -124,7 +121,8 @@
             is_chat=is_chat,
             include_usage=parsed.include_usage,
         )
-        call = answers.Call(self._runtime, request, resume)
+        hold = admission.Hold(self._runtime, request, resume is not None)
+        call = answers.Call(self._runtime, request, resume, hold.release)
         if parsed.stream:
             return self._stream(call, head, request)
         try:
@@ -152,7 +150,8 @@
         )
         bottle.response.content_type = "text/event-stream; charset=utf-8"
         bottle.response.set_header("Cache-Control", "no-cache")
-        return answers.StreamBody(call, first, stream_format)
+        handler = bottle.request.environ.get(http_server.HANDLER_KEY)
+        return answers.StreamBody(call, first, stream_format, handler)
 
     def _verify(
         self, event_id: str, account: str, fingerprint: str, stream: bool
--- a/packages/daemon/src/rattanpulleyd/_internal/api/status.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/status.py
@@ -7,6 +7,8 @@
 from rattanpulleyd._internal.runtime import runtime as runtime_lib
 from rattanpulleyd._internal.settings import model
 
+LARGEST_ACCOUNTS = 20
+
 
 def is_ready(runtime: runtime_lib.Runtime) -> bool:
     """Returns whether the daemon can serve new requests.
@@ -38,11 +40,35 @@
             kind.value: _table_report(runtime.config, kind, now_s)
             for kind in tables.TableKind
         },
+        "accounts": [
+            {"route": route, "account": account, "in_flight": in_flight}
+            for route, account, in_flight in runtime.limits.largest(
+                LARGEST_ACCOUNTS
+            )
+        ],
         "generations": dataclasses.asdict(runtime.core.status(now_s)),
+        "targets": _target_reports(runtime),
         "counters": runtime.counts.totals_by_name(),
     }
 
 
+def _target_reports(runtime: runtime_lib.Runtime) -> dict[str, Any]:
+    """Returns what the daemon knows about each target, by name."""
+    targets_by_name = runtime.target_table.targets_by_name
+    return {
+        name: {
+            "pool": target.pool,
+            "version": target.version,
+            "failure_domain": target.failure_domain,
+            "state": target.state.value,
+            "in_pool": target.in_pool,
+            "in_flight": target.in_flight,
+            "consecutive_failures": target.consecutive_failures,
+        }
+        for name, target in sorted(targets_by_name.items())
+    }
+
+
 def _table_report(
     config: tables.ConfigState, kind: tables.TableKind, now_s: float
 ) -> dict[str, Any]:
--- a/packages/daemon/src/rattanpulleyd/_internal/peers/peer_runtime.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/peers/peer_runtime.py
@@ -1,6 +1,7 @@
 """Runs the peer part: streams, ticks, and what its facts mean to the daemon."""
 
 from collections.abc import Callable
+import dataclasses
 import hashlib
 import json
 import random
@@ -11,6 +12,7 @@
 import loguru
 
 from rattanpulley_core import interfaces
+from rattanpulley_core import limits
 from rattanpulley_core import peers
 from rattanpulley_core import suspects
 from rattanpulley_core import tables
@@ -24,6 +26,8 @@
 # A table is at most as large as a value of the object API.
 MAX_TABLE_BYTES = 1_048_576
 CRASH_REPORT_TTL_S = 3600.0
+# Time for the last messages to be written before the streams are closed.
+LEAVE_LINGER_S = 0.1
 
 TableOffer = Callable[[tables.TableKind, int, Any, str], None]
 
@@ -44,6 +48,7 @@
         config: tables.ConfigState,
         suspect_table: suspects.SuspectTable,
         offer_table: TableOffer,
+        account_limits: limits.AccountLimits,
     ) -> None:
         """Prepares the part and listens; `start` accepts streams.
 
@@ -55,11 +60,15 @@
             config: The tables in force.
             suspect_table: Takes the crash reports of other daemons.
             offer_table: Offers a table that a peer sent.
+            account_limits: Takes the number of daemons alive.
         """
         self._clock = clock
         self._config = config
         self._suspects = suspect_table
         self._offer_table = offer_table
+        self._limits = account_limits
+        self.on_move_fact: Callable[[peers.Fact], None] | None = None
+        self.on_members: Callable[[set[str]], None] | None = None
         self._wanted_since_s: dict[tables.TableKind, float] = {}
         listen = peer_settings.listen
         self.streams = tcp_streams.TcpPeerStreams(
@@ -91,6 +100,9 @@
         ] = {
             peers.FactKind.CRASH_REPORT: self._on_crash_report,
             peers.FactKind.TABLE: self._on_table_version,
+            peers.FactKind.EVIDENCE: self._on_move,
+            peers.FactKind.VERDICT: self._on_move,
+            peers.FactKind.MOVE_REPORT: self._on_move,
         }
 
     def start(self) -> None:
@@ -98,7 +110,9 @@
         self.streams.start()
 
     def stop(self) -> None:
-        """Closes all streams."""
+        """Tells the peers and closes all streams."""
+        self.feed(peers.Leaving())
+        gevent.sleep(LEAVE_LINGER_S)
         self.streams.stop()
 
     def feed(self, event: peers.Event) -> None:
@@ -149,7 +163,6 @@
     def report(self) -> dict[str, Any]:
         """Returns the state of the peer part for operators."""
         state = self.core.state
-        counters = {**state.counters, **self.streams.counters}
         return {
             "incarnation": self.core.own.incarnation,
             "connected": sorted(state.stream_table.open_peer_names()),
@@ -161,7 +174,13 @@
                 for row in state.peer_table
             },
             "facts": len(state.fact_table),
-            "counters": counters,
+        }
+
+    def counters_by_name(self) -> dict[str, int]:
+        """Returns the counts of the part since the start."""
+        return {
+            **dataclasses.asdict(self.core.state.counters),
+            **dataclasses.asdict(self.streams.counters),
         }
 
     def _carry_out(self, actions: list[peers.Action]) -> None:
@@ -178,12 +197,20 @@
         try:
             fingerprint, target, boot_id = json.loads(fact.value)
         except ValueError:
-            self.core.state.counters["peers.malformed_facts"] += 1
+            self.core.state.counters.malformed_facts += 1
             return
         expires_s = fact.expires_s
         ttl_s = CRASH_REPORT_TTL_S if expires_s is None else expires_s - now_s
         self._suspects.apply_remote(fingerprint, target, boot_id, now_s, ttl_s)
 
+    def _on_move(self, fact: peers.Fact) -> None:
+        if self.on_move_fact is None:
+            return
+        try:
+            self.on_move_fact(fact)
+        except ValueError:
+            self.core.state.counters.malformed_facts += 1
+
     def _on_table_version(self, fact: peers.Fact) -> None:
         kind = _KINDS_BY_NAME.get(fact.key)
         if kind is not None and fact.version > self._config.version(kind):
@@ -206,12 +233,26 @@
         try:
             value = json.loads(_decompress(action.content))
         except (ValueError, zlib.error):
-            self.core.state.counters["peers.malformed_tables"] += 1
+            self.core.state.counters.malformed_tables += 1
             return
         self._offer_table(kind, action.version, value, SOURCE)
 
+    def _expected_daemons(self) -> set[str]:
+        """Returns the daemons that have not left, silent and dead ones too."""
+        return {
+            row.member.name
+            for row in self.core.state.peer_table
+            if row.member.state is not peers.MemberState.LEFT
+        }
+
     def _on_member(self, action: peers.MemberChanged) -> None:
         member = action.member
+        if self.on_members is not None:
+            self.on_members(self._expected_daemons())
+        alive = self.core.state.peer_table.in_state(
+            peers.MemberState.ALIVE, peers.MemberState.SUSPECT
+        )
+        self._limits.set_daemon_count(len(alive) + 1)
         loguru.logger.info(
             "peer {} in {}: {} (incarnation {})",
             member.name,
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/daemon.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/daemon.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Callable
 import random
+import resource
 import signal
+from typing import Any
 
 import gevent
 import gevent.event
@@ -15,11 +17,14 @@
 from rattanpulley_core import tables
 from rattanpulley_core import targets
 from rattanpulleyd import exceptions
+from rattanpulleyd._internal.api import admission
 from rattanpulleyd._internal.api import app
 from rattanpulleyd._internal.api import service_calls
 from rattanpulleyd._internal.config import host_poll
 from rattanpulleyd._internal.config import table_watch
 from rattanpulleyd._internal.engine import http_engine
+from rattanpulleyd._internal.moves import move_runtime
+from rattanpulleyd._internal.moves import verdict_store
 from rattanpulleyd._internal.peers import peer_runtime
 from rattanpulleyd._internal.runtime import clock as clock_lib
 from rattanpulleyd._internal.runtime import http_server
@@ -35,7 +40,10 @@
 # refused with an answer.
 LINGER_S = 0.25
 JOB_RESTART_S = 1.0
+# Files besides the connections of answers.
+SPARE_FILES = 200
 CORE_PREFIX = "generation"
+PEERS_PREFIX = "peers"
 
 _Counter = counters.Counter
 
@@ -72,13 +80,15 @@
             self._rng,
             self._apply_table,
         )
+        self._verdicts = verdict_store.VerdictStore(self._store, self._rng)
+        self._moves = self._build_moves(target_table)
         self._peers = self._build_peers()
         api = app.CallerApi(
             settings,
             self._runtime,
             signer,
             self._build_services(),
-            self._peers.report if self._peers is not None else None,
+            self._report_parts,
         )
         try:
             self._server = http_server.HttpServer(settings.listen, api.app)
@@ -117,6 +127,20 @@
             chooser=self._chooser,
         )
 
+    def _build_moves(
+        self, target_table: targets.TargetTable
+    ) -> move_runtime.MoveRuntime:
+        """Builds the moves part."""
+        part = move_runtime.MoveRuntime(
+            daemon=self._settings.name,
+            clock=self._clock,
+            config=self._runtime.config,
+            target_table=target_table,
+            store=self._verdicts,
+        )
+        self._runtime.health = part
+        return part
+
     def _build_peers(self) -> peer_runtime.PeerRuntime | None:
         """Builds the peer part, if the settings have one."""
         if self._settings.peers is None:
@@ -129,13 +153,25 @@
             config=self._runtime.config,
             suspect_table=self._suspect_table,
             offer_table=self._watch.offer,
+            account_limits=self._runtime.limits,
         )
         self._runtime.on_crash_report = part.publish_crash_report
+        part.on_move_fact = self._moves.learn_fact
+        part.on_members = self._moves.set_daemons
+        self._moves.publish = part.feed
         return part
 
+    def _report_parts(self) -> dict[str, Any]:
+        """Returns the state of the parts beside the runtime."""
+        report: dict[str, Any] = {"moves": self._moves.report()}
+        if self._peers is not None:
+            report["peers"] = self._peers.report()
+        return report
+
     def _apply_table(self, kind: tables.TableKind) -> None:
         """Brings an accepted table into force and tells the peers."""
         self._runtime.apply_table(kind)
+        self._moves.apply_tables()
         if self._peers is not None:
             self._peers.announce_table(kind)
 
@@ -147,7 +183,14 @@
             self._counts,
             runtime.apply_hosts,
         )
-        jobs = [self._watch.run, poll.run, runtime.run_ticks, self._flush]
+        jobs = [
+            self._watch.run,
+            poll.run,
+            runtime.run_ticks,
+            self._moves.run_ticks,
+            self._verdicts.run,
+            self._flush,
+        ]
         if self._peers is not None:
             self._peers.start()
             jobs.append(self._peers.run_ticks)
@@ -195,6 +238,8 @@
         self._wait_for_answers()
         self._server.stop()
         gevent.killall(self._greenlets)
+        if self._peers is not None:
+            self._peers.stop()
         self._counts.flush()
         loguru.logger.info("{}: stopped", self._settings.name)
 
@@ -212,10 +257,23 @@
             self._counts.gauge(_Counter.GENERATIONS_ACTIVE, status.active_count)
             self._counts.gauge(_Counter.JOURNAL_BYTES, status.journal_bytes)
             self._counts.absorb(CORE_PREFIX, status.counters_by_name)
+            if self._peers is not None:
+                counters_by_name = self._peers.counters_by_name()
+                self._counts.absorb(PEERS_PREFIX, counters_by_name)
             self._counts.flush()
             self._runtime.log_target_states()
 
 
+def _raise_file_limit() -> None:
+    """Allows two connections for each answer in flight, where possible."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = 2 * admission.MAX_IN_FLIGHT + SPARE_FILES
+    if hard != resource.RLIM_INFINITY:
+        wanted = min(wanted, hard)
+    if soft != resource.RLIM_INFINITY and soft < wanted:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+
+
 def serve(settings: model.Settings) -> None:
     """Runs a daemon until SIGTERM and the end of its answers in flight.
 
@@ -226,6 +284,7 @@
         exceptions.SettingsError: The listening address is not available.
     """
     logs.configure(settings.log_level)
+    _raise_file_limit()
     daemon = Daemon(settings)
     gevent.signal_handler(signal.SIGTERM, daemon.stop_gracefully)
     gevent.signal_handler(signal.SIGINT, daemon.stop_gracefully)
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/runtime.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/runtime.py
@@ -8,8 +8,10 @@
 
 from rattanpulley_core import generations
 from rattanpulley_core import interfaces
+from rattanpulley_core import limits
 from rattanpulley_core import tables
 from rattanpulley_core import targets
+from rattanpulleyd._internal.runtime import health
 from rattanpulleyd._internal.telemetry import counters
 from rattanpulleyd._internal.telemetry import logs
 
@@ -52,6 +54,8 @@
         self.target_table = target_table
         self.draining = False
         self.on_crash_report: Callable[[str, str, str], None] | None = None
+        self.limits = limits.AccountLimits()
+        self.health: health.HealthObserver = health.NoObserver()
         self._engine = engine
         self._callers_by_id: dict[int, interfaces.CallerStream] = {}
         self._caller_ids = itertools.count(1)
@@ -69,6 +73,7 @@
             generations.FinishAnswer: self._finish,
             generations.FailAnswer: self._fail,
             generations.PublishCrashReport: self._publish_crash_report,
+            generations.AttemptEnded: self._end_attempt,
         }
 
     def feed(self, event: generations.Event) -> None:
@@ -175,6 +180,11 @@
             self._handlers[type(action)](action)
 
     def _start(self, action: generations.StartAttempt) -> None:
+        target = self.target_table.get(action.target)
+        if target is not None and not action.resume_tokens:
+            self.health.attempt_started(
+                action.generation_id, action.attempt, target.pool
+            )
         self._engine.start(action, self.feed)
 
     def _attach(self, action: generations.AttachAttempt) -> None:
@@ -202,6 +212,9 @@
             self.counts.count(_Counter.ANSWERS_FAILED)
             stream.fail(action)
 
+    def _end_attempt(self, action: generations.AttemptEnded) -> None:
+        self.health.attempt_ended(action)
+
     def _publish_crash_report(
         self, action: generations.PublishCrashReport
     ) -> None:
