Read the host list only when it changed

Cause: each daemon read the whole list once a second. A row takes about 140 bytes, so 600 targets would take about 90 KB/s of the 4 KB/s that control may use, and 380 daemons would make 380 calls a second.

Change: the client sends the entity tag of its last answer and keeps the rows on 304; the poll runs about every 2 s with a random delay, at most 2.4 s, for the bound of 3 s; slopes of whole and unchanged reads for docs/CAPACITY.md.

Conclusion: the rows travel only after a change.

--- a/packages/adapters/src/rattanpulley_adapters/_internal/platform/http_json.py
+++ b/packages/adapters/src/rattanpulley_adapters/_internal/platform/http_json.py
@@ -20,10 +20,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class JsonAnswer:
-    """Status and decoded body of an answer; `body` is None without JSON."""
+    """One answer.
+
+    Attributes:
+        status: HTTP status.
+        body: Decoded body; None without JSON.
+        entity_tag: Value of the `ETag` header; empty without one.
+    """
 
     status: int
     body: Any
+    entity_tag: str = ""
 
 
 class JsonClient:
@@ -111,7 +118,8 @@
             raise interfaces.StoreUnavailableError(
                 f"{method} {path}: status {response.status}"
             )
-        return JsonAnswer(response.status, _decode(data))
+        entity_tag = response.headers.get("ETag", "")
+        return JsonAnswer(response.status, _decode(data), entity_tag)
 
 
 def _read_bounded(response: urllib3.BaseHTTPResponse) -> bytes:
--- a/packages/adapters/tests/platform/test_platform_clients.py
+++ b/packages/adapters/tests/platform/test_platform_clients.py
@@ -14,6 +14,7 @@
 from rattanpulley_adapters import platform
 from rattanpulley_core import interfaces
 
+NOT_MODIFIED = 304
 OBJECT = {"key": "a/b c", "value": {"x": 1}, "version": 2, "revision": 7}
 
 
@@ -24,11 +25,13 @@
     Attributes:
         status: Status of the answers.
         body: Body of the answers; None breaks the connection.
+        entity_tag: Value of the `ETag` header, if any.
         calls: Method, path, condition and body of each call.
     """
 
     status: int = 200
     body: Any = None
+    entity_tag: str = ""
     calls: list[tuple[str, str, str | None, Any]] = dataclasses.field(
         default_factory=list
     )
@@ -61,7 +64,11 @@
                 self.close_connection = True
                 return
             body = json.dumps(found.body).encode()
+            if found.status == NOT_MODIFIED:
+                body = b""
             self.send_response(found.status)
+            if found.entity_tag:
+                self.send_header("ETag", found.entity_tag)
             self.send_header("Content-Length", str(len(body)))
             self.end_headers()
             self.wfile.write(body)
@@ -159,6 +166,35 @@
             hosts.fetch()
 
 
+def test_unchanged_host_list_is_not_sent_again(script: Script) -> None:
+    """Guards against reads of the whole list that exceed the budget."""
+    row = {
+        "name": "e1",
+        "domain": "north",
+        "url": "http://127.0.0.1:1",
+        "kind": "engine",
+        "version": "v1",
+        "state": "live",
+    }
+    hosts = platform.HttpHostList(script.url)
+    script.body = {"hosts": [row]}
+    script.entity_tag = '"tag-1"'
+    first = hosts.fetch()
+    script.status, script.body = 304, ""
+    assert hosts.fetch() == first
+    script.status, script.entity_tag = 200, '"tag-2"'
+    script.body = {"hosts": [{**row, "state": "leaving"}]}
+    assert hosts.fetch()[0].state.value == "leaving"
+    assert [call[2] for call in script.calls] == [None, '"tag-1"', '"tag-1"']
+
+
+def test_unexpected_304_is_refused(script: Script) -> None:
+    """Guards against a list that is empty because nothing was asked for."""
+    script.status, script.body = 304, ""
+    with pytest.raises(interfaces.StoreUnavailableError):
+        platform.HttpHostList(script.url).fetch()
+
+
 def test_refused_connection_is_reported() -> None:
     """Guards against an error type that callers do not handle."""
     with socket.socket() as bound:
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/daemon.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/daemon.py
@@ -186,6 +186,7 @@
             platform.HttpHostList(self._settings.platform.url),
             self._counts,
             runtime.apply_hosts,
+            self._rng,
         )
         jobs = [
             self._watch.run,
--- a/packages/daemon/tests/golden/conftest.py
+++ b/packages/daemon/tests/golden/conftest.py
@@ -193,7 +193,10 @@
             self.runtime.apply_table,
         )
         self.poll = host_poll.HostPoll(
-            session.store, self.counts, self.runtime.apply_hosts
+            session.store,
+            self.counts,
+            self.runtime.apply_hosts,
+            random.Random(0),
         )
         api = app_lib.CallerApi(settings, self.runtime, signer, services)
         self._app = api.app
--- a/packages/standins/src/rattanpulley_standins/_internal/measure/design_size.py
+++ b/packages/standins/src/rattanpulley_standins/_internal/measure/design_size.py
@@ -28,3 +28,5 @@
 
 # A waiting watch returns after this time at the latest.
 WATCH_S = 8.0
+HOST_POLL_S = 2.0
+HOST_FAILURES_PER_DAY = 7
--- a/packages/standins/src/rattanpulley_standins/_internal/measure/rows.py
+++ b/packages/standins/src/rattanpulley_standins/_internal/measure/rows.py
@@ -176,6 +176,28 @@
         30.0,
         "default limits; only exceptions have rows",
     ),
+    Row(
+        "host list",
+        "network, bytes/s",
+        "hosts.unchanged / 2 s + hosts.whole at 600 targets x 2 x 387 a day",
+        lambda slopes: (
+            slopes["hosts.unchanged"].at(size.TARGETS) / size.HOST_POLL_S
+            + slopes["hosts.whole"].at(size.TARGETS)
+            * 2
+            * (size.RESTARTS_PER_DAY + size.HOST_FAILURES_PER_DAY)
+            / size.SECONDS_PER_DAY
+        ),
+        size.NETWORK_LIMIT_BYTES_PER_S,
+        "entity tags; the rows are sent only after a change",
+    ),
+    Row(
+        "platform",
+        "host list calls/s",
+        "380 daemons / 2 s",
+        lambda slopes: size.NODES / size.HOST_POLL_S,
+        size.PLATFORM_READS_PER_S,
+        "random delays of 20 %",
+    ),
     Row(
         "platform",
         "watch calls/s",
--- a/packages/standins/src/rattanpulley_standins/_internal/platform/app.py
+++ b/packages/standins/src/rattanpulley_standins/_internal/platform/app.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 import dataclasses
+import hashlib
+import json
 import time
 from typing import Any
 
@@ -154,7 +156,14 @@
     def _list_hosts(self) -> dict[str, Any]:
         self._begin("hosts")
         rows = self._hosts.visible(self._clock())
-        return {"hosts": [dataclasses.asdict(row) for row in rows]}
+        value = {"hosts": [dataclasses.asdict(row) for row in rows]}
+        digest = hashlib.blake2b(json.dumps(value).encode(), digest_size=8)
+        entity_tag = f'"{digest.hexdigest()}"'
+        bottle.response.set_header("ETag", entity_tag)
+        if bottle.request.get_header("If-None-Match") == entity_tag:
+            bottle.response.status = 304
+            return {}
+        return value
 
     def _set_host_state(self, name: str) -> dict[str, Any]:
         state = serving.json_object().get("state")
--- a/packages/standins/src/rattanpulley_standins/measure/__main__.py
+++ b/packages/standins/src/rattanpulley_standins/measure/__main__.py
@@ -4,6 +4,7 @@
 import pathlib
 
 from rattanpulley_standins._internal.measure import claim_cost
+from rattanpulley_standins._internal.measure import host_cost
 from rattanpulley_standins._internal.measure import peer_cost
 from rattanpulley_standins._internal.measure import report
 from rattanpulley_standins._internal.measure import stream_cost
@@ -28,6 +29,7 @@
     slopes = [
         *stream_cost.measure(),
         *claim_cost.measure(),
+        *host_cost.measure(),
         *peer_cost.measure(),
         *table_cost.measure(),
     ]
