Bound the traffic of evidence, and sum the control costs

Cause: a fact is passed on over all streams, about eight at the design size. A batch of evidence of 12 observations would have cost several KB/s at each node while a move is under way; docs/CAPACITY.md had no row for it.

--- a/packages/core/src/rattanpulley_core/_internal/moves/system.py
+++ b/packages/core/src/rattanpulley_core/_internal/moves/system.py
@@ -9,7 +9,7 @@
 
 # Seconds per daemon between two batches of a daemon, so that the batches of
 # all daemons cost each of them the same at every number of daemons.
-PUBLISH_S_PER_DAEMON = 0.5
+PUBLISH_S_PER_DAEMON = 1.0
 MIN_PUBLISH_S = 1.0
 REPORT_INTERVAL_S = 5.0
 # Added to the longest deadline of a request: clocks of daemons differ.
--- a/packages/core/src/rattanpulley_core/_internal/peers/dissemination.py
+++ b/packages/core/src/rattanpulley_core/_internal/peers/dissemination.py
@@ -14,6 +14,10 @@
 # a report from the other side of a partition does not revive a dead member.
 TOMBSTONE_TTL_S = 6 * 3600.0
 RECONCILE_INTERVAL_S = 10.0
+# With more streams than this, bulky facts go only to the peers that this daemon
+# chose. The rings and the links between failure domains still reach everyone,
+# at half the bytes.
+FULL_FLOOD_STREAMS = 6
 
 _GONE = (members.MemberState.DEAD, members.MemberState.LEFT)
 Actions = peer_state.Actions
@@ -171,12 +175,31 @@
         now_s: float,
         except_to: int | None = None,
     ) -> Actions:
-        return [
-            messages.Send(row.stream_id, self._message_of(chunk, now_s))
-            for chunk in facts.chunks(learned)
+        """Passes new facts on, bulky ones on fewer streams."""
+        rows = [
+            row
             for row in self._state.stream_table.open_rows()
             if row.stream_id != except_to
         ]
+        bulky_kinds = facts.BULKY_KINDS
+        bulky = [fact for fact in learned if fact.kind in bulky_kinds]
+        others = [fact for fact in learned if fact.kind not in bulky_kinds]
+        actions = self._send_all(others, rows, now_s)
+        if len(rows) > FULL_FLOOD_STREAMS:
+            rows = [row for row in rows if row.address is not None]
+        return actions + self._send_all(bulky, rows, now_s)
+
+    def _send_all(
+        self,
+        sent: list[facts.Fact],
+        rows: list[streams.StreamRow],
+        now_s: float,
+    ) -> Actions:
+        return [
+            messages.Send(row.stream_id, self._message_of(chunk, now_s))
+            for chunk in facts.chunks(sent)
+            for row in rows
+        ]
 
     def _message_of(
         self, chunk: list[facts.Fact], now_s: float
--- a/packages/core/src/rattanpulley_core/_internal/peers/facts.py
+++ b/packages/core/src/rattanpulley_core/_internal/peers/facts.py
@@ -31,6 +31,9 @@
     {FactKind.MEMBER, FactKind.TABLE, FactKind.MOVE_REPORT}
 )
 
+# Facts that are many or long, and not urgent.
+BULKY_KINDS = frozenset({FactKind.EVIDENCE, FactKind.MOVE_REPORT})
+
 # Facts of these kinds must not be forgotten while their subject exists.
 _WITHOUT_EXPIRY = frozenset({FactKind.TABLE, FactKind.VERDICT})
 
--- a/packages/daemon/src/rattanpulleyd/_internal/moves/move_runtime.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/moves/move_runtime.py
@@ -4,6 +4,7 @@
 import json
 import secrets
 from typing import Any
+import zlib
 
 import gevent
 import loguru
@@ -21,6 +22,7 @@
 EVIDENCE_TTL_S = 60.0
 # A report changes only when the old version fills or empties here.
 REPORT_TTL_S = 6 * 3600.0
+MAX_FACT_BYTES = 65_536
 
 Publish = Callable[[peers.FactPublished], None]
 
@@ -129,8 +131,10 @@
 
         Raises:
             ValueError: The fact is malformed.
+            zlib.error: It is not compressed as expected.
         """
-        event = self._fact_handlers[fact.kind](json.loads(fact.value))
+        text = zlib.decompress(fact.value, bufsize=MAX_FACT_BYTES)
+        event = self._fact_handlers[fact.kind](json.loads(text))
         self.system.handle(event, self._clock.monotonic_s())
 
     def report(self) -> list[dict[str, Any]]:
@@ -203,7 +207,9 @@
     ) -> None:
         if self.publish is None:
             return
-        data = json.dumps(value, separators=(",", ":")).encode()
+        # Evidence repeats its field names; compressed it takes a third.
+        text = json.dumps(value, separators=(",", ":"))
+        data = zlib.compress(text.encode())
         self.publish(peers.FactPublished(kind, key, version, data, ttl_s))
 
     def _log_states(self, running: dict[str, int]) -> None:
--- a/packages/daemon/src/rattanpulleyd/_internal/peers/peer_runtime.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/peers/peer_runtime.py
@@ -208,7 +208,7 @@
             return
         try:
             self.on_move_fact(fact)
-        except ValueError:
+        except (ValueError, zlib.error):
             self.core.state.counters.malformed_facts += 1
 
     def _on_table_version(self, fact: peers.Fact) -> None:
--- a/packages/standins/src/rattanpulley_standins/_internal/measure/peer_cost.py
+++ b/packages/standins/src/rattanpulley_standins/_internal/measure/peer_cost.py
@@ -19,6 +19,7 @@
     """Returns the slopes of the peer part."""
     steady = [_steady(count) for count in PEER_COUNTS]
     memory = [_fact_memory(count) for count in FACT_COUNTS]
+    evidence = [_evidence_copies(count) for count in PEER_COUNTS]
     return [
         samples.fit(
             "peers.sent_bytes_per_s",
@@ -41,6 +42,13 @@
             COMMAND,
             [row[2] for row in steady],
         ),
+        samples.fit(
+            "peers.evidence_copies",
+            "daemons",
+            "messages sent at each daemon for one fact of evidence",
+            COMMAND,
+            evidence,
+        ),
         samples.fit(
             "peers.fact_memory_bytes",
             "facts",
@@ -86,6 +94,19 @@
     )
 
 
+def _evidence_copies(count: int) -> samples.Sample:
+    """Returns how often a daemon passes one fact of evidence on."""
+    fleet = _start_fleet(count)
+    before = fleet.sent_messages["Facts"]
+    event = peers.FactPublished(
+        peers.FactKind.EVIDENCE, "d0/boot/1", 1, b"evidence", 60.0
+    )
+    fleet.post("d0", event)
+    fleet.run(5.0)
+    copies = fleet.sent_messages["Facts"] - before
+    return samples.Sample(count, copies / count)
+
+
 def _fact_memory(count: int) -> samples.Sample:
     tracemalloc.start()
     before, _ = tracemalloc.get_traced_memory()
--- a/packages/standins/src/rattanpulley_standins/_internal/measure/report.py
+++ b/packages/standins/src/rattanpulley_standins/_internal/measure/report.py
@@ -6,6 +6,7 @@
 import pathlib
 from typing import Any
 
+from rattanpulley_standins._internal.measure import design_size
 from rattanpulley_standins._internal.measure import rows
 from rattanpulley_standins._internal.measure import samples
 
@@ -78,6 +79,25 @@
             row.mechanism,
         )
         lines.append("| " + " | ".join(cells) + " |")
+    return lines + _total_lines(slopes_by_name)
+
+
+def _total_lines(slopes_by_name: dict[str, samples.Slope]) -> list[str]:
+    """Returns the sums of all duties against the limits of a node."""
+    lines = []
+    for name, limit in (
+        ("network, bytes/s", design_size.NETWORK_LIMIT_BYTES_PER_S),
+        ("processor, us/s", design_size.CPU_LIMIT_US_PER_S),
+    ):
+        total = sum(
+            row.compute(slopes_by_name)
+            for row in rows.ROWS
+            if row.compute is not None and row.limit == limit
+        )
+        share = f"{100 * total / limit:.2g} %"
+        cells = ("all control duties", name, "sum of the rows with this limit")
+        figures = (_number(total), _number(limit), share, "-")
+        lines.append("| " + " | ".join((*cells, *figures)) + " |")
     return lines
 
 
--- a/packages/standins/src/rattanpulley_standins/_internal/measure/rows.py
+++ b/packages/standins/src/rattanpulley_standins/_internal/measure/rows.py
@@ -141,6 +141,17 @@
         size.MEMORY_LIMIT_BYTES,
         "facts expire, except verdicts and tables",
     ),
+    Row(
+        "version moves, while one is under way",
+        "network, bytes/s",
+        "moves.batch_bytes at 12 x 1 batch/s x largest peers.evidence_copies",
+        lambda slopes: (
+            slopes["moves.batch_bytes"].at(12)
+            * max(p.cost for p in slopes["peers.evidence_copies"].samples)
+        ),
+        size.NETWORK_LIMIT_BYTES_PER_S,
+        "one batch a second over the whole fleet, at any size",
+    ),
     Row(
         "configuration watch",
         "network, bytes/s",
--- a/packages/standins/src/rattanpulley_standins/measure/__main__.py
+++ b/packages/standins/src/rattanpulley_standins/measure/__main__.py
@@ -4,6 +4,7 @@
 import pathlib
 
 from rattanpulley_standins._internal.measure import claim_cost
+from rattanpulley_standins._internal.measure import evidence_cost
 from rattanpulley_standins._internal.measure import host_cost
 from rattanpulley_standins._internal.measure import peer_cost
 from rattanpulley_standins._internal.measure import report
@@ -29,6 +30,7 @@
     slopes = [
         *stream_cost.measure(),
         *claim_cost.measure(),
+        *evidence_cost.measure(),
         *host_cost.measure(),
         *peer_cost.measure(),
         *table_cost.measure(),
