End the demo and the measurement cleanly on a signal

Cause: SIGINT raised KeyboardInterrupt in the greenlet that happened to run, with a traceback; a fault that was still to come could restart an engine after the deployment had ended; daemons with answers in progress were waited for one after another.

Change: the first signal interrupts the main greenlet, later ones are ignored; the demo ends its greenlets before its processes; one time limit of 5 s holds for the ending of all processes.

--- a/packages/standins/src/rattanpulley_standins/_internal/demo/command.py
+++ b/packages/standins/src/rattanpulley_standins/_internal/demo/command.py
@@ -3,6 +3,7 @@
 import argparse
 import sys
 
+from rattanpulley_standins._internal import interrupts
 from rattanpulley_standins._internal.demo import report
 from rattanpulley_standins._internal.demo import scenario as scenario_lib
 from rattanpulley_standins._internal.launch import command
@@ -14,7 +15,7 @@
     parser = argparse.ArgumentParser(prog="rattanpulley_standins.demo")
     command.add_options(parser)
     options = command.options_from(parser.parse_args())
-    command.handle_end_signals()
+    interrupts.interrupt_on_end_signals()
     try:
         with deployment.Deployment(options) as running:
             print(_start_text(running), flush=True)
--- a/packages/standins/src/rattanpulley_standins/_internal/demo/scenario.py
+++ b/packages/standins/src/rattanpulley_standins/_internal/demo/scenario.py
@@ -59,17 +59,26 @@
     def run(self) -> None:
         """Runs until all answers have ended."""
         callers = pool.Group()
-        for number in range(ANSWERS):
-            reader = self._new_caller(number)
-            callers.start(gevent.Greenlet(self._run_caller, number, reader))
-        self._schedule_faults()
+        try:
+            for number in range(ANSWERS):
+                reader = self._new_caller(number)
+                callers.spawn(self._run_caller, number, reader)
+            self._schedule_faults()
+            self._watch(callers)
+        finally:
+            # A fault that is still to come would restart a process after the
+            # deployment has ended.
+            self._faults.kill()
+            callers.kill()
+            self._display.end()
+
+    def _watch(self, callers: pool.Group) -> None:
         while len(callers):
             self._display.progress()
             self.meter.sample()
             gevent.sleep(POLL_S)
         self._faults.join(raise_error=True)
         self.meter.sample()
-        self._display.end()
 
     def _new_caller(self, number: int) -> caller.DaemonCaller:
         urls = [daemon.url for daemon in self._deployment.daemons]
--- /dev/null
+++ b/packages/standins/src/rattanpulley_standins/_internal/interrupts.py
@@ -0,0 +1,24 @@
+"""SIGINT and SIGTERM in programs that consist of greenlets."""
+
+import signal
+
+import gevent
+
+
+def interrupt_on_end_signals() -> None:
+    """Lets the first signal raise `KeyboardInterrupt` in this greenlet.
+
+    An ordinary signal handler would raise it in the greenlet that happens to
+    run. Later signals are ignored, so that they cannot interrupt the ending of
+    child processes.
+    """
+    main = gevent.getcurrent()
+    received: list[int] = []
+
+    def interrupt(number: int) -> None:
+        if not received:
+            gevent.kill(main, KeyboardInterrupt)
+        received.append(number)
+
+    for number in (signal.SIGINT, signal.SIGTERM):
+        gevent.signal_handler(number, interrupt, number)
--- a/packages/standins/src/rattanpulley_standins/_internal/launch/deployment.py
+++ b/packages/standins/src/rattanpulley_standins/_internal/launch/deployment.py
@@ -16,6 +16,7 @@
 READY_TIMEOUT_S = 30.0
 READY_POLL_S = 0.05
 READY_CALL_TIMEOUT_S = 1.0
+STOP_TIMEOUT_S = 5.0
 PLATFORM = "platform"
 
 
@@ -88,13 +89,18 @@
         self._start_all(daemon_names)
 
     def stop(self) -> None:
-        """Ends all processes by their ids and removes the directory."""
+        """Ends all processes by their ids and removes the directory.
+
+        What has not ended in order after `STOP_TIMEOUT_S`, such as a daemon
+        with answers in progress, is ended by force.
+        """
         running = list(self._processes_by_name.values())
         for process in running:
             process.signal(signal.SIGCONT)
             process.signal(signal.SIGTERM)
+        end_s = time.monotonic() + STOP_TIMEOUT_S
         for process in running:
-            process.stop()
+            process.wait_or_kill(max(end_s - time.monotonic(), 0))
         shutil.rmtree(self._directory, ignore_errors=True)
 
     def kill(self, name: str) -> None:
--- a/packages/standins/src/rattanpulley_standins/_internal/launch/processes.py
+++ b/packages/standins/src/rattanpulley_standins/_internal/launch/processes.py
@@ -6,7 +6,6 @@
 import subprocess
 import sys
 
-STOP_TIMEOUT_S = 5.0
 KILL_TIMEOUT_S = 5.0
 LOG_TAIL_BYTES = 2000
 
@@ -65,12 +64,12 @@
         if self._process is not None:
             self._process.wait(KILL_TIMEOUT_S)
 
-    def stop(self) -> None:
-        """Ends the process in order, or by force after `STOP_TIMEOUT_S`."""
+    def wait_or_kill(self, timeout_s: float) -> None:
+        """Waits for the end of the process and forces it after a time."""
         if self._process is None:
             return
         try:
-            self._process.wait(STOP_TIMEOUT_S)
+            self._process.wait(timeout_s)
         except subprocess.TimeoutExpired:
             self.kill()
 
--- a/packages/standins/src/rattanpulley_standins/_internal/resume_measure/command.py
+++ b/packages/standins/src/rattanpulley_standins/_internal/resume_measure/command.py
@@ -9,6 +9,7 @@
 
 import gevent
 
+from rattanpulley_standins._internal import interrupts
 from rattanpulley_standins._internal.injection import costs as costs_lib
 from rattanpulley_standins._internal.injection import injector as injector_lib
 from rattanpulley_standins._internal.launch import command
@@ -38,7 +39,7 @@
         default=pathlib.Path("docs/measurements/resume.json"),
     )
     arguments = parser.parse_args()
-    command.handle_end_signals()
+    interrupts.interrupt_on_end_signals()
     try:
         values = _measure(arguments)
     except KeyboardInterrupt:
