--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
 SRC_PATH := packages/core/src:packages/adapters/src:packages/daemon/src:packages/cli/src:packages/standins/src
 export PYTHONPATH := $(SRC_PATH)
 
-.PHONY: setup test demo up measure lock format
+.PHONY: setup test demo up lock format
+.PHONY: measure measure-resume measure-moves measure-config
 
 # The name of the stamp changes with the lock file, so that a changed lock file
 # repeats the installation, also in an environment that VENV shares.
@@ -41,3 +42,12 @@
 
 measure: setup
 	$(PY) -m rattanpulley_standins.measure
+
+measure-resume: setup
+	$(PY) -m rattanpulley_standins.measure_resume --rounds 10 --seed 1
+
+measure-moves: setup
+	$(PY) -m rattanpulley_standins.measure_moves --workers 5
+
+measure-config: setup
+	$(PY) -m rattanpulley_standins.measure_config
