Parse both tables through one function

Cause: the frame of a table was parsed by the same lines in two modules.

Change: reader.parse_rows serves both.

Measured: the 53 tests of the tables and the command line pass.

--- a/packages/core/src/rattanpulley_core/_internal/tables/pool_parser.py
+++ b/packages/core/src/rattanpulley_core/_internal/tables/pool_parser.py
@@ -3,7 +3,6 @@
 from typing import Any
 import urllib.parse
 
-from rattanpulley_core._internal.tables import faults
 from rattanpulley_core._internal.tables import reader
 from rattanpulley_core._internal.tables import route_parser
 from rattanpulley_core._internal.tables import rows
@@ -17,8 +16,6 @@
 def parse_pools(value: Any, version: int) -> rows.PoolTable:
     """Parses the JSON value of the object `tables/pools`.
 
-    Unknown fields are ignored, because later schemas only add fields.
-
     Args:
         value: The decoded JSON value.
         version: Version of the stored object.
@@ -26,14 +23,7 @@
     Raises:
         TableError: With all faults.
     """
-    found: list[faults.Fault] = []
-    pools_by_name = {
-        name: _parse_pool(name, row)
-        for name, row in reader.open_table(value, found).items()
-    }
-    if found:
-        raise faults.TableError(found)
-    return rows.PoolTable(version, pools_by_name)
+    return rows.PoolTable(version, reader.parse_rows(value, _parse_pool))
 
 
 def _parse_pool(name: str, row: reader.Reader) -> rows.Pool:
--- a/packages/core/src/rattanpulley_core/_internal/tables/reader.py
+++ b/packages/core/src/rattanpulley_core/_internal/tables/reader.py
@@ -1,9 +1,10 @@
 """Typed access to the fields of a JSON object that collects all faults."""
 
+from collections.abc import Callable
 import dataclasses
 import json
 import re
-from typing import Any
+from typing import Any, TypeVar
 
 from rattanpulley_core._internal.tables import faults
 
@@ -15,6 +16,8 @@
     " a letter or digit"
 )
 
+_Row = TypeVar("_Row")
+
 
 def is_name(text: str) -> bool:
     """Returns whether `text` can be the name of a row, target or version."""
@@ -133,7 +136,31 @@
             self.report(key, "the field is missing", f"Give {expected}")
 
 
-def open_table(value: Any, found: list[faults.Fault]) -> dict[str, Reader]:
+def parse_rows(
+    value: Any, parse_row: Callable[[str, Reader], _Row]
+) -> dict[str, _Row]:
+    """Parses the rows of a table.
+
+    Unknown fields are ignored, because later schemas only add fields.
+
+    Args:
+        value: The decoded JSON value of the stored object.
+        parse_row: Returns the row of a name and a reader.
+
+    Raises:
+        TableError: With all faults.
+    """
+    found: list[faults.Fault] = []
+    rows_by_name = {
+        name: parse_row(name, row)
+        for name, row in _open_table(value, found).items()
+    }
+    if found:
+        raise faults.TableError(found)
+    return rows_by_name
+
+
+def _open_table(value: Any, found: list[faults.Fault]) -> dict[str, Reader]:
     """Checks the frame of a table and returns readers of its rows by name.
 
     A schema above 1 is accepted, because later schemas only add fields.
--- a/packages/core/src/rattanpulley_core/_internal/tables/route_parser.py
+++ b/packages/core/src/rattanpulley_core/_internal/tables/route_parser.py
@@ -18,8 +18,6 @@
 def parse_routes(value: Any, version: int) -> rows.RouteTable:
     """Parses the JSON value of the object `tables/routes`.
 
-    Unknown fields are ignored, because later schemas only add fields.
-
     Args:
         value: The decoded JSON value.
         version: Version of the stored object.
@@ -27,14 +25,7 @@
     Raises:
         TableError: With all faults.
     """
-    found: list[faults.Fault] = []
-    routes_by_name = {
-        name: _parse_route(name, row)
-        for name, row in reader.open_table(value, found).items()
-    }
-    if found:
-        raise faults.TableError(found)
-    return rows.RouteTable(version, routes_by_name)
+    return rows.RouteTable(version, reader.parse_rows(value, _parse_route))
 
 
 def parse_kind(row: reader.Reader) -> rows.TargetKind:
