Cancel what a paused target would go on to compute

Cause: streams of a target that counts as lost are resumed elsewhere without a cancel, since nothing listens there.

Change: the attempts left on a lost target are kept, and cancelled when it answers again as the same process. A newer attempt there is not touched.

Before: the new test sees no cancel.

Conclusion: the cost of a pause ends when the target answers.

--- a/packages/core/src/rattanpulley_core/_internal/generations/context.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/context.py
@@ -97,6 +97,11 @@
         self.running_by_target: dict[str, dict[str, rows.Generation]] = {}
         self.probes_by_target: dict[str, ProbeRun] = {}
         self.next_lost_probe_s: dict[str, float] = {}
+        # Attempts left on lost targets, to be cancelled if the target turns out
+        # to have been paused.
+        self.left_attempts_by_target: dict[
+            str, list[messages.CancelAttempt]
+        ] = {}
         # Outcomes of reset attempts, until a probe tells whether the target
         # crashed, by target.
         self.reset_outcomes_by_target: dict[
--- a/packages/core/src/rattanpulley_core/_internal/generations/probes.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/probes.py
@@ -82,6 +82,7 @@
     target = run.target
     case_boot_id = ctx.ledger.case_boot_id(target.name)
     was_lost = target.state is target_rows.TargetState.LOST
+    _cancel_left_attempts(ctx, target, event.boot_id)
     target.boot_id = event.boot_id
     target.leaving_by_health = event.leaving
     target.mark_alive(now_s)
@@ -133,6 +134,7 @@
         target = ctx.targets.get(name)
         if target is None:
             del ctx.next_lost_probe_s[name]
+            ctx.left_attempts_by_target.pop(name, None)
             continue
         send(ctx, target, (), now_s)
 
@@ -155,6 +157,7 @@
     outcomes.settle_resets(ctx, target.name, crashed=True)
     for generation in running:
         _report_crash(ctx, generation)
+        _note_left_attempt(ctx, generation)
         # Nothing listens there, so the target is not told to stop.
         _abandon(ctx, generation, now_s, keep_at_target=True)
     placement.place_waiting(ctx, now_s)
@@ -175,6 +178,35 @@
     return found
 
 
+def _note_left_attempt(
+    ctx: context.Context, generation: rows.Generation
+) -> None:
+    attempt = generation.attempt
+    assert attempt is not None
+    target = attempt.target
+    left = ctx.left_attempts_by_target.setdefault(target.name, [])
+    left.append(
+        messages.CancelAttempt(
+            generation_id=generation.generation_id,
+            attempt=attempt.number,
+            target=target.name,
+            url=target.url,
+        )
+    )
+
+
+def _cancel_left_attempts(
+    ctx: context.Context, target: target_rows.Target, boot_id: str
+) -> None:
+    """Cancels what a target that was paused would go on to compute.
+
+    A restarted process knows nothing of the attempts.
+    """
+    left = ctx.left_attempts_by_target.pop(target.name, [])
+    if target.boot_id == boot_id:
+        ctx.actions.extend(left)
+
+
 def record_reset(
     ctx: context.Context,
     generation: rows.Generation,
--- a/packages/core/tests/generations/test_failures.py
+++ b/packages/core/tests/generations/test_failures.py
@@ -158,6 +158,22 @@
     assert world.cores[0].status(0).counters_by_name["stale_events"]
 
 
+def test_paused_target_that_comes_back_stops_what_was_resumed(world):
+    # Guards the cost of a resume: the target would compute until its grace
+    # period without a reader ends.
+    _, engine = started(world)
+    engine.paused = True
+    world.advance(1.0)
+    world.deliver_all()
+    world.actions.clear()
+    engine.revive()
+    world.advance(1.0)
+    world.deliver_all()
+    (cancel,) = of_type(world, generations.CancelAttempt)
+    assert (cancel.target, cancel.attempt) == (engine.name, 1)
+    assert not cancel.keep_at_target
+
+
 def test_leaving_target_is_emptied_at_a_paced_rate():
     # Guards G7 and G8.
     world = generation_world.World(("v1", "v1", "v1", "v1"), answer_tokens=90)
