Read the run of another daemon when a target holds it

Cause: two callers with one Idempotency-Key at two daemons have the same generation id. When both daemons chose the same engine, the second order got status 409, which counted as a rejected request. The same happened to a daemon that resumed a generation on an engine where another daemon had resumed it.

Change: a start that is answered with 409 fails with the new reason HELD. A daemon without tokens attaches to that run from index 0.

Conclusion: an answer no longer depends on which engines two daemons choose.

--- a/packages/core/src/rattanpulley_core/_internal/generations/messages.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/messages.py
@@ -79,6 +79,7 @@
     ERRORED = "errored"  # The target answered with an error; it may have run.
     REJECTED = "rejected"  # The target calls the order malformed.
     NOT_HELD = "not_held"  # The target does not hold the generation.
+    HELD = "held"  # The target holds this attempt or a newer one already.
     RESET = "reset"  # The connection broke after the order was sent.
     CORRUPT = "corrupt"  # The target sent what the protocol does not allow.
 
--- a/packages/core/src/rattanpulley_core/_internal/generations/streams.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/streams.py
@@ -288,6 +288,26 @@
     lifecycle.interrupt(ctx, generation, now_s)
 
 
+def _on_held(
+    ctx: context.Context,
+    generation: rows.Generation,
+    attempt: rows.Attempt,
+    event: messages.AttemptFailed,
+    now_s: float,
+) -> None:
+    """Another daemon runs the generation there, for a caller with the same key.
+
+    Without tokens of its own, this daemon reads that run from its start. The
+    tokens of a journal may differ from that run, so a journal goes elsewhere.
+    """
+    target = attempt.target.name
+    if len(generation.journal) == 0:
+        generation.attach_to = target
+    else:
+        generation.exclude(target, now_s + REFUSED_EXCLUSION_S)
+    lifecycle.interrupt(ctx, generation, now_s)
+
+
 def _on_reset(
     ctx: context.Context,
     generation: rows.Generation,
@@ -352,6 +372,7 @@
     _Reason.ERRORED: _on_errored,
     _Reason.REJECTED: _on_rejected,
     _Reason.NOT_HELD: _on_not_held,
+    _Reason.HELD: _on_held,
     _Reason.RESET: _on_reset,
     _Reason.CORRUPT: _on_corrupt,
 }
--- a/packages/core/tests/generations/test_failures.py
+++ b/packages/core/tests/generations/test_failures.py
@@ -439,3 +439,38 @@
         generations.CallerArrived(99, request, point), world.now_s
     )
     assert action.code is Code.RESUME_TOKEN_INVALID
+
+
+def test_generation_of_another_daemon_is_read_from_its_start():
+    # Guards against an error for a caller whose answer is being computed.
+    world = generation_world.World(("v1",))
+    reader = world.arrive("a")
+    order = of_type(world, generations.StartAttempt)[0]
+    world.network.clear()
+    world.actions.clear()
+    held = generations.AttemptFailed(
+        reader.request.generation_id, order.attempt, Reason.HELD
+    )
+    world.handle(0, held)
+    (attach,) = of_type(world, generations.AttachAttempt)
+    assert (attach.target, attach.from_index) == (order.target, 0)
+    world.settle()
+    assert reader.is_whole
+
+
+def test_journal_is_not_continued_on_the_run_of_another_daemon(world):
+    # Guards against a mix of two generations when both daemons resume (G2).
+    reader, engine = started(world)
+    engine.kill()
+    world.deliver_all()
+    (order,) = of_type(world, generations.StartAttempt)
+    world.actions.clear()
+    held = generations.AttemptFailed(
+        reader.request.generation_id, order.attempt, Reason.HELD
+    )
+    world.handle(0, held)
+    world.advance(1.0)
+    assert not of_type(world, generations.AttachAttempt)
+    (again,) = of_type(world, generations.StartAttempt)
+    assert again.resume_tokens == order.resume_tokens
+    assert again.attempt > order.attempt
--- a/packages/daemon/src/rattanpulleyd/_internal/engine/attempt.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/engine/attempt.py
@@ -100,6 +100,8 @@
         attach = isinstance(self._order, generations.AttachAttempt)
         if response.status == 404 and attach:
             return _Reason.NOT_HELD, ""
+        if response.status == 409 and not attach:
+            return _Reason.HELD, ""
         if response.status in _NOT_STARTED_STATUSES:
             return _Reason.REFUSED, f"status {response.status}"
         if 400 <= response.status < 500:
