Report a refused change as a conflict when all reads are stale

Cause: `rattanpulley apply` reads the table back after a refused conditional write. When every read was older than the refusal, it gave up with exit code 5 and said that the change may still take effect, although the store had refused each of its writes.

Change: without a lost answer among its writes, the command reports the conflict with the version that the refusal named.

Conclusion: exit code 5 now means that an answer was lost.

--- a/packages/cli/src/rattanpulley/_internal/store/table_writer.py
+++ b/packages/cli/src/rattanpulley/_internal/store/table_writer.py
@@ -114,7 +114,7 @@
         """
         stored = table_reader.read_table(self._store, change.kind)
         if stored.version != change.expected_version:
-            raise self._conflict(change, stored)
+            raise self._conflict(change, stored.version)
         self._check(change)
         differences = tables.diff_tables(stored.value, change.value)
         if not differences:
@@ -212,7 +212,10 @@
             if found is _Found.APPLIED:
                 return version
             if found is _Found.LOST:
-                raise self._conflict(write.change, write.seen)
+                raise self._conflict(write.change, write.seen.version)
+        if not write.unclear:
+            # The store refused every write, whatever the reads showed.
+            raise self._conflict(write.change, write.known_version)
         raise _unknown(write)
 
     def _read_back(self, write: _Write) -> tuple[_Found, int]:
@@ -254,7 +257,7 @@
         return entry is not None and entry.change_id == write.entry.change_id
 
     def _conflict(
-        self, change: Change, stored: table_reader.StoredTable
+        self, change: Change, current_version: int
     ) -> exceptions.ConflictError:
         """Returns the error that tells what changed and by whom."""
         since = [
@@ -263,13 +266,13 @@
             if row.version > change.expected_version
         ]
         lines = [
-            f"the {change.kind.value} table has version {stored.version}, not"
+            f"the {change.kind.value} table has version {current_version}, not"
             f" {change.expected_version}"
         ]
         lines.extend(_describe(row) for row in since)
         details = {
             "expected_version": change.expected_version,
-            "current_version": stored.version,
+            "current_version": current_version,
             "changes": [
                 {"version": row.version, **row.entry.to_json()} for row in since
             ],
--- a/packages/cli/tests/store/test_table_writer.py
+++ b/packages/cli/tests/store/test_table_writer.py
@@ -177,6 +177,15 @@
     assert operators.apply("ana", 2, 1).version == 2
 
 
+def test_a_refused_write_is_a_conflict_also_when_all_reads_are_stale(operators):
+    # Guards against the report that a refused change may still take effect.
+    operators.apply("ana", 1, 0)
+    operators.apply("bo", 2, 1)
+    operators.store.plan = ["stale"] * 40
+    with pytest.raises(exceptions.ConflictError, match="version 2, not 1"):
+        operators.apply("ana", 3, 1)
+
+
 def test_unknown_fields_beside_the_rows_are_kept(operators):
     # Guards against an older program dropping what a newer one wrote.
     operators.store.put(KIND.key, {**pools_value(1), "notes": "x"}, 0)
