Test racing operators and planned stops with processes

Cause: races of operators were tested with a store in memory only, and a drain with one stream only.

Change: two operators race with `rattanpulley apply` while the object API loses answers, and gives stale reads in one of two runs. Every confirmed change has its entry in the audit, no refused change has one, the number of versions agrees, and the versions in force at the daemons never decrease. A second test sends SIGTERM to a daemon with 8 streams, 4 whole answers and 8 unrepeatable calls in flight; each of them finishes.

--- a/packages/daemon/tests/processes/chaos_callers.py
+++ b/packages/daemon/tests/processes/chaos_callers.py
@@ -69,6 +69,10 @@
         barrier.wait()
         self._results[index] = call()
 
+    def is_busy(self) -> bool:
+        """Returns whether a call has not ended."""
+        return any(thread.is_alive() for thread in self._threads)
+
     def results(self) -> list[Any]:
         """Waits for the end of all calls and returns their results."""
         for thread in self._threads:
--- /dev/null
+++ b/packages/daemon/tests/processes/test_chaos_operations.py
@@ -0,0 +1,160 @@
+"""Operators that race, and planned stops, under load and faults."""
+
+from collections.abc import Iterator
+import itertools
+import json
+import os
+import pathlib
+import subprocess
+import sys
+from typing import Any
+
+import chaos_callers
+import pytest
+import support
+
+from rattanpulley_standins import launcher
+from rattanpulley_standins._internal import http_json
+from rattanpulley_standins._internal.load import caller
+
+pytestmark = pytest.mark.processes
+
+LENGTH = 120
+ROUNDS = 2
+TABLE = "tables/routes"
+
+
+@pytest.fixture
+def deployment() -> Iterator[launcher.Deployment]:
+    options = launcher.Options(
+        engines_per_domain=1, token_interval_ms=10, versions=("v1",)
+    )
+    with launcher.Deployment(options) as running:
+        yield running
+
+
+def _operate(deployment: launcher.Deployment, who: str, *words: str) -> Any:
+    """Runs the operators' command line; returns its end, whatever it is."""
+    return subprocess.run(
+        [sys.executable, "-m", "rattanpulley", *words],
+        capture_output=True,
+        text=True,
+        check=False,
+        env={
+            **os.environ,
+            "PYTHONPATH": os.pathsep.join(sys.path),
+            "RATTANPULLEY_PLATFORM": deployment.platform_url,
+            "RATTANPULLEY_WHO": who,
+        },
+    )
+
+
+def _race(
+    deployment: launcher.Deployment, path: pathlib.Path, who: str, first: int
+) -> list[tuple[float, int]]:
+    """Applies changes of its own; returns their values and exit codes."""
+    results = []
+    for value_s in range(first, first + ROUNDS):
+        got = _operate(
+            deployment, who, "get", "routes", "-o", str(path), "--json"
+        )
+        table = json.loads(path.read_text())
+        table["rows"]["stock"]["max_call_s"] = float(value_s)
+        path.write_text(json.dumps(table))
+        version = str(json.loads(got.stdout)["version"])
+        done = _operate(
+            deployment,
+            who,
+            *("apply", "routes", str(path), "--at-version", version),
+        )
+        results.append((float(value_s), done.returncode))
+    return results
+
+
+def _versions(deployment: launcher.Deployment) -> list[int]:
+    return [
+        support.get_status(deployment, d.name)["tables"]["routes"]["version"]
+        for d in deployment.daemons
+    ]
+
+
+@pytest.mark.parametrize("stale", [False, True])
+def test_operators_race(
+    deployment: launcher.Deployment, tmp_path: pathlib.Path, stale: bool
+) -> None:
+    """Guards against a lost or reverted change and a false report (G9)."""
+    faults = {"stale_reads": stale, "lose_answers": 2}
+    deployment.set_faults("platform", faults)
+    running = chaos_callers.run_at_once(
+        [
+            lambda who=who, first=first: _race(
+                deployment, tmp_path / f"{who}.json", who, first
+            )
+            for who, first in (("ana", 20), ("bo", 40))
+        ]
+    )
+    seen = [_versions(deployment)]
+    while running.is_busy():
+        seen.append(_versions(deployment))
+    results = [result for part in running.results() for result in part]
+    deployment.set_faults("platform", dict.fromkeys(faults))
+    url = f"{deployment.platform_url}/objects"
+    newest = http_json.expect("GET", f"{url}/{TABLE}")
+    support.poll_until(
+        lambda: set(_versions(deployment)) == {newest["version"]}
+    )
+    for former, later in itertools.pairwise(seen):
+        assert all(a <= b for a, b in zip(former, later, strict=True))
+    audit = _operate(deployment, "ana", "audit", "--table", "routes", "--json")
+    applied_s = [
+        float(text)
+        for text in (str(value) for value, _ in results)
+        if f'"max_call_s": {text}' in audit.stdout
+    ]
+    assert 0 in [code for _, code in results]
+    for value_s, code in results:
+        assert code != 0 or value_s in applied_s, (value_s, audit.stdout)
+        assert code != 3 or value_s not in applied_s, (value_s, audit.stdout)
+    assert newest["version"] == 1 + len(applied_s)
+
+
+def test_sigterm_under_load(deployment: launcher.Deployment) -> None:
+    """Guards against a planned stop that cuts off an answer (G8)."""
+    url = deployment.url("entry-1")
+    for service in deployment.services:
+        deployment.set_faults(service.name, {"slow_ms": 1000})
+    streams = [
+        caller.DaemonCaller([url], caller.AnswerRequest(f"s{i}", LENGTH))
+        for i in range(8)
+    ]
+    running = chaos_callers.run_at_once(
+        [
+            *(stream.run for stream in streams),
+            *(
+                lambda i=i: (
+                    support.complete(
+                        deployment, "entry-1", "length=120", f"w{i}", LENGTH
+                    ).status
+                )
+                for i in range(4)
+            ),
+            *(
+                lambda i=i: chaos_callers.deposit(url, f"d{i}")
+                for i in range(8)
+            ),
+        ]
+    )
+    claimed = f"{deployment.platform_url}/objects?prefix=claims/"
+    support.poll_until(
+        lambda: (
+            all(s.record.token_times_s for s in streams)
+            and len(http_json.expect("GET", claimed)["objects"]) == 8
+        )
+    )
+    deployment.terminate("entry-1")
+    results = running.results()
+    assert all(record.is_whole for record in results[:8])
+    assert not any(record.reconnects for record in results[:8])
+    assert results[8:12] == [200] * 4
+    assert results[12:] == [(1000, "ran")] * 8
+    support.poll_until(lambda: not deployment.is_running("entry-1"))
