--- a/packages/core/src/rattanpulley_core/_internal/generations/attempts.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/attempts.py
@@ -45,7 +45,12 @@
     target: target_rows.Target,
     now_s: float,
 ) -> None:
-    """Reads a generation that the target may hold from the next index on."""
+    """Reads a generation that the target may hold.
+
+    Another daemon with the same generation may have replaced the run there by
+    one with other tokens. The replay from index 0 shows it before a new token
+    arrives.
+    """
     attempt = _new_attempt(ctx, generation, target, now_s)
     attempt.is_attach = True
     if generation.version is not None:
@@ -59,7 +64,7 @@
             attempt=attempt.number,
             target=target.name,
             url=target.url,
-            from_index=len(generation.journal),
+            from_index=0,
         )
     )
 
--- a/packages/core/src/rattanpulley_core/_internal/generations/checks.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/checks.py
@@ -1,5 +1,6 @@
 """Checks that every event of an attempt has to pass."""
 
+from rattanpulley_core._internal.generations import journal as journals
 from rattanpulley_core._internal.generations import rows
 
 
@@ -21,3 +22,13 @@
     if first_index > journal_length:
         return None
     return journal_length - first_index
+
+
+def repeats_journal(
+    journal: journals.Journal, first_index: int, tokens: tuple[str, ...]
+) -> bool:
+    """Returns whether tokens agree with the journal as far as it reaches."""
+    known = journal.tokens(
+        first_index, min(first_index + len(tokens), len(journal))
+    )
+    return tokens[: len(known)] == known
--- a/packages/core/src/rattanpulley_core/_internal/generations/streams.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/streams.py
@@ -76,6 +76,11 @@
         return
     tokens = event.tokens
     if duplicates:
+        if not checks.repeats_journal(
+            generation.journal, event.first_index, tokens
+        ):
+            _leave_other_run(ctx, generation, attempt, now_s)
+            return
         ctx.counters.duplicate_tokens += min(duplicates, len(tokens))
         tokens = tokens[duplicates:]
     if not tokens:
@@ -149,6 +154,19 @@
     placement.place_waiting(ctx, now_s)
 
 
+def _leave_other_run(
+    ctx: context.Context,
+    generation: rows.Generation,
+    attempt: rows.Attempt,
+    now_s: float,
+) -> None:
+    """Leaves a run whose tokens differ from the journal to its other reader."""
+    generation.exclude(attempt.target.name, now_s + REFUSED_EXCLUSION_S)
+    attempts.cancel(ctx, generation, keep_at_target=True)
+    lifecycle.interrupt(ctx, generation, now_s)
+    placement.place_waiting(ctx, now_s)
+
+
 def _begin_stream(
     ctx: context.Context,
     generation: rows.Generation,
