Let both daemons read one generation in the state machine

Cause: the state machine over generation cores gave a generation a second reader at the same daemon only, and its engines let an order replace any run. The two faults with one key at two daemons were therefore out of its reach.

Change: the second reader may come to either daemon. Engines refuse an attempt that is not newer than the one they hold, and end the streams of a run that they replace, as the stand-ins do.

--- a/packages/core/src/rattanpulley_core/_internal/generations/placement.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/placement.py
@@ -228,3 +228,34 @@
         prefix_tokens=len(generation.journal),
         prompt_tokens=len(request.prompt) // CHARS_PER_TOKEN,
     )
+
+
+def exclude_version(
+    ctx: context.Context,
+    generation: rows.Generation,
+    version: str,
+    until_s: float,
+) -> None:
+    """Prefers another version until a time, if one is live.
+
+    After an error, each request that a bad version gets could otherwise fail
+    on all its targets before the version is taken back.
+    """
+    pool = [
+        target
+        for target in ctx.targets.targets_by_name.values()
+        if target.pool == generation.request.pool
+    ]
+    weights = ctx.targets.version_weights(generation.request.pool)
+    live = target_rows.TargetState.LIVE
+    has_other = any(
+        target.version != version
+        and target.state is live
+        and weights.get(target.version, 0.0) > 0.0
+        for target in pool
+    )
+    if not has_other:
+        return
+    for target in pool:
+        if target.version == version:
+            generation.exclude(target.name, until_s)
--- a/packages/core/src/rattanpulley_core/_internal/generations/streams.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/streams.py
@@ -14,7 +14,6 @@
 from rattanpulley_core._internal.generations import placement
 from rattanpulley_core._internal.generations import probes
 from rattanpulley_core._internal.generations import rows
-from rattanpulley_core._internal.targets import rows as target_rows
 
 # A target that refused may have room again soon.
 REFUSED_EXCLUSION_S = 0.5
@@ -69,20 +68,7 @@
         end_corrupt(ctx, generation, attempt, now_s)
         return
     length = len(generation.journal)
-    duplicates = checks.count_duplicates(length, event.first_index)
-    if duplicates is None:
-        ctx.counters.gaps += 1
-        end_corrupt(ctx, generation, attempt, now_s)
-        return
-    tokens = event.tokens
-    if duplicates:
-        if not checks.repeats_journal(
-            generation.journal, event.first_index, tokens
-        ):
-            _leave_other_run(ctx, generation, attempt, now_s)
-            return
-        ctx.counters.duplicate_tokens += min(duplicates, len(tokens))
-        tokens = tokens[duplicates:]
+    tokens = _new_tokens(ctx, generation, attempt, event, now_s)
     if not tokens:
         return
     if length + len(tokens) > journals.MAX_TOKENS:
@@ -103,6 +89,33 @@
         _drop_if_rejected(ctx, generation)
 
 
+def _new_tokens(
+    ctx: context.Context,
+    generation: rows.Generation,
+    attempt: rows.Attempt,
+    event: messages.TokensReceived,
+    now_s: float,
+) -> tuple[str, ...]:
+    """Returns the tokens behind the journal; ends an attempt that is wrong."""
+    tokens = event.tokens
+    duplicates = checks.count_duplicates(
+        len(generation.journal), event.first_index
+    )
+    if duplicates == 0:
+        return tokens
+    if duplicates is None:
+        ctx.counters.gaps += 1
+        end_corrupt(ctx, generation, attempt, now_s)
+        return ()
+    if not checks.repeats_journal(
+        generation.journal, event.first_index, tokens
+    ):
+        _leave_other_run(ctx, generation, attempt, now_s)
+        return ()
+    ctx.counters.duplicate_tokens += min(duplicates, len(tokens))
+    return tokens[duplicates:]
+
+
 def on_finished(
     ctx: context.Context,
     generation: rows.Generation,
@@ -246,43 +259,14 @@
         return
     generation.exclude(attempt.target.name, now_s + CORRUPT_EXCLUSION_S)
     if generation.version is None:
-        _exclude_version(ctx, generation, attempt.version, now_s)
+        placement.exclude_version(
+            ctx, generation, attempt.version, now_s + CORRUPT_EXCLUSION_S
+        )
     generation.needs_permit = True
     attempt.target.consecutive_failures += 1
     lifecycle.interrupt(ctx, generation, now_s)
 
 
-def _exclude_version(
-    ctx: context.Context,
-    generation: rows.Generation,
-    version: str,
-    now_s: float,
-) -> None:
-    """Prefers another version after an error, if one is live.
-
-    Otherwise each request that a bad version gets could fail on all its
-    targets before the version is taken back.
-    """
-    pool = [
-        target
-        for target in ctx.targets.targets_by_name.values()
-        if target.pool == generation.request.pool
-    ]
-    weights = ctx.targets.version_weights(generation.request.pool)
-    live = target_rows.TargetState.LIVE
-    has_other = any(
-        target.version != version
-        and target.state is live
-        and weights.get(target.version, 0.0) > 0.0
-        for target in pool
-    )
-    if not has_other:
-        return
-    for target in pool:
-        if target.version == version:
-            generation.exclude(target.name, now_s + CORRUPT_EXCLUSION_S)
-
-
 def _on_rejected(
     ctx: context.Context,
     generation: rows.Generation,
--- a/packages/core/tests/generations/generation_world.py
+++ b/packages/core/tests/generations/generation_world.py
@@ -82,11 +82,28 @@
         if self.refuses:
             self.fail(daemon, order, generations.FailureReason.REFUSED)
             return
+        former = self.held_by_id.get(order.generation_id)
+        if former is not None and order.attempt <= former.attempt:
+            self.fail(daemon, order, generations.FailureReason.HELD)
+            return
+        if former is not None:
+            self.end_connections(former)
         self.world.accepted.add(self.admission_by_order[id(order)])
         held = Held(order.attempt, list(order.resume_tokens))
         self.held_by_id[order.generation_id] = held
         self.connect(daemon, order, len(held.tokens), held)
 
+    def end_connections(self, held: Held) -> None:
+        """Ends the streams of a run that a newer attempt replaces."""
+        ended = [c for c in self.connections if c.held is held]
+        self.connections = [c for c in self.connections if c.held is not held]
+        for c in ended:
+            if not c.silent:
+                event = generations.AttemptFailed(
+                    c.generation_id, c.attempt, generations.FailureReason.RESET
+                )
+                self.world.post(c.daemon, event)
+
     def attach(self, daemon: int, order: generations.AttachAttempt) -> None:
         held = self.held_by_id.get(order.generation_id)
         if held is None:
--- a/packages/core/tests/generations/test_core.py
+++ b/packages/core/tests/generations/test_core.py
@@ -45,9 +45,10 @@
 
     @stateful.rule(daemon=DAEMON, number=st.integers(0, 7))
     def arrive(self, daemon, number):
-        # A number of an earlier request gives it a second reader.
+        # A number of an earlier request gives it a second reader, which may
+        # come to the other daemon.
         earlier = self.pick(number, self.world.readers)
-        if earlier is not None and number > 5 and earlier.daemon == daemon:
+        if earlier is not None and number > 5:
             self.world.arrive(earlier.request.generation_id[0], daemon)
         elif (name := next(self.names, None)) is not None:
             self.world.arrive(name, daemon)
