Delete claim records with a known outcome after 24 hours

Cause: claim records were never deleted, so the object API's store grew by one object for each unrepeatable action.

Change: claims.RecordRetention decides for one daemon which records it deletes and when it lists. Only done, not_run, settled_run and settled_not_run records are deleted, 24 h plus max_call_s plus a margin of 60 s after the claim or the newest settlement. Deletes are conditional on the version that was seen. ClaimCall.expiring names the record with a confirmed outcome.

Conclusion: a state machine with three daemons, clocks 2 s apart, restarts, lost, late and refused deletes finds no open record deleted, none deleted early and no second run within the time.

--- a/packages/core/src/rattanpulley_core/_internal/claims/calls.py
+++ b/packages/core/src/rattanpulley_core/_internal/claims/calls.py
@@ -13,6 +13,7 @@
 from rattanpulley_core._internal.claims import answers
 from rattanpulley_core._internal.claims import messages
 from rattanpulley_core._internal.claims import records
+from rattanpulley_core._internal.claims import retention
 
 # Writes of the claim with one token, the first included.
 CLAIM_ATTEMPTS = 3
@@ -45,6 +46,8 @@
 
     Attributes:
         state: What the call waits for.
+        expiring: The record with the outcome of this call, once the store has
+            confirmed it and if it may be deleted later.
     """
 
     def __init__(self, request: messages.ClaimRequest) -> None:
@@ -56,6 +59,7 @@
         if not request.max_call_s > 0:
             raise ValueError("max_call_s must be positive")
         self.state = CallState.NEW
+        self.expiring: retention.ExpiringRecord | None = None
         self._request = request
         self._key = ""
         self._begin_s = 0.0
@@ -284,7 +288,8 @@
     ) -> list[messages.Action]:
         # A conflict means that an earlier write of this outcome took effect
         # or that an operator settled the claim; neither is overwritten.
-        del event, now_s
+        del now_s
+        self._note_expiring(event)
         return self._end(self._take_answer())
 
     def _on_outcome_unclear(
@@ -311,10 +316,17 @@
     def _finish(
         self, event: messages.Event, now_s: float
     ) -> list[messages.Action]:
-        del event, now_s
+        del now_s
+        self._note_expiring(event)
         self.state = CallState.ENDED
         return []
 
+    def _note_expiring(self, event: messages.Event) -> None:
+        if isinstance(event, messages.StoreAnswered):
+            self.expiring = retention.expiring_record(
+                self._key, _stored(event).version, self._record
+            )
+
     def _end(self, answer: messages.Answer) -> list[messages.Action]:
         self.state = CallState.ENDED
         return [answer]
--- a/packages/core/src/rattanpulley_core/claims.py
+++ b/packages/core/src/rattanpulley_core/claims.py
@@ -2,7 +2,8 @@
 
 A daemon builds one `ClaimCall` for each call of a route that is not repeatable
 and either hands it to `run` or carries its actions out itself. Operators list
-open claims with `list_unknown` and settle them with `settle`.
+open claims with `list_unknown` and settle them with `settle`. Records with a
+known outcome are deleted as `RecordRetention` decides.
 """
 
 from rattanpulley_core._internal.claims import answers
@@ -11,6 +12,7 @@
 from rattanpulley_core._internal.claims import lookup
 from rattanpulley_core._internal.claims import messages
 from rattanpulley_core._internal.claims import records
+from rattanpulley_core._internal.claims import retention
 from rattanpulley_core._internal.claims import settlement
 
 ClaimRequest = messages.ClaimRequest
@@ -60,3 +62,18 @@
 list_unknown = settlement.list_unknown
 settle = settlement.settle
 settle_from_wall_s = settlement.settle_from_wall_s
+
+CLAIM_RETENTION_S = retention.CLAIM_RETENTION_S
+RETENTION_MARGIN_S = retention.RETENTION_MARGIN_S
+FLEET_DELETES_PER_S = retention.FLEET_DELETES_PER_S
+LISTING_LIMIT_RECORDS = retention.LISTING_LIMIT_RECORDS
+OWN_LIMIT = retention.OWN_LIMIT
+DELETABLE_STATES = retention.DELETABLE_STATES
+ExpiringRecord = retention.ExpiringRecord
+DeleteRecord = retention.DeleteRecord
+ListRecords = retention.ListRecords
+DeleteResult = retention.DeleteResult
+RetentionAction = retention.RetentionAction
+RecordRetention = retention.RecordRetention
+expiring_record = retention.expiring_record
+expiring_object = retention.expiring_object
