Connect the retention of claim records with the daemon

Cause: the retention part decides which claim records go; nothing carried its decisions out.

Change: a background job of the daemon deletes and lists. Each claimed call hands over its record after its last write. The peer part tells the number of live daemons, which sizes the budget.

--- a/packages/daemon/src/rattanpulleyd/_internal/api/service_calls.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/api/service_calls.py
@@ -16,6 +16,7 @@
 from rattanpulleyd._internal.api import http_io
 from rattanpulleyd._internal.api import observed_service
 from rattanpulleyd._internal.api import recent_keys
+from rattanpulleyd._internal.runtime import claim_retention
 from rattanpulleyd._internal.runtime import runtime as runtime_lib
 from rattanpulleyd._internal.telemetry import counters
 
@@ -48,6 +49,7 @@
         service: interfaces.ServiceApi,
         store: interfaces.ObjectStore,
         chooser: targets.TargetChooser,
+        retention: claim_retention.ClaimRetention | None = None,
         new_token: Callable[[], str] = _new_token,
     ) -> None:
         """Prepares the calls.
@@ -58,6 +60,8 @@
             service: Makes the calls.
             store: Holds the claims of calls that must run at most once.
             chooser: Chooses between the targets.
+            retention: Deletes the records of the calls later; with None, they
+                are left to the listings of other daemons.
             new_token: Returns a unique token for a claim.
         """
         self._name = name
@@ -65,6 +69,7 @@
         self._service = service
         self._store = store
         self._chooser = chooser
+        self._retention = retention
         self._new_token = new_token
         self._recent_keys = recent_keys.RecentKeys()
 
@@ -189,12 +194,15 @@
         order = _order(route, target, path, body, fresh=True)
         call = claims.ClaimCall(self._request(route, account, order))
         with self._in_flight(target):
-            return claims.run(
+            answer = claims.run(
                 call,
                 self._store,
                 self._observed(route, target),
                 self._runtime.clock,
             )
+        if self._retention is not None:
+            self._retention.remember(call)
+        return answer
 
     def _look_up(
         self, route: tables.Route, account: str, path: str, body: bytes
--- a/packages/daemon/src/rattanpulleyd/_internal/peers/peer_runtime.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/peers/peer_runtime.py
@@ -69,6 +69,7 @@
         self._limits = account_limits
         self.on_move_fact: Callable[[peers.Fact], None] | None = None
         self.on_members: Callable[[set[str]], None] | None = None
+        self.on_live_count: Callable[[int], None] | None = None
         self._wanted_since_s: dict[tables.TableKind, float] = {}
         listen = peer_settings.listen
         self.streams = tcp_streams.TcpPeerStreams(
@@ -253,6 +254,8 @@
             peers.MemberState.ALIVE, peers.MemberState.SUSPECT
         )
         self._limits.set_daemon_count(len(alive) + 1)
+        if self.on_live_count is not None:
+            self.on_live_count(len(alive) + 1)
         loguru.logger.info(
             "peer {} in {}: {} (incarnation {})",
             member.name,
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/daemon.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/daemon.py
@@ -27,6 +27,7 @@
 from rattanpulleyd._internal.moves import move_runtime
 from rattanpulleyd._internal.moves import verdict_store
 from rattanpulleyd._internal.peers import peer_runtime
+from rattanpulleyd._internal.runtime import claim_retention
 from rattanpulleyd._internal.runtime import clock as clock_lib
 from rattanpulleyd._internal.runtime import http_server
 from rattanpulleyd._internal.runtime import runtime as runtime_lib
@@ -84,6 +85,9 @@
             self._rng,
             self._apply_table,
         )
+        self._retention = claim_retention.ClaimRetention(
+            self._store, self._clock, self._counts, self._rng
+        )
         self._verdicts = verdict_store.VerdictStore(self._store, self._rng)
         self._moves = self._build_moves(target_table)
         self._peers = self._build_peers()
@@ -129,6 +133,7 @@
             service=http_service.HttpServiceApi(),
             store=self._store,
             chooser=self._chooser,
+            retention=self._retention,
         )
 
     def _build_moves(
@@ -162,6 +167,7 @@
         self._runtime.on_crash_report = part.publish_crash_report
         part.on_move_fact = self._moves.learn_fact
         part.on_members = self._moves.set_daemons
+        part.on_live_count = self._retention.set_daemon_count
         self._moves.publish = part.feed
         return part
 
@@ -193,6 +199,7 @@
             runtime.run_ticks,
             self._moves.run_ticks,
             self._verdicts.run,
+            self._retention.run,
             self._flush,
         ]
         if self._peers is not None:
