Delete old audit entries by an operator's command

Cause: audit objects were never deleted.

It first writes audit/prunes/NUMBER, which audit shows. Entries without a readable time are kept. Pruned versions are no longer named as missing.

Conclusion: tests cover the bounds, lost answers of the record and of a delete, a record that is not confirmed and two prunes at the same time.

--- /dev/null
+++ b/packages/cli/src/rattanpulley/_internal/store/audit_pruner.py
@@ -0,0 +1,160 @@
+"""Deletes old audit entries and records that it does so."""
+
+from collections.abc import Callable, Sequence
+import dataclasses
+
+from rattanpulley import exceptions
+from rattanpulley._internal.store import table_writer
+from rattanpulley_core import interfaces
+from rattanpulley_core import tables
+
+# Deletes count as writes of the platform, of which the daemons need most.
+DELETE_PAUSE_S = 1 / 30
+COMMAND = "audit --prune"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pruned:
+    """Result of a prune.
+
+    Attributes:
+        number: Number of its record; 0 if there was nothing to delete.
+        ranges_by_table: What was deleted.
+        deleted_count: Entries that this prune deleted.
+    """
+
+    number: int
+    ranges_by_table: dict[str, tables.PrunedRange]
+    deleted_count: int
+
+
+class AuditPruner:
+    """Deletes the entries beyond the bounds of age and number.
+
+    The record is written before the first delete, so that no crash leaves
+    entries deleted without a trace of who did it.
+    """
+
+    def __init__(
+        self,
+        store: interfaces.ObjectStore,
+        wall_s: Callable[[], float],
+        new_id: Callable[[], str],
+        pause: Callable[[float], None],
+    ) -> None:
+        self._store = store
+        self._wall_s = wall_s
+        self._new_id = new_id
+        self._pause = pause
+
+    def prune(
+        self, kinds: Sequence[tables.TableKind], who: str, reason: str
+    ) -> Pruned:
+        """Deletes the expired entries of tables.
+
+        Raises:
+            ConflictError: Another prune was recorded first.
+            OutcomeUnknownError: The store did not confirm a write.
+            StoreUnavailableError: There was no clear answer to a read.
+        """
+        now_s = self._wall_s()
+        expired_by_table = {
+            kind.value: expired
+            for kind in kinds
+            if (expired := self._expired(kind, now_s))
+        }
+        if not expired_by_table:
+            return Pruned(0, {}, 0)
+        ranges = {
+            name: tables.pruned_range(expired)
+            for name, expired in expired_by_table.items()
+        }
+        entry = tables.ChangeEntry(
+            change_id=self._new_id(),
+            who=who,
+            wall_s=now_s,
+            what=COMMAND,
+            reason=reason,
+            before=tables.ranges_to_json(ranges),
+            after=dict.fromkeys(ranges),
+        )
+        number = self._next_number()
+        self._write_record(number, entry)
+        expired = [x for rows in expired_by_table.values() for x in rows]
+        return Pruned(number, ranges, self._delete_all(expired))
+
+    def _expired(
+        self, kind: tables.TableKind, now_s: float
+    ) -> list[interfaces.StoredObject]:
+        prefix = f"{tables.AUDIT_PREFIX}{kind.value}/"
+        stored, _ = self._store.list_objects(prefix)
+        return tables.expired_entries(stored, now_s)
+
+    def _next_number(self) -> int:
+        stored, _ = self._store.list_objects(tables.PRUNES_PREFIX)
+        parts = (tables.audit_key_parts(item.key) for item in stored)
+        return max((part[1] for part in parts if part), default=0) + 1
+
+    def _write_record(self, number: int, entry: tables.ChangeEntry) -> None:
+        key = tables.prune_key(number)
+        value = {"change": entry.to_json(), "version": number}
+        for _ in range(table_writer.WRITE_ATTEMPTS):
+            try:
+                self._store.put(key, value, 0)
+                return
+            except interfaces.StoreConflictError:
+                if self._is_own(key, entry):
+                    return
+            except interfaces.StoreUnavailableError:
+                self._pause(table_writer.PAUSE_S)
+        raise exceptions.OutcomeUnknownError(
+            f"the object API did not confirm the record {key}",
+            "No entry was deleted. Run the command again",
+        )
+
+    def _is_own(self, key: str, entry: tables.ChangeEntry) -> bool:
+        """Tells whether the record is this one; False if it is not readable.
+
+        Raises:
+            ConflictError: It is the record of another prune.
+        """
+        try:
+            stored = self._store.get(key)
+        except interfaces.StoreUnavailableError:
+            self._pause(table_writer.PAUSE_S)
+            return False
+        found = tables.entry_of(stored.value) if stored else None
+        if found is None:
+            return False
+        if found.change_id != entry.change_id:
+            raise exceptions.ConflictError(
+                "another prune was recorded first",
+                "No entry was deleted. Run the command again",
+            )
+        return True
+
+    def _delete_all(self, expired: list[interfaces.StoredObject]) -> int:
+        count = 0
+        for item in expired:
+            if not self._delete(item):
+                raise exceptions.OutcomeUnknownError(
+                    f"the object API did not confirm the delete of {item.key}; "
+                    f"{count} of {len(expired)} entries are deleted",
+                    "Run the command again",
+                )
+            count += 1
+            self._pause(DELETE_PAUSE_S)
+        return count
+
+    def _delete(self, item: interfaces.StoredObject) -> bool:
+        for _ in range(table_writer.WRITE_ATTEMPTS):
+            try:
+                self._store.delete(item.key, item.version)
+                return True
+            except interfaces.StoreConflictError:
+                # A delete whose answer was lost took effect, or another
+                # operator was first.
+                return True
+            except interfaces.StoreUnavailableError:
+                self._pause(table_writer.PAUSE_S)
+        return False
--- a/packages/cli/src/rattanpulley/_internal/store/table_reader.py
+++ b/packages/cli/src/rattanpulley/_internal/store/table_reader.py
@@ -69,25 +69,51 @@
     )
 
 
-def missing_versions(rows: Sequence[AuditRow]) -> dict[str, list[int]]:
+def read_prunes(store: interfaces.ObjectStore) -> list[AuditRow]:
+    """Reads the records of prunes, oldest first.
+
+    Raises:
+        StoreUnavailableError: There was no clear answer.
+    """
+    rows = _read_rows(store, tables.PRUNES_PREFIX)
+    return sorted(rows, key=lambda row: row.version)
+
+
+def missing_versions(
+    rows: Sequence[AuditRow], prunes: Sequence[AuditRow] = ()
+) -> dict[str, list[int]]:
     """Returns the versions without an entry below the newest one, by table.
 
     Such a version was written by another program, or its object was deleted.
+    Versions up to the last one that a prune deleted do not count.
+
+    Args:
+        rows: Entries of the tables.
+        prunes: Records of prunes.
     """
+    pruned = tables.pruned_through(row.entry for row in prunes)
     versions_by_table: dict[str, set[int]] = {}
     for row in rows:
         versions_by_table.setdefault(row.table, set()).add(row.version)
     return {
-        table: sorted(set(range(1, max(versions) + 1)) - versions)
+        table: missing
         for table, versions in versions_by_table.items()
-        if len(versions) < max(versions)
+        if (missing := _missing(versions, pruned.get(table, 0)))
     }
 
 
+def _missing(versions: set[int], pruned_through: int) -> list[int]:
+    wanted = range(pruned_through + 1, max(versions) + 1)
+    return sorted(set(wanted) - versions)
+
+
 def _read_copies(
     store: interfaces.ObjectStore, kind: tables.TableKind
 ) -> list[AuditRow]:
-    prefix = f"{tables.AUDIT_PREFIX}{kind.value}/"
+    return _read_rows(store, f"{tables.AUDIT_PREFIX}{kind.value}/")
+
+
+def _read_rows(store: interfaces.ObjectStore, prefix: str) -> list[AuditRow]:
     try:
         stored, _ = store.list_objects(prefix)
     except interfaces.StoreUnavailableError as error:
--- a/packages/cli/tests/commands/test_golden.py
+++ b/packages/cli/tests/commands/test_golden.py
@@ -225,6 +225,65 @@
     terminal.check("claims")
 
 
+def test_audit_prune(terminal):
+    # Guards against young entries that go and against an unrecorded prune.
+    apply_both(terminal)
+    changed = json.loads(json.dumps(ROUTES))
+    for version in (1, 2, 3):
+        changed["rows"]["chat"]["deadline_s"] = 30 + version
+        terminal.write("new.json", changed)
+        terminal.run(f"apply routes new.json --at-version {version}")
+    terminal.run("audit --prune")
+    terminal.wall_s += 399 * 86400
+    terminal.run("apply routes routes.json --at-version 4")
+    terminal.run("audit --prune")
+    terminal.wall_s += 2 * 86400
+    terminal.run("audit --prune --since 1d")
+    terminal.run("audit --prune --table pools")
+    # The answers of the record and of the first delete are lost.
+    terminal.store.plan = ["ok", "ok", "ok", "lost", "ok", "ok", "lost"]
+    terminal.run("audit --prune --who bo --reason 'the store is full'")
+    terminal.run("audit")
+    terminal.run("audit --prune --json")
+    terminal.check("audit_prune")
+
+
+def test_a_prune_without_its_record_deletes_nothing(terminal):
+    # Guards against deleted entries without a trace of who deleted them.
+    apply_both(terminal)
+    terminal.write("new.json", {**ROUTES, "note": 1})
+    assert terminal.run("apply routes new.json --at-version 1") == 0
+    terminal.wall_s += 401 * 86400
+    kept = set(terminal.store.objects_by_key)
+    terminal.store.plan = ["ok", "ok", "ok", *["down"] * 9]
+    assert terminal.run("audit --prune") == 5
+    assert set(terminal.store.objects_by_key) == kept
+    terminal.store.plan = ["ok"] * 4 + ["down"] * 9
+    assert terminal.run("audit --prune") == 5
+    terminal.store.plan = []
+    assert terminal.run("audit --prune") == 0
+    assert "audit/routes/000000000001" not in terminal.store.objects_by_key
+    assert "audit/prunes/000000000002" in terminal.store.objects_by_key
+
+
+def test_of_two_prunes_at_once_one_is_refused(terminal):
+    # Guards against a record that stands for the deletes of another prune.
+    apply_both(terminal)
+    terminal.write("new.json", {**ROUTES, "note": 1})
+    terminal.run("apply routes new.json --at-version 1")
+    terminal.wall_s += 401 * 86400
+    other = {"change": {"change_id": "other", "wall_s": 1.0}}
+    key = "audit/prunes/000000000001"
+
+    def write_first():
+        terminal.store.plan = []
+        terminal.store.put(key, other, 0)
+
+    terminal.store.plan = ["ok", "ok", "ok", write_first]
+    assert terminal.run("audit --prune") == 3
+    assert "audit/routes/000000000001" in terminal.store.objects_by_key
+
+
 def test_control_characters_of_others_are_not_printed(terminal):
     # Guards against terminal commands in stored texts.
     apply_both(terminal)
--- a/packages/core/src/rattanpulley_core/tables.py
+++ b/packages/core/src/rattanpulley_core/tables.py
@@ -1,6 +1,7 @@
 """Public names of the routes and pools subject."""
 
 from rattanpulley_core._internal.tables import advice
+from rattanpulley_core._internal.tables import audit_retention
 from rattanpulley_core._internal.tables import changes
 from rattanpulley_core._internal.tables import config_state
 from rattanpulley_core._internal.tables import faults
@@ -44,6 +45,16 @@
 without_change = changes.without_change
 audit_key = changes.audit_key
 audit_key_parts = changes.audit_key_parts
+AUDIT_RETENTION_S = audit_retention.AUDIT_RETENTION_S
+AUDIT_LIMIT_ENTRIES = audit_retention.AUDIT_LIMIT_ENTRIES
+PRUNES = audit_retention.PRUNES
+PRUNES_PREFIX = audit_retention.PRUNES_PREFIX
+PrunedRange = audit_retention.PrunedRange
+prune_key = audit_retention.prune_key
+expired_entries = audit_retention.expired_entries
+pruned_range = audit_retention.pruned_range
+ranges_to_json = audit_retention.ranges_to_json
+pruned_through = audit_retention.pruned_through
 is_name = reader.is_name
 unknown_fields = advice.unknown_fields
 sudden_shares = advice.sudden_shares
