--- a/packages/core/src/rattanpulley_core/_internal/claims/retention.py
+++ b/packages/core/src/rattanpulley_core/_internal/claims/retention.py
@@ -44,7 +44,7 @@
 # Mean time between two listings of the whole fleet.
 FLEET_LISTING_S = 3600.0
 # The parse of more delays the streams by more than the 30 ms of one token.
-LISTING_LIMIT_RECORDS = 4_000
+LISTING_LIMIT_RECORDS = 3_000
 LARGE_LISTING_PAUSE_S = 24 * 3600.0
 # The listing leaves newer records to the daemon that remembers them; without
 # this time both would delete the same record.
--- a/packages/standins/src/rattanpulley_standins/_internal/measure/rows.py
+++ b/packages/standins/src/rattanpulley_standins/_internal/measure/rows.py
@@ -135,7 +135,7 @@
     Row(
         "claims, retention",
         "loop gap, ms, of one listing",
-        "claims.listing_parse_us at 4,000 records",
+        "claims.listing_parse_us at 3,000 records",
         lambda slopes: (
             slopes["claims.listing_parse_us"].at(claims.LISTING_LIMIT_RECORDS)
             / 1_000
