Test that a served action's claim is deleted after its time

Cause: the tests of the retention job hand it records themselves, so a service call that does not remember its record went unnoticed.

Change: a session with a daemon in process makes the call, passes 25 h and finds the record deleted. The test fails when the call is not remembered.

--- a/packages/daemon/tests/golden/conftest.py
+++ b/packages/daemon/tests/golden/conftest.py
@@ -23,6 +23,7 @@
 from rattanpulleyd._internal.api import service_calls
 from rattanpulleyd._internal.config import host_poll
 from rattanpulleyd._internal.config import table_watch
+from rattanpulleyd._internal.runtime import claim_retention
 from rattanpulleyd._internal.runtime import http_server
 from rattanpulleyd._internal.runtime import runtime as runtime_lib
 from rattanpulleyd._internal.settings import parser
@@ -176,12 +177,16 @@
             engine=self.engines,
             counts=self.counts,
         )
+        self.retention = claim_retention.ClaimRetention(
+            session.store, session.clock, self.counts, random.Random(1)
+        )
         services = service_calls.ServiceCalls(
             name=name,
             runtime=self.runtime,
             service=self.services,
             store=session.store,
             chooser=chooser,
+            retention=self.retention,
             new_token=lambda: f"{rng.getrandbits(128):032x}",
         )
         self.watch = table_watch.TableWatch(
--- a/packages/daemon/tests/golden/test_sessions.py
+++ b/packages/daemon/tests/golden/test_sessions.py
@@ -215,3 +215,20 @@
     daemon.request(pay, {"q": 1}, idempotency_key="ran")
     daemon.request(pay, {"q": 1}, idempotency_key="new")
     session.check("resent_action")
+
+
+def test_the_claim_of_an_action_is_deleted_after_its_time(session: Any) -> None:
+    """Guards against calls whose records the daemon does not remember."""
+    daemon = session.daemon()
+    daemon.services.results += [b"paid"]
+    daemon.request("/services/pay/order/7", {"q": 1}, idempotency_key="ran")
+    claimed = [k for k in session.store.objects if k.startswith("claims/")]
+    assert len(claimed) == 1
+    for hours in (23, 2):
+        assert claimed[0] in session.store.objects
+        session.clock.now_s += hours * 3600.0
+        # The first tick after a long time may list.
+        for _ in range(3):
+            daemon.retention.tick()
+            session.clock.now_s += 1.0
+    assert claimed[0] not in session.store.objects
