--- /dev/null
+++ b/packages/standins/src/rattanpulley_standins/_internal/chooser_measure/__init__.py
@@ -0,0 +1,1 @@
+"""Comparison of the choosers of targets."""
--- /dev/null
+++ b/packages/standins/src/rattanpulley_standins/measure_choosers/__init__.py
@@ -0,0 +1,1 @@
+"""Measurement of the choosers of targets, simulated and with processes."""
--- /dev/null
+++ b/packages/standins/src/rattanpulley_standins/measure_choosers/__main__.py
@@ -0,0 +1,10 @@
+"""Measures the choosers of targets and writes JSON."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+from rattanpulley_standins._internal.chooser_measure import command
+
+if __name__ == "__main__":
+    command.main()
