Test the spread of daemons that share a popular prefix

The test of one stale report covered prompts without a prefix only. With a common prefix all daemons hash to the same two targets, so the load bound has to spread them as well. Checked by raising RANDOM_CANDIDATES to the number of targets, so that each choice takes the least cost of all: the test then fails with 300 of 300 choices on the idle target.

--- a/packages/core/tests/targets/test_cost_chooser.py
+++ b/packages/core/tests/targets/test_cost_chooser.py
@@ -136,7 +136,8 @@
     assert set(names(table, excluded=others, is_resume=True)) == {"e0"}
 
 
-def test_choosers_with_one_stale_report_do_not_rush_to_one_target():
+@pytest.mark.parametrize("prompt", ["", "a" * 9000])
+def test_choosers_with_one_stale_report_do_not_rush_to_one_target(prompt):
     # Guards an idle target against daemons that all read that it is idle and
     # do not see each other's choices until the next report.
     per_daemon = 10
@@ -148,12 +149,14 @@
             report = targets.LoadReport(0 if i == 0 else 20, 0, 0.0)
             table.apply_load(f"e{i}", report, 100.0)
         chooser = targets.ExpectedCostChooser(table, random.Random(seed))
-        query = targets.TargetQuery("pool", prompt_tokens=2000)
+        query = targets.TargetQuery(
+            "pool", prefix_block_hashes=hashes(prompt), prompt_tokens=2000
+        )
         for _ in range(per_daemon):
             name = chooser.choose(query, 101.0)
             table.get(name).in_flight += 1
             counts[name] += 1
     # A rush would give nearly all 300; two random candidates find the idle
     # target with a probability of 2 / COUNT.
-    assert counts["e0"] < 2 * 2 / COUNT * per_daemon * daemons
+    assert max(counts.values()) < 2 * 2 / COUNT * per_daemon * daemons
     assert min(counts[f"e{i}"] for i in range(COUNT)) > 0
