--- a/packages/core/src/rattanpulley_core/_internal/targets/ejection.py
+++ b/packages/core/src/rattanpulley_core/_internal/targets/ejection.py
@@ -38,10 +38,20 @@
         self, found: Sequence[rows.Target], now_s: float
     ) -> list[rows.Target]:
         """Returns the targets that are not ejected; at least 70 % stay."""
-        for target in found:
+        records = self._records_by_name
+        # Few of 600 targets fail, and every choice comes through here.
+        failing = [
+            target
+            for target in found
+            if target.consecutive_failures >= EJECT_AFTER_FAILURES
+            or target.name in records
+        ]
+        if not failing:
+            return list(found)
+        for target in failing:
             self._judge(target, now_s)
         ejected = sorted(
-            (target for target in found if self._until_s(target.name) > now_s),
+            (t for t in failing if self._until_s(t.name) > now_s),
             key=lambda target: -target.consecutive_failures,
         )
         allowed = int(len(found) * MAX_EJECTED_SHARE)
--- a/packages/daemon/src/rattanpulleyd/_internal/settings/model.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/settings/model.py
@@ -5,7 +5,11 @@
 
 
 class TargetChoice(enum.Enum):
-    """Policy by which engines are chosen."""
+    """Policy by which engines are chosen.
+
+    The default is the policy with the lower control cost; see
+    docs/measurements-routing.md.
+    """
 
     EXPECTED_COST = "expected_cost"
     LEAST_OUTSTANDING = "least_outstanding"
@@ -68,4 +72,4 @@
     account_keys: tuple[bytes, ...]
     peers: Peers | None
     log_level: str
-    target_choice: TargetChoice = TargetChoice.EXPECTED_COST
+    target_choice: TargetChoice = TargetChoice.LEAST_OUTSTANDING
--- a/packages/daemon/src/rattanpulleyd/_internal/settings/parser.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/settings/parser.py
@@ -68,7 +68,9 @@
         peers=fields.take("peers", _optional(_peers)),
         log_level=fields.take("log_level", _log_level),
         target_choice=fields.take_or(
-            "target_choice", _target_choice, model.TargetChoice.EXPECTED_COST
+            "target_choice",
+            _target_choice,
+            model.TargetChoice.LEAST_OUTSTANDING,
         ),
     )
     fields.refuse_others()
