--- a/packages/daemon/src/rattanpulleyd/_internal/loads/load_poll.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/loads/load_poll.py
@@ -5,8 +5,9 @@
 600 targets. A read is 106 bytes of request and 150 of answer, about 850 bytes
 with the packets of its connection. At 1.25 reads/s this is 0.3 KB/s of payload
 and 1.1 KB/s on the wire, of the budget of 4 KB/s. An idle daemon used 0.23 % of
-a core more with the poll, of the budget of 1.2 % (docs/measurements-routing.md).
-A target is read at most every 2 s, because its report lags by about 1 s.
+a core more with the poll, of the budget of 1.2 %; the measurement is in
+docs/measurements-routing.md. A target is read at most every 2 s, because its
+report lags by about 1 s.
 
 Only engines of the own failure domain, and those with work of this daemon, are
 read. With 55 of them a round takes 44 s, while a report counts for a third
