--- a/packages/core/src/rattanpulley_core/_internal/targets/cost_chooser.py
+++ b/packages/core/src/rattanpulley_core/_internal/targets/cost_chooser.py
@@ -19,7 +19,7 @@
 HASHED_CANDIDATES = 2
 # A hashed target may have this many times the mean load, so that a popular
 # prefix spills over to the next one. In measure_choosers the first token's
-# p99 grows from 0.13 s to 0.7 s with a bound of 1.25.
+# p99 grows from 0.13 s to 1.5 s with a bound of 1.25.
 LOAD_BOUND = 1.1
 # Prefill cost of a token that is not cached, from the engines' cost model.
 PREFILL_S_PER_TOKEN = 0.00005
