--- a/packages/daemon/src/rattanpulleyd/_internal/settings/model.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/settings/model.py
@@ -1,6 +1,18 @@
 """Typed settings of the daemon."""
 
 import dataclasses
+import enum
+
+
+class TargetChoice(enum.Enum):
+    """Policy by which engines are chosen.
+
+    The default is the policy with the lower control cost; see
+    docs/measurements-routing.md.
+    """
+
+    EXPECTED_COST = "expected_cost"
+    LEAST_OUTSTANDING = "least_outstanding"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,6 +60,7 @@
             verified.
         peers: Connections to other daemons, or None.
         log_level: Lowest level of the log lines.
+        target_choice: How engines are chosen.
     """
 
     name: str
@@ -59,3 +72,4 @@
     account_keys: tuple[bytes, ...]
     peers: Peers | None
     log_level: str
+    target_choice: TargetChoice = TargetChoice.LEAST_OUTSTANDING
