Do not blame a request for crashes that it ran through

Cause: a stream whose engine was killed, and whose next engine was killed within 300 tokens (9 s), was refused with 1205. With one prompt from many callers, the loss of two engines together refused all of them on all daemons for an hour, and independent kills added up at the peers.

Ruled out: a trial run of one copy while the others wait, which delays the resumes of innocent streams by 0.6 s.

--- a/packages/core/src/rattanpulley_core/_internal/generations/crashes.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/crashes.py
@@ -4,9 +4,12 @@
 from rattanpulley_core._internal.generations import context
 from rattanpulley_core._internal.generations import lifecycle
 from rattanpulley_core._internal.generations import messages
+from rattanpulley_core._internal.generations import rows
 
-# A suspect that ran this far on another target did not crash it.
-CLEARED_AFTER_TOKENS = 300
+# A request that crashes targets does so at about the same token again. One that
+# ran this far beyond the crash, on another target, was not the cause. More
+# tokens would blame a stream that meets two crashes within a few seconds.
+CLEARED_AFTER_TOKENS = 30
 
 
 def run(ctx: context.Context, now_s: float) -> None:
@@ -21,7 +24,7 @@
     if refused:
         _end_refused(ctx, refused)
     if len(ctx.suspects):
-        _clear_suspects(ctx)
+        _clear_suspects(ctx, now_s)
 
 
 def _end_refused(ctx: context.Context, refused: set[str]) -> None:
@@ -32,11 +35,35 @@
             )
 
 
-def _clear_suspects(ctx: context.Context) -> None:
+def _clear_suspects(ctx: context.Context, now_s: float) -> None:
     for generation in ctx.generations_by_id.values():
         attempt = generation.attempt
-        if attempt is None or not attempt.suspect:
+        if attempt is None or not attempt.has_token or attempt.target.doubtful:
             continue
-        produced = len(generation.journal) - attempt.first_index
-        if produced >= CLEARED_AFTER_TOKENS:
-            ctx.suspects.clear(generation.request.fingerprint)
+        fingerprint = generation.request.fingerprint
+        if not ctx.suspects.is_suspect(fingerprint, now_s):
+            continue
+        crashed_tokens = ctx.suspects.crashed_tokens(fingerprint, now_s)
+        if not _is_beyond(generation, attempt, crashed_tokens):
+            continue
+        if ctx.suspects.clear(fingerprint):
+            ctx.actions.append(messages.PublishClearance(fingerprint))
+
+
+def _is_beyond(
+    generation: rows.Generation,
+    attempt: rows.Attempt,
+    crashed_tokens: int | None,
+) -> bool:
+    """Returns whether an attempt ran on where the request should crash.
+
+    Args:
+        generation: A generation of a suspect request.
+        attempt: Its current attempt.
+        crashed_tokens: Tokens at the crash; None when only peers know it.
+    """
+    length = len(generation.journal)
+    if attempt.suspect or crashed_tokens is None:
+        return length - attempt.first_index >= CLEARED_AFTER_TOKENS
+    # Another copy of the request, which ran before the crash already.
+    return length >= crashed_tokens + CLEARED_AFTER_TOKENS
--- a/packages/core/src/rattanpulley_core/_internal/generations/messages.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/messages.py
@@ -299,6 +299,13 @@
     boot_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PublishClearance(Action):
+    """Tell the other daemons that a reported request crashes no targets."""
+
+    fingerprint: str
+
+
 class AttemptResult(enum.Enum):
     """How an attempt speaks for or against its target's version."""
 
--- a/packages/core/src/rattanpulley_core/_internal/generations/probes.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/probes.py
@@ -213,7 +213,7 @@
     attempt: rows.Attempt,
     now_s: float,
 ) -> None:
-    """Records that an accepted attempt ended with its connection."""
+    """Records that an attempt ended with its connection."""
     target = attempt.target
     ctx.ledger.record_reset(
         target.name,
@@ -221,6 +221,8 @@
         attempt.boot_id or target.boot_id,
         generation.request.fingerprint,
         attempt.has_produced,
+        attempt.started_at_s,
+        len(generation.journal),
         now_s,
     )
 
--- a/packages/core/src/rattanpulley_core/_internal/peers/facts.py
+++ b/packages/core/src/rattanpulley_core/_internal/peers/facts.py
@@ -21,6 +21,7 @@
     TABLE = "table"
     VERDICT = "verdict"
     CRASH_REPORT = "crash_report"
+    CLEARANCE = "clearance"
     EVIDENCE = "evidence"
     MOVE_REPORT = "move_report"
 
@@ -28,7 +29,12 @@
 # Verdicts, crash reports and evidence have no order: the first value of a key
 # stays.
 _NEWEST_VERSION_WINS = frozenset(
-    {FactKind.MEMBER, FactKind.TABLE, FactKind.MOVE_REPORT}
+    {
+        FactKind.MEMBER,
+        FactKind.TABLE,
+        FactKind.CLEARANCE,
+        FactKind.MOVE_REPORT,
+    }
 )
 
 # Facts that are many or long, and not urgent.
--- a/packages/core/src/rattanpulley_core/_internal/suspects/attribution.py
+++ b/packages/core/src/rattanpulley_core/_internal/suspects/attribution.py
@@ -9,8 +9,9 @@
 # common cause, such as the loss of a rack.
 COMMON_CAUSE_TARGETS = 3
 COMMON_CAUSE_WINDOW_S = 1.0
-# A loss at the end of the window is known after one more probe.
-REPORT_DELAY_S = COMMON_CAUSE_WINDOW_S + 0.25
+# A loss at the end of the window is known after one more probe, and most
+# innocent requests have cleared themselves by then.
+REPORT_DELAY_S = COMMON_CAUSE_WINDOW_S + 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -24,6 +25,7 @@
         opened_at_s: Monotonic time of the first reset.
         has_token_by_fingerprint: Whether every attempt of the request had
             produced a token on the target.
+        run_by_fingerprint: When each request ran on the target.
     """
 
     target: str
@@ -33,6 +35,9 @@
     has_token_by_fingerprint: dict[str, bool] = dataclasses.field(
         default_factory=dict
     )
+    run_by_fingerprint: dict[str, reports.CrashedRun] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,15 +83,24 @@
         boot_id: str,
         fingerprint: str,
         has_token: bool,
+        started_s: float,
+        tokens: int,
         now_s: float,
     ) -> None:
-        """Records that an accepted attempt was reset."""
+        """Records that an attempt was reset after its order was sent."""
         case = self._cases_by_target.get(target)
         if case is None:
             case = CrashCase(target, failure_domain, boot_id, now_s)
             self._cases_by_target[target] = case
         had_token = case.has_token_by_fingerprint.get(fingerprint, True)
         case.has_token_by_fingerprint[fingerprint] = had_token and has_token
+        earlier = case.run_by_fingerprint.get(fingerprint)
+        if earlier is not None:
+            started_s = max(started_s, earlier.started_s)
+            tokens = max(tokens, earlier.tokens)
+        case.run_by_fingerprint[fingerprint] = reports.CrashedRun(
+            started_s, case.opened_at_s, tokens
+        )
 
     def has_case(self, target: str) -> bool:
         """Returns whether resets of the target wait for a probe."""
@@ -117,7 +131,12 @@
         causes = self._causes(case, now_s)
         for fingerprint in causes:
             self._suspects.report(
-                fingerprint, target, case.boot_id, now_s, provisional=True
+                fingerprint,
+                target,
+                case.boot_id,
+                now_s,
+                provisional=True,
+                run=case.run_by_fingerprint[fingerprint],
             )
         decide_at_s = case.opened_at_s + REPORT_DELAY_S
         self._pending.append(_Pending(case, causes, max(decide_at_s, now_s)))
@@ -128,9 +147,13 @@
 
         Until then another attempt could cost a third target.
         """
-        crashes = self._suspects.crash_count(fingerprint, now_s)
-        open_cases = self._open_cases(fingerprint)
-        return crashes + open_cases >= reports.REFUSED_AT_CRASHES
+        open_runs = [
+            case.run_by_fingerprint[fingerprint]
+            for case in self._cases_by_target.values()
+            if fingerprint in case.run_by_fingerprint
+        ]
+        crashes = self._suspects.crash_count(fingerprint, now_s, open_runs)
+        return crashes >= reports.REFUSED_AT_CRASHES
 
     def is_suspect(self, fingerprint: str, now_s: float) -> bool:
         """Returns whether the request has a report or may soon get one.
@@ -175,6 +198,10 @@
             self._suspects.confirm(
                 fingerprint, case.target, case.boot_id, now_s
             )
+            if self._suspects.is_cleared(
+                fingerprint, case.target, case.boot_id
+            ):
+                continue
             yield ConfirmedReport(fingerprint, case.target, case.boot_id)
 
     def _causes(self, case: CrashCase, now_s: float) -> tuple[str, ...]:
--- a/packages/core/src/rattanpulley_core/_internal/suspects/reports.py
+++ b/packages/core/src/rattanpulley_core/_internal/suspects/reports.py
@@ -1,5 +1,6 @@
 """Crash reports by request fingerprint."""
 
+from collections.abc import Iterable, Sequence
 import dataclasses
 
 REPORT_TTL_S = 3600.0
@@ -15,11 +16,29 @@
         expires_at_s: Monotonic time at which the report stops counting.
         provisional: Whether a common cause may still withdraw the report.
         cleared: Whether the request has since run without a crash.
+        run: When the request ran on the target; None for a report of a peer,
+            which counts by itself.
     """
 
     expires_at_s: float
     provisional: bool = False
     cleared: bool = False
+    run: "CrashedRun | None" = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashedRun:
+    """The attempts of a request on a target that crashed.
+
+    Attributes:
+        started_s: Monotonic time at which the latest attempt started.
+        crashed_s: Monotonic time of the crash.
+        tokens: Largest number of tokens of an answer at the crash.
+    """
+
+    started_s: float
+    crashed_s: float
+    tokens: int
 
 
 # A crash is identified by the target's name and the boot id that it ended.
@@ -50,6 +69,7 @@
         boot_id: str,
         now_s: float,
         provisional: bool = False,
+        run: CrashedRun | None = None,
     ) -> None:
         """Adds a report of this daemon.
 
@@ -59,8 +79,9 @@
             boot_id: Process of the target that crashed.
             now_s: Monotonic time.
             provisional: Whether `confirm` or `withdraw` will follow.
+            run: When the request ran there.
         """
-        found = CrashReport(now_s + REPORT_TTL_S, provisional)
+        found = CrashReport(now_s + REPORT_TTL_S, provisional, run=run)
         self._add(fingerprint, (target, boot_id), found, now_s)
 
     def apply_remote(
@@ -85,7 +106,7 @@
         reports = self._reports_by_fingerprint.get(fingerprint, {})
         found = reports.get((target, boot_id))
         if found is not None and found.provisional:
-            final = CrashReport(found.expires_at_s)
+            final = CrashReport(found.expires_at_s, run=found.run)
             self._add(fingerprint, (target, boot_id), final, now_s)
 
     def withdraw(self, fingerprint: str, target: str, boot_id: str) -> None:
@@ -97,14 +118,48 @@
             if not reports:
                 del self._reports_by_fingerprint[fingerprint]
 
-    def clear(self, fingerprint: str) -> None:
-        """Ends the suspicion; the same reports do not count again."""
+    def clear(self, fingerprint: str) -> bool:
+        """Ends the suspicion; the same reports do not count again.
+
+        Returns:
+            Whether a final report was cleared, of which peers may know.
+        """
+        had_final = False
         for found in self._reports_by_fingerprint.get(fingerprint, {}).values():
+            had_final = had_final or not (found.cleared or found.provisional)
             found.cleared = True
+        return had_final
 
-    def crash_count(self, fingerprint: str, now_s: float) -> int:
-        """Returns how many crashes count, provisional ones included."""
-        return len(self._counting(fingerprint, now_s))
+    def is_cleared(self, fingerprint: str, target: str, boot_id: str) -> bool:
+        """Returns whether the report of a crash has been cleared."""
+        reports = self._reports_by_fingerprint.get(fingerprint, {})
+        found = reports.get((target, boot_id))
+        return found is not None and found.cleared
+
+    def crashed_tokens(self, fingerprint: str, now_s: float) -> int | None:
+        """Returns the most tokens that an answer had at a counting crash."""
+        tokens = [
+            found.run.tokens
+            for found in self._counting(fingerprint, now_s)
+            if found.run is not None
+        ]
+        return max(tokens, default=None)
+
+    def crash_count(
+        self,
+        fingerprint: str,
+        now_s: float,
+        open_runs: Iterable[CrashedRun] = (),
+    ) -> int:
+        """Returns how many crashes count, provisional ones included.
+
+        Args:
+            fingerprint: Content fingerprint of the request.
+            now_s: Monotonic time.
+            open_runs: Runs on targets whose crash is not confirmed yet.
+        """
+        counting = self._counting(fingerprint, now_s)
+        return _count_waves([*(found.run for found in counting), *open_runs])
 
     def is_suspect(self, fingerprint: str, now_s: float) -> bool:
         """Returns whether a report counts, provisional ones included."""
@@ -114,7 +169,8 @@
         """Returns whether the request is known to crash targets."""
         counting = self._counting(fingerprint, now_s)
         final = [found for found in counting if not found.provisional]
-        return len(final) >= REFUSED_AT_CRASHES
+        waves = _count_waves([found.run for found in final])
+        return waves >= REFUSED_AT_CRASHES
 
     def take_newly_refused(self) -> list[str]:
         """Returns the fingerprints refused since the last call."""
@@ -156,3 +212,23 @@
             for found in reports.values()
             if not found.cleared and found.expires_at_s > now_s
         ]
+
+
+def _count_waves(runs: Sequence[CrashedRun | None]) -> int:
+    """Counts crashes of which each could have followed from the one before.
+
+    A request that crashes targets crashes the second one after it was moved
+    there. Copies of a popular request that were running on two targets when
+    both were lost are no evidence against it, so they count once.
+    """
+    known = sorted(
+        (run for run in runs if run is not None),
+        key=lambda run: run.crashed_s,
+    )
+    waves = sum(run is None for run in runs)
+    first_crash_s = None
+    for run in known:
+        if first_crash_s is None or run.started_s >= first_crash_s:
+            waves += 1
+            first_crash_s = run.crashed_s
+    return waves
--- a/packages/core/src/rattanpulley_core/generations.py
+++ b/packages/core/src/rattanpulley_core/generations.py
@@ -31,6 +31,7 @@
 AttemptResult = messages.AttemptResult
 AttemptEnded = messages.AttemptEnded
 PublishCrashReport = messages.PublishCrashReport
+PublishClearance = messages.PublishClearance
 
 GenerationCore = core.GenerationCore
 CoreStatus = core.CoreStatus
--- a/packages/core/tests/generations/test_crashes.py
+++ b/packages/core/tests/generations/test_crashes.py
@@ -104,3 +104,21 @@
         world.step(0.01)
     for reader in suspects:
         assert not table.is_suspect(reader.request.fingerprint, world.now_s)
+
+
+def test_stream_that_meets_two_independent_crashes_goes_on():
+    # Guards against a refusal of a stream whose targets are killed one after
+    # the other; it runs on for a second in between.
+    world = generation_world.World(("v1",) * 4, answer_tokens=350)
+    reader = world.arrive("a", deadline_s=1e4)
+    world.deliver_all()
+    for _ in range(3):
+        crash(world, reader)
+        world.step(0.05)
+        for _ in range(40):
+            for engine in world.engines.values():
+                engine.produce()
+            world.step(0.03)
+    world.settle()
+    assert reader.is_whole
+    assert not reports(world)
--- a/packages/daemon/src/rattanpulleyd/_internal/peers/peer_runtime.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/peers/peer_runtime.py
@@ -100,6 +100,7 @@
             peers.FactKind, Callable[[peers.Fact], None]
         ] = {
             peers.FactKind.CRASH_REPORT: self._on_crash_report,
+            peers.FactKind.CLEARANCE: self._on_clearance,
             peers.FactKind.TABLE: self._on_table_version,
             peers.FactKind.EVIDENCE: self._on_move,
             peers.FactKind.VERDICT: self._on_move,
@@ -161,6 +162,19 @@
             )
         )
 
+    def publish_clearance(self, fingerprint: str) -> None:
+        """Tells the peers that a reported request crashes no targets."""
+        version = int(self._clock.wall_s() * 1000)
+        self.feed(
+            peers.FactPublished(
+                peers.FactKind.CLEARANCE,
+                fingerprint,
+                version,
+                b"",
+                CRASH_REPORT_TTL_S,
+            )
+        )
+
     def report(self) -> dict[str, Any]:
         """Returns the state of the peer part for operators."""
         state = self.core.state
@@ -204,6 +218,9 @@
         ttl_s = CRASH_REPORT_TTL_S if expires_s is None else expires_s - now_s
         self._suspects.apply_remote(fingerprint, target, boot_id, now_s, ttl_s)
 
+    def _on_clearance(self, fact: peers.Fact) -> None:
+        self._suspects.clear(fact.key)
+
     def _on_move(self, fact: peers.Fact) -> None:
         if self.on_move_fact is None:
             return
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/daemon.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/daemon.py
@@ -189,6 +189,7 @@
             account_limits=self._runtime.limits,
         )
         self._runtime.on_crash_report = part.publish_crash_report
+        self._runtime.on_clearance = part.publish_clearance
         part.on_move_fact = self._moves.learn_fact
         part.on_members = self._moves.set_daemons
         part.on_live_count = self._retention.set_daemon_count
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/runtime.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/runtime.py
@@ -54,6 +54,7 @@
         self.target_table = target_table
         self.draining = False
         self.on_crash_report: Callable[[str, str, str], None] | None = None
+        self.on_clearance: Callable[[str], None] | None = None
         self.limits = limits.AccountLimits()
         self.health: health.HealthObserver = health.NoObserver()
         self._engine = engine
@@ -73,6 +74,7 @@
             generations.FinishAnswer: self._finish,
             generations.FailAnswer: self._fail,
             generations.PublishCrashReport: self._publish_crash_report,
+            generations.PublishClearance: self._publish_clearance,
             generations.AttemptEnded: self._end_attempt,
         }
 
@@ -212,6 +214,10 @@
             self.counts.count(_Counter.ANSWERS_FAILED)
             stream.fail(action)
 
+    def _publish_clearance(self, action: generations.PublishClearance) -> None:
+        if self.on_clearance is not None:
+            self.on_clearance(action.fingerprint)
+
     def _end_attempt(self, action: generations.AttemptEnded) -> None:
         self.health.attempt_ended(action)
 
