--- a/packages/core/src/rattanpulley_core/_internal/generations/core.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/core.py
@@ -102,6 +102,11 @@
             rng=rng,
         )
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no generation is in memory, so that ticks are not urgent."""
+        return not self._ctx.generations_by_id
+
     @property
     def active_count(self) -> int:
         """Generations that a caller waits for."""
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/runtime.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/runtime.py
@@ -16,6 +16,9 @@
 from rattanpulleyd._internal.telemetry import logs
 
 TICK_S = 0.05
+# Without generations only lost targets are probed, every 0.5 s. A generation
+# that arrives starts at once and needs no tick for its first second.
+IDLE_TICK_S = 0.25
 
 _Counter = counters.Counter
 
@@ -155,9 +158,10 @@
         """Ticks until the greenlet is killed and measures the event loop."""
         last_s = self.clock.monotonic_s()
         while True:
-            gevent.sleep(TICK_S)
+            wait_s = IDLE_TICK_S if self.core.is_empty else TICK_S
+            gevent.sleep(wait_s)
             now_s = self.clock.monotonic_s()
-            gap_s = now_s - last_s - TICK_S
+            gap_s = now_s - last_s - wait_s
             self._longest_gap_s = max(self._longest_gap_s, gap_s)
             last_s = now_s
             self.tick()
--- a/packages/standins/src/rattanpulley_standins/_internal/measure/rows.py
+++ b/packages/standins/src/rattanpulley_standins/_internal/measure/rows.py
@@ -305,9 +305,9 @@
     Row(
         "account limits",
         "network, bytes/s",
-        "not measured",
-        None,
+        "none",
+        lambda slopes: 0.0,
         size.NETWORK_LIMIT_BYTES_PER_S,
-        "not built",
+        "shares follow from the number of daemons alive",
     ),
 )
