Use plain names and words in a few places

Cause: read as a newcomer, some docstrings used figures of speech, and the measurement of the resume latency had a module named after a crowd.

--- a/packages/core/src/rattanpulley_core/_internal/claims/messages.py
+++ b/packages/core/src/rattanpulley_core/_internal/claims/messages.py
@@ -34,7 +34,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Event:
-    """Base of what a claimed call is told."""
+    """Base of the events of a claimed call."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/rattanpulley_core/_internal/generations/messages.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/messages.py
@@ -307,7 +307,7 @@
 
 
 class AttemptResult(enum.Enum):
-    """How an attempt speaks for or against its target's version."""
+    """Outcome of an attempt in the comparison of versions."""
 
     OK = "ok"
     ERROR = "error"
--- a/packages/daemon/src/rattanpulleyd/_internal/config/host_poll.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/config/host_poll.py
@@ -17,7 +17,7 @@
 
 
 class HostPoll:
-    """Polls the host list and hands on its rows."""
+    """Polls the host list and reports its rows."""
 
     def __init__(
         self,
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/health.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/health.py
@@ -1,4 +1,4 @@
-"""Who is told of the health of attempts."""
+"""Observers of the health of attempts."""
 
 import abc
 
@@ -6,7 +6,7 @@
 
 
 class HealthObserver(abc.ABC):
-    """Takes the start and the end of attempts and of service calls."""
+    """Observes the start and the end of attempts and of service calls."""
 
     @abc.abstractmethod
     def attempt_started(self, call_id: str, attempt: int, pool: str) -> None:
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/http_server.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/http_server.py
@@ -18,7 +18,7 @@
 
 
 class _Handler(pywsgi.WSGIHandler):
-    """Limits the time of reads and writes and hands on the connection."""
+    """Limits the time of reads and writes and exposes the connection."""
 
     def handle(self) -> None:
         self.socket.settimeout(IDLE_TIMEOUT_S)
--- a/packages/standins/src/rattanpulley_standins/_internal/chooser_measure/simulation.py
+++ b/packages/standins/src/rattanpulley_standins/_internal/chooser_measure/simulation.py
@@ -108,8 +108,8 @@
 
     def interval_s(self, now_s: float) -> float:
         """Returns the time between tokens, which grows with the batch."""
-        crowd = 1.0 + max(0, self.running - 32) / 32
-        return 0.03 * crowd * self.slowness(now_s)
+        groups = 1.0 + max(0, self.running - 32) / 32
+        return 0.03 * groups * self.slowness(now_s)
 
 
 class Simulation:
--- a/packages/standins/src/rattanpulley_standins/_internal/resume_measure/crowd.py
+++ b/packages/standins/src/rattanpulley_standins/_internal/resume_measure/callers.py
@@ -1,4 +1,4 @@
-"""Groups of callers that run until they are told to stop."""
+"""Groups of callers that run until they are stopped."""
 
 from collections.abc import Sequence
 import dataclasses
@@ -26,7 +26,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class CrowdOptions:
+class CallerOptions:
     """Size of the groups.
 
     Attributes:
@@ -42,7 +42,7 @@
     seed: int
 
 
-class Crowd:
+class CallerGroups:
     """Callers of the daemons and of both baselines on one deployment.
 
     Args:
@@ -58,7 +58,7 @@
     def __init__(
         self,
         deployment: deployment_lib.Deployment,
-        options: CrowdOptions,
+        options: CallerOptions,
     ) -> None:
         groups = [self.DAEMON, *(policy.value for policy in direct.Policy)]
         self.records_by_group: dict[str, list[record_lib.AnswerRecord]] = {
--- a/packages/standins/src/rattanpulley_standins/_internal/resume_measure/command.py
+++ b/packages/standins/src/rattanpulley_standins/_internal/resume_measure/command.py
@@ -15,7 +15,9 @@
 from rattanpulley_standins._internal.launch import command
 from rattanpulley_standins._internal.launch import deployment as deployment_lib
 from rattanpulley_standins._internal.load import run as load_run
-from rattanpulley_standins._internal.resume_measure import crowd as crowd_lib
+from rattanpulley_standins._internal.resume_measure import (
+    callers as callers_lib,
+)
 from rattanpulley_standins._internal.resume_measure import results
 from rattanpulley_standins._internal.resume_measure import rounds as rounds_lib
 
@@ -101,9 +103,9 @@
 def _measure_faults(
     running: deployment_lib.Deployment, arguments: argparse.Namespace
 ) -> dict[str, Any]:
-    crowd = crowd_lib.Crowd(
+    groups = callers_lib.CallerGroups(
         running,
-        crowd_lib.CrowdOptions(
+        callers_lib.CallerOptions(
             daemon_callers=arguments.daemon_callers,
             baseline_callers=arguments.baseline_callers,
             length=arguments.length,
@@ -112,16 +114,16 @@
     )
     injector = injector_lib.Injector(running, arguments.seed)
     rounds = rounds_lib.Rounds(injector, len(running.engines))
-    crowd.start()
+    groups.start()
     gevent.sleep(WARM_UP_S)
     for number in range(arguments.rounds):
         for kind in rounds_lib.KINDS:
             injection = rounds.run(kind)
             names = ", ".join(injection.names)
             print(f"round {number + 1}: {kind.value} {names}", file=sys.stderr)
-    crowd.stop()
+    groups.stop()
     interval_ms = arguments.token_interval_ms
     return {
-        "resume_latency_ms": results.fault_results(rounds, crowd, interval_ms),
-        "answers": results.answer_results(crowd),
+        "resume_latency_ms": results.fault_results(rounds, groups, interval_ms),
+        "answers": results.answer_results(groups),
     }
