Keep the output of make up to its one line

Cause: on a fresh machine the installation's commands were printed before the JSON line that programs read.

Change: the recipe of the installation is silent.

--- a/Makefile
+++ b/Makefile
@@ -12,11 +12,12 @@
 # repeats the installation, also in an environment that VENV shares.
 STAMP := $(VENV)/.installed-$(shell sha256sum requirements.lock | cut -c1-12)
 
+# The recipe is silent, since `make up` prints one line for programs.
 $(STAMP):
-	test -x $(PY) || python3 -m venv $(VENV)
-	$(PY) -m pip install --quiet --disable-pip-version-check --require-hashes -r requirements.lock
-	$(PY) -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(foreach p,core adapters daemon cli,-e packages/$(p))
-	touch $@
+	@test -x $(PY) || python3 -m venv $(VENV)
+	@$(PY) -m pip install --quiet --disable-pip-version-check --require-hashes -r requirements.lock
+	@$(PY) -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(foreach p,core adapters daemon cli,-e packages/$(p))
+	@touch $@
 
 setup: $(STAMP)
 
