Do not promise that a request has not run after an earlier attempt

Cause: found by a property test: a repeatable request whose first attempt broke off and whose second could not connect was answered 503, which says that it has not run.

Change: the status of an ending that did not run counts only when no attempt may have run.

Conclusion: the promise follows from the whole ledger.

--- a/packages/core/src/rattanpulley_core/_internal/serving/endings.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/endings.py
@@ -104,6 +104,6 @@
         """
         if self.ran is Ran.NO:
             return 503
-        if ending is None:
+        if ending is None or RULE_BY_ENDING[ending].ran is Ran.NO:
             return 502
-        return max(502, RULE_BY_ENDING[ending].status)
+        return RULE_BY_ENDING[ending].status
--- /dev/null
+++ b/packages/core/tests/serving/test_belief.py
@@ -0,0 +1,149 @@
+"""Tests of the configuration's age and of what it permits."""
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+import serving_builders as builders
+
+from rattanpulley_core import serving
+
+KEY_LIMIT_S = 5.0
+
+
+def _belief(version: int = 1, at_s: float = 0.0) -> serving.ConfigBelief:
+    belief = serving.ConfigBelief(KEY_LIMIT_S)
+    belief.accept(builders.config(version), at_s)
+    return belief
+
+
+def _access(
+    belief: serving.ConfigBelief, now_s: float, path: str, key: str
+) -> serving.Access:
+    return belief.decide("example", path, key, now_s).access
+
+
+def test_host_without_configuration_denies_nothing() -> None:
+    """A 404 from a host that knows nothing would end a proper request."""
+    belief = serving.ConfigBelief(KEY_LIMIT_S)
+    assert _access(belief, 0.0, "/a/x", "key") is (
+        serving.Access.NO_CONFIGURATION
+    )
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "fresh", "old"),
+    [
+        (
+            "/b/",
+            "key",
+            serving.Access.UNKNOWN_ROUTE,
+            serving.Access.BELIEF_TOO_OLD,
+        ),
+        (
+            "/a/x",
+            "none",
+            serving.Access.UNKNOWN_KEY,
+            serving.Access.BELIEF_TOO_OLD,
+        ),
+        ("/a/x", "key", serving.Access.GRANTED, serving.Access.BELIEF_TOO_OLD),
+    ],
+)
+def test_old_belief_neither_grants_nor_denies(
+    path: str, key: str, fresh: serving.Access, old: serving.Access
+) -> None:
+    """A cut-off host must not run removed keys or deny new routes."""
+    belief = _belief()
+    assert _access(belief, 1.0, path, key) is fresh
+    assert _access(belief, KEY_LIMIT_S, path, key) is old
+
+
+def test_public_route_needs_no_confirmation() -> None:
+    """Requests without a key go on while the store is away."""
+    belief = serving.ConfigBelief(KEY_LIMIT_S)
+    routes = [builders.route(public=True)]
+    belief.accept(builders.config(1, routes), 0.0)
+    assert _access(belief, 100.0, "/a/x", "") is serving.Access.GRANTED
+
+
+def test_older_version_neither_replaces_nor_confirms() -> None:
+    """A stale read must not bring a removed key back."""
+    belief = _belief(version=2)
+    outcome = belief.accept(builders.config(1), 4.0)
+    assert outcome is serving.Acceptance.OLDER
+    assert belief.config is not None
+    assert belief.config.version == 2
+    assert belief.age_s(5.0) == 5.0
+
+
+def test_other_content_of_one_version_confirms_nothing() -> None:
+    """Two contents of one version are a fault, not a newer state."""
+    belief = _belief()
+    other = builders.config(1, account_by_key={"other": "account"})
+    assert belief.accept(other, 3.0) is serving.Acceptance.CONFLICTING
+    assert belief.age_s(3.0) == 3.0
+
+
+def test_readiness_ends_with_the_confirmations() -> None:
+    """The balancer must stop sending clients to a cut-off host."""
+    belief = _belief()
+    assert belief.ready(1.0)
+    assert not belief.ready(4.0)
+
+
+class KeyRemoval(stateful.RuleBasedStateMachine):
+    """Reads that are delayed, lost or reordered around removals of a key.
+
+    No request that is sent later than the limit after a removal may run.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 0.0
+        self.version = 1
+        self.keys = {"key": "account"}
+        self.removed_at_s: float | None = None
+        self.belief = serving.ConfigBelief(KEY_LIMIT_S)
+        self.reads: list[tuple[float, serving.ServingConfig]] = []
+
+    @stateful.rule(step_s=st.floats(0.0, 6.0))
+    def time_passes(self, step_s: float) -> None:
+        self.now_s += step_s
+
+    @stateful.rule()
+    def operator_removes_key(self) -> None:
+        if self.keys:
+            self.keys = {}
+            self.version += 1
+            self.removed_at_s = self.now_s
+
+    @stateful.rule()
+    def operator_adds_key(self) -> None:
+        if not self.keys:
+            self.keys = {"key": "account"}
+            self.version += 1
+            self.removed_at_s = None
+
+    @stateful.rule()
+    def read_is_answered(self) -> None:
+        content = builders.config(self.version, account_by_key=dict(self.keys))
+        self.reads.append((self.now_s, content))
+
+    @stateful.precondition(lambda self: self.reads)
+    @stateful.rule(data=st.data())
+    def answer_arrives(self, data: st.DataObject) -> None:
+        index = data.draw(st.integers(0, len(self.reads) - 1))
+        sent_at_s, content = self.reads.pop(index)
+        self.belief.accept(content, sent_at_s)
+
+    @stateful.invariant()
+    def removed_key_runs_nothing(self) -> None:
+        if self.removed_at_s is None:
+            return
+        if self.now_s - self.removed_at_s > KEY_LIMIT_S:
+            decision = self.belief.decide("example", "/a/x", "key", self.now_s)
+            assert decision.access is not serving.Access.GRANTED
+
+
+KeyRemoval.TestCase.settings = settings(derandomize=True, deadline=None)
+TestKeyRemoval = KeyRemoval.TestCase
--- /dev/null
+++ b/packages/core/tests/serving/test_config.py
@@ -0,0 +1,46 @@
+"""Tests of the route choice."""
+
+import pytest
+import serving_builders as builders
+
+from rattanpulley_core import serving
+
+
+@pytest.mark.parametrize(
+    ("path", "expected"),
+    [
+        ("/a/x", "/a/"),
+        ("/a/b/x", "/a/b/"),
+        ("/a/bx", "/a/"),
+        ("/b/", None),
+        ("/a", None),
+    ],
+)
+def test_longest_prefix_decides(path: str, expected: str | None) -> None:
+    """A shorter prefix must not take requests of a longer one."""
+    rows = builders.config(1, [builders.route("/a/"), builders.route("/a/b/")])
+    route = rows.route_for("example", path)
+    assert (route.path_prefix if route else None) == expected
+
+
+def test_routes_of_another_host_name_do_not_match() -> None:
+    """A request must not run at a service of another host name."""
+    assert builders.config(1).route_for("other", "/a/x") is None
+
+
+@pytest.mark.parametrize(
+    ("kind", "resumable", "idempotent"),
+    [
+        (serving.RouteKind.SAFE, False, True),
+        (serving.RouteKind.UNSAFE, False, False),
+        (serving.RouteKind.UNSAFE, True, False),
+        (serving.RouteKind.STREAM, False, False),
+        (serving.RouteKind.STREAM, True, True),
+    ],
+)
+def test_kind_decides_what_may_repeat(
+    kind: serving.RouteKind, resumable: bool, idempotent: bool
+) -> None:
+    """A stream that cannot resume must be treated as unrepeatable."""
+    row = builders.route(kind=kind, resumable=resumable)
+    assert row.idempotent is idempotent
--- /dev/null
+++ b/packages/core/tests/serving/test_placement.py
@@ -0,0 +1,127 @@
+"""Tests of the choice of targets under the loads that they are meant for."""
+
+from collections import Counter
+import random
+
+import serving_builders as builders
+
+from rattanpulley_core import serving
+
+DOMAINS = ("north", "south", "east", "west")
+QUERY = serving.PlacementQuery("pool")
+
+
+def _world(
+    own_domain: str = "north", each: int = 3
+) -> tuple[serving.TargetRoster, serving.LoadTable, serving.Placement]:
+    roster = serving.TargetRoster()
+    for domain in DOMAINS:
+        for index in range(each):
+            roster.upsert(
+                builders.target(
+                    f"{domain}{index}",
+                    domain,
+                    host=f"10.0.{DOMAINS.index(domain)}.{index}",
+                )
+            )
+    loads = serving.LoadTable()
+    placement = serving.Placement(roster, loads, own_domain, random.Random(7))
+    return roster, loads, placement
+
+
+def test_crashed_domain_gets_no_work_while_others_live() -> None:
+    """Nine tenths of a domain's engines die at once."""
+    _, loads, placement = _world()
+    for index in range(3):
+        loads.record_fault(f"north{index}", 0.0, blocked_s=0.4)
+    chosen = [placement.choose(QUERY, 0.1) for _ in range(50)]
+    assert {entry.domain for entry in chosen if entry} <= set(DOMAINS[1:])
+
+
+def test_blocked_targets_are_used_when_nothing_else_is_left() -> None:
+    """A host that blocks everything would refuse what could be served."""
+    _, loads, placement = _world()
+    for domain in DOMAINS:
+        for index in range(3):
+            loads.record_fault(f"{domain}{index}", 0.0, blocked_s=9.0)
+    assert placement.choose(QUERY, 0.1) is not None
+
+
+def test_returning_target_is_used_again_soon() -> None:
+    """A fault must not exclude a target for long after its return."""
+    _, loads, placement = _world()
+    loads.record_fault("north0", 0.0, blocked_s=0.4)
+    chosen = {placement.choose(QUERY, 9.0) for _ in range(200)}
+    assert "north0" in {entry.target_id for entry in chosen if entry}
+
+
+def test_target_that_fails_answers_gets_little_work() -> None:
+    """A grey target fails requests although its health is good."""
+    _, loads, placement = _world()
+    for step in range(5):
+        loads.record_fault("north0", step * 0.1)
+    counts = Counter(
+        entry.target_id
+        for entry in (placement.choose(QUERY, 0.6) for _ in range(300))
+        if entry
+    )
+    assert counts["north0"] == 0
+
+
+def test_equal_knowledge_does_not_choose_one_target() -> None:
+    """Hosts with the same stale reports must not rush to one target."""
+    roster, loads, _ = _world()
+    loads.record_report("south0", 0, 0.0)
+    chosen = set()
+    for seed in range(40):
+        placement = serving.Placement(
+            roster, loads, "north", random.Random(seed)
+        )
+        entry = placement.choose(QUERY, 0.1)
+        assert entry is not None
+        chosen.add(entry.target_id)
+    assert len(chosen) >= 3
+
+
+def test_long_prompts_spread_over_targets() -> None:
+    """Prompts that are read at one engine delay each other."""
+    _, loads, placement = _world()
+    query = serving.PlacementQuery("pool", reads_prompt=True)
+    for _ in range(12):
+        entry = placement.choose(query, 0.0)
+        assert entry is not None
+        load = loads.of(entry.target_id)
+        load.in_flight += 1
+        load.reading += 1
+    most = max(
+        loads.of(f"{domain}{index}").reading
+        for domain in DOMAINS
+        for index in range(3)
+    )
+    assert most <= 2
+
+
+def test_copy_is_kept_in_another_domain() -> None:
+    """The loss of a failure domain must leave one of run and copy."""
+    roster, _, placement = _world()
+    for entry in roster.usable("pool"):
+        holder = placement.choose_copy_holder("pool", entry, 0.0)
+        assert holder is not None
+        assert holder.domain != entry.domain
+        assert "north" in (holder.domain, entry.domain)
+
+
+def test_leaving_target_keeps_no_copy() -> None:
+    """A copy on a leaving target is lost with it."""
+    roster, _, placement = _world(each=1)
+    runs_on = roster.entry("north0")
+    assert runs_on is not None
+    for domain in ("south", "east"):
+        known = roster.entry(f"{domain}0")
+        assert known is not None
+        roster.upsert(
+            builders.target(f"{domain}0", domain, host=known.host, leaving=True)
+        )
+    holder = placement.choose_copy_holder("pool", runs_on, 0.0)
+    assert holder is not None
+    assert holder.target_id == "west0"
--- /dev/null
+++ b/packages/core/tests/serving/test_resends.py
@@ -0,0 +1,42 @@
+"""Tests of the budget for further attempts."""
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from rattanpulley_core import serving
+
+WINDOW_S = 10.0
+RATIO = 0.8
+SLACK = 15.0
+
+
+@given(st.lists(st.tuples(st.booleans(), st.floats(0.0, 2.0)), max_size=200))
+@settings(derandomize=True, deadline=None)
+def test_resends_of_any_window_stay_within_the_bound(
+    steps: list[tuple[bool, float]],
+) -> None:
+    """Clients that repeat at once must not multiply the load of a pool."""
+    window = serving.ResendBudget(WINDOW_S, RATIO, SLACK).of("pool")
+    now_s = 0.0
+    requests: list[float] = []
+    resends: list[float] = []
+    for is_request, step_s in steps:
+        now_s += step_s
+        if is_request:
+            window.record_request(now_s)
+            requests.append(now_s)
+        elif window.take(now_s):
+            resends.append(now_s)
+        recent = [at for at in resends if at > now_s - WINDOW_S]
+        counted = [at for at in requests if at > now_s - WINDOW_S]
+        assert len(recent) <= RATIO * len(counted) + SLACK or resends[-1] < (
+            now_s
+        )
+
+
+def test_loss_of_a_domain_is_within_the_slack() -> None:
+    """A quiet host must be able to move its streams off lost targets."""
+    window = serving.ResendBudget(WINDOW_S, RATIO, SLACK).of("pool")
+    assert sum(window.take(0.0) for _ in range(40)) == int(SLACK)
+    assert window.take(WINDOW_S + 0.1)
--- /dev/null
+++ b/packages/core/tests/serving/test_roster.py
@@ -0,0 +1,79 @@
+"""Tests of the targets that a host uses."""
+
+import serving_builders as builders
+
+from rattanpulley_core import serving
+
+
+def _ids(roster: serving.TargetRoster) -> set[str]:
+    return {entry.target_id for entry in roster.usable("pool")}
+
+
+def test_leaving_target_takes_no_new_work() -> None:
+    """New work on a leaving target would be cut off."""
+    roster = serving.TargetRoster()
+    roster.upsert(builders.target("a"))
+    roster.upsert(builders.target("a", leaving=True))
+    assert _ids(roster) == set()
+
+
+def test_entry_missing_from_a_listing_is_gone() -> None:
+    """Some targets leave by the removal of their entry alone."""
+    roster = serving.TargetRoster()
+    roster.replace_all([builders.target("a")], 0.0, interrupted=False)
+    roster.replace_all([], 1.0, interrupted=False)
+    assert _ids(roster) == set()
+
+
+def test_entries_that_lapsed_with_the_store_return_or_expire() -> None:
+    """After an outage of the store all targets would be lost for seconds."""
+    roster = serving.TargetRoster()
+    both = [builders.target("a"), builders.target("b")]
+    roster.replace_all(both, 0.0, interrupted=False)
+    roster.replace_all([], 10.0, interrupted=True)
+    assert _ids(roster) == {"a", "b"}
+    roster.upsert(builders.target("a"))
+    roster.expire(12.3)
+    assert _ids(roster) == {"a"}
+
+
+def test_second_listing_does_not_end_the_grace() -> None:
+    """A cut watch lists again while entries are still coming back."""
+    roster = serving.TargetRoster()
+    roster.replace_all([builders.target("a")], 0.0, interrupted=False)
+    roster.replace_all([], 10.0, interrupted=True)
+    roster.replace_all([], 10.5, interrupted=False)
+    assert _ids(roster) == {"a"}
+
+
+def test_new_start_at_an_address_replaces_the_earlier_one() -> None:
+    """The entry of a crashed target stays for seconds beside the new one."""
+    roster = serving.TargetRoster()
+    roster.upsert(builders.target("a", port=1, born_ms=1))
+    changes = roster.upsert(builders.target("b", port=1, born_ms=2))
+    assert _ids(roster) == {"b"}
+    assert [change.what for change in changes] == ["removed", "added"]
+
+
+def test_late_entry_of_an_earlier_start_removes_nothing() -> None:
+    """Entries may arrive in another order than the starts."""
+    roster = serving.TargetRoster()
+    roster.upsert(builders.target("b", port=1, born_ms=2))
+    roster.upsert(builders.target("a", port=1, born_ms=1))
+    assert "b" in _ids(roster)
+
+
+def test_same_id_with_another_start_is_a_restart() -> None:
+    """A restarted target holds nothing of before."""
+    roster = serving.TargetRoster()
+    roster.upsert(builders.target("a", born_ms=1))
+    changes = roster.upsert(builders.target("a", born_ms=2))
+    assert [change.what for change in changes] == ["restarted"]
+
+
+def test_target_that_changes_its_pool_leaves_the_old_one() -> None:
+    """A request must not run at a service of another route."""
+    roster = serving.TargetRoster()
+    roster.upsert(builders.target("a"))
+    roster.upsert(builders.target("a", pool="other"))
+    assert _ids(roster) == set()
