Choose engines by the prompts that wait there

Reports taken during the silence showed 2 to 4 waiting requests, read one after another, a second each; streams left after 4 s and had their prompt read again, 350 thousand tokens in vain.

Ruled out: lost answers as the cause of the late first events; runs that make events unseen are told apart now by the same reports.

Change: a host asks four engines for their state before a long prompt and takes the one where it is read soonest; the answer also shows that the holder of the copy lives. A target whose run goes on while nothing arrives is left. A target whose address changed hands is not tried again for 5 s.

--- a/packages/core/src/rattanpulley_core/_internal/serving/placement.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/placement.py
@@ -10,6 +10,7 @@
 import math
 import random
 
+from rattanpulley_core._internal.serving import reports
 from rattanpulley_core._internal.serving import roster
 
 # A target of another failure domain must be less loaded by this share of a
@@ -22,6 +23,13 @@
 # A cold target counts as if it already had this many requests.
 COLD_COST = 1.0
 CANDIDATES = 4
+# A prompt that waits before this one costs about the reading of a prompt; a
+# request that makes events slows the others a little.
+WAITING_COST = 1.0
+RUNNING_COST = 0.04
+# Engines whose memory is nearly full put requests off in mid-stream.
+FULL_MEMORY_SHARE = 0.8
+FULL_MEMORY_COST = 4.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -145,6 +153,61 @@
             candidates, lambda entry: self._cost(entry, query, now_s)
         )
 
+    def shortlist(
+        self, query: PlacementQuery, count: int, now_s: float
+    ) -> list[roster.TargetEntry]:
+        """Returns a few targets to ask for their state, best first.
+
+        They are a random choice, except that the least loaded target of the
+        own domain by own knowledge is among them.
+        """
+        entries = [
+            entry
+            for entry in self._targets.usable(query.pool)
+            if entry.target_id not in query.excluded_ids
+            and not self._blocked(entry, now_s)
+        ]
+        few = self._rng.sample(entries, min(count, len(entries)))
+        near = [e for e in entries if e.domain == self._own_domain]
+        if near and not any(e.domain == self._own_domain for e in few):
+            few[-1] = self._rng.choice(near)
+        return sorted(few, key=lambda entry: self._cost(entry, query, now_s))
+
+    def choose_reported(
+        self,
+        reported: list[tuple[roster.TargetEntry, reports.TargetReport]],
+        now_s: float,
+    ) -> roster.TargetEntry:
+        """Returns the target where a prompt is read soonest.
+
+        Args:
+            reported: Targets with what they report; at least one.
+            now_s: Current time.
+        """
+        best, _ = min(
+            reported,
+            key=lambda row: self._reported_cost(row[0], row[1], now_s),
+        )
+        return best
+
+    def _reported_cost(
+        self,
+        entry: roster.TargetEntry,
+        report: reports.TargetReport,
+        now_s: float,
+    ) -> float:
+        load = self._loads.of(entry.target_id)
+        # Own prompts of the last moment are not in the report yet.
+        waiting = max(report.waiting, load.reading)
+        running = max(report.running, load.in_flight - load.reading)
+        cost = WAITING_COST * waiting + RUNNING_COST * running
+        cost += FAULT_COST * self._loads.faults(entry.target_id, now_s)
+        if report.memory_share > FULL_MEMORY_SHARE:
+            cost += FULL_MEMORY_COST
+        if entry.domain != self._own_domain:
+            cost += REMOTE_COST
+        return cost
+
     def choose_copy_holder(
         self, pool: str, runs_on: roster.TargetEntry, now_s: float
     ) -> roster.TargetEntry | None:
--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/serving/reports.py
@@ -0,0 +1,21 @@
+"""What an engine reports of itself."""
+
+from collections.abc import Mapping
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetReport:
+    """State of an engine a few hundred milliseconds ago.
+
+    Attributes:
+        events_by_run: Events made so far, by id of the run.
+        waiting: Requests whose prompt is not read yet.
+        running: Requests that make events.
+        memory_share: Part of the memory that cannot yield, from 0 to 1.
+    """
+
+    events_by_run: Mapping[str, int]
+    waiting: int = 0
+    running: int = 0
+    memory_share: float = 0.0
--- a/packages/core/tests/serving/test_placement.py
+++ b/packages/core/tests/serving/test_placement.py
@@ -125,3 +125,52 @@
     holder = placement.choose_copy_holder("pool", runs_on, 0.0)
     assert holder is not None
     assert holder.target_id == "west0"
+
+
+def _reported(
+    roster: serving.TargetRoster, waiting_by_id: dict[str, int]
+) -> list[tuple[serving.TargetEntry, serving.TargetReport]]:
+    rows = []
+    for target_id, waiting in waiting_by_id.items():
+        entry = roster.entry(target_id)
+        assert entry is not None
+        rows.append((entry, serving.TargetReport({}, waiting)))
+    return rows
+
+
+def test_prompt_goes_where_none_waits_although_it_is_further() -> None:
+    """Prompts of other hosts wait at the near engine, a second each."""
+    roster, _, placement = _world()
+    rows = _reported(roster, {"north0": 2, "south0": 0})
+    assert placement.choose_reported(rows, 0.0).target_id == "south0"
+
+
+def test_own_prompt_counts_before_the_report_shows_it() -> None:
+    """Reports are some hundred milliseconds old."""
+    roster, loads, placement = _world()
+    loads.of("north0").reading = 2
+    rows = _reported(roster, {"north0": 0, "south0": 1})
+    assert placement.choose_reported(rows, 0.0).target_id == "south0"
+
+
+def test_engine_with_full_memory_is_avoided() -> None:
+    """An engine without memory puts requests off in mid-stream."""
+    roster, _, placement = _world()
+    near, far = roster.entry("north0"), roster.entry("south0")
+    assert near is not None
+    assert far is not None
+    rows = [
+        (near, serving.TargetReport({}, memory_share=0.95)),
+        (far, serving.TargetReport({}, waiting=1)),
+    ]
+    assert placement.choose_reported(rows, 0.0) is far
+
+
+def test_shortlist_asks_the_own_domain_and_no_lost_target() -> None:
+    """A cut-off domain must find its own engines among the few asked."""
+    _, loads, placement = _world()
+    loads.record_fault("north0", 0.0, blocked_s=1.0)
+    for _ in range(30):
+        few = placement.shortlist(QUERY, 3, 0.1)
+        assert any(entry.domain == "north" for entry in few)
+        assert "north0" not in {entry.target_id for entry in few}
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
@@ -17,6 +17,7 @@
 from rattanpulleyd._internal.relay import relay_metrics
 from rattanpulleyd._internal.relay import settings as settings_lib
 from rattanpulleyd._internal.relay import target_prober
+from rattanpulleyd._internal.relay import target_reports
 from rattanpulleyd._internal.relay import wire
 
 # Part of the fleet's slack for resends that one host may use by itself. Fleets
@@ -34,8 +35,8 @@
         names: wire.HeaderNames,
         source: serving.ServingSource,
         copy_calls: memory_copies.MemoryCopyCalls,
+        report_reader: target_reports.TargetReportReader,
         readiness_path: str,
-        probe_path: bytes,
     ) -> None:
         """Builds the parts.
 
@@ -44,11 +45,11 @@
             names: Header names of the deployment.
             source: Reads of the platform's store.
             copy_calls: Calls by which engines copy the memory of a run.
+            report_reader: Reads the reports of targets.
             readiness_path: Path that the balancer asks.
-            probe_path: Path that a target answers without a free place.
         """
         self._settings = settings
-        self._context = _context(settings, names, probe_path)
+        self._context = _context(settings, names, report_reader)
         self._source = source
         self._listener = listener_lib.Listener(
             self._context, settings.clients, copy_calls
@@ -110,7 +111,7 @@
 def _context(
     settings: settings_lib.RelaySettings,
     names: wire.HeaderNames,
-    probe_path: bytes,
+    report_reader: target_reports.TargetReportReader,
 ) -> context_lib.RelayContext:
     """Returns the shared state of a process."""
     bounds = settings.bounds
@@ -129,7 +130,7 @@
             bounds.resend_slack / HOSTS_SHARING_SLACK,
         ),
         names=names,
-        prober=target_prober.TargetProber(probe_path, metrics),
+        prober=target_prober.TargetProber(report_reader, metrics),
         log=decision_log.DecisionLog(settings.name),
         metrics=metrics,
         rng=rng,
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/silence.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/silence.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+# A report is some hundred milliseconds old, and an event may be on its way.
+LOST_EVENTS_S = 0.25
 # Engines send an event every few tens of milliseconds; reading the prompts of
 # others delays one to about 0.2 s.
 BETWEEN_EVENTS_S = 0.15
@@ -30,6 +32,9 @@
         since_s: When bytes last arrived.
         examine_at_s: When the silence is examined next.
         started: Whether an event has arrived.
+        events: Events that arrived.
+        made_before: Events that the target had made when it was first asked
+            in this silence, or None.
     """
 
     longest_pause_s: float
@@ -38,6 +43,8 @@
     since_s: float
     examine_at_s: float = 0.0
     started: bool = False
+    events: int = 0
+    made_before: int | None = None
 
     def __post_init__(self) -> None:
         """Plans the first examination."""
@@ -49,11 +56,31 @@
         wait_s = BETWEEN_EVENTS_S if self.started else BEFORE_FIRST_EVENT_S
         self.examine_at_s = now_s + wait_s
 
-    def note_event(self, now_s: float) -> None:
-        """Notes that an event arrived."""
+    def note_events(self, count: int, now_s: float) -> None:
+        """Notes that events arrived."""
         self.started = True
+        self.events += count
+        self.made_before = None
         self.restart(now_s)
 
+    def events_were_lost(self, made: int, now_s: float) -> bool:
+        """Returns whether the target goes on while nothing arrives.
+
+        The number that a target reports may count events of earlier runs, so
+        that only its growth during one silence tells. Before the first event
+        of a fresh run any event tells.
+
+        Args:
+            made: Events that the target says it has made.
+            now_s: Current time.
+        """
+        before, self.made_before = self.made_before, made
+        if now_s - self.since_s < LOST_EVENTS_S:
+            return False
+        if before is None:
+            return False
+        return made > before
+
     def target_is_alive(self, now_s: float) -> None:
         """Plans the next examination of a target that answers probes."""
         wait_s = NEXT_EXAMINATION_S
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
@@ -13,6 +13,7 @@
 from rattanpulleyd._internal.relay import answers
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import context as context_lib
+from rattanpulleyd._internal.relay import engine_choice
 from rattanpulleyd._internal.relay import event_frames
 from rattanpulleyd._internal.relay import memory_copies
 from rattanpulleyd._internal.relay import silence
@@ -23,11 +24,6 @@
 CONNECT_TIMEOUT_S = 0.2
 SEND_TIMEOUT_S = 1.0
 MAX_CONNECT_FAILURES = 12
-# A target that is to keep a copy is asked whether it is alive, since a silent
-# one would be found out only when the copy is needed.
-HOLDER_TRIES = 3
-HOLDER_PROBE_AGE_S = 0.5
-HOLDER_BLOCK_S = 0.4
 # How long a stream waits for a target before it is refused, and how long one
 # that has begun waits.
 NO_TARGET_WAIT_S = 0.5
@@ -120,6 +116,7 @@
             admission.request.last_event_id
         )
         self._copy_calls = copy_calls
+        self._engines = engine_choice.EngineChoice(context)
         self._copy: memory_copies.MemoryCopy | None = None
         self._weights: str | None = None
         self._begun = False
@@ -168,7 +165,7 @@
             reads_prompt=True,
         )
         while True:
-            entry = self._context.placement.choose(query, clock.now_s())
+            entry = self._engines.choose(query)
             if entry is not None:
                 return self._plan(entry, None)
             if clock.now_s() >= until_s:
@@ -182,27 +179,9 @@
         row = config.pools_by_name.get(pool) if config is not None else None
         copies = row is not None and row.copies_memory
         if copies and self._admission.route.resumable:
-            holder = self._living_holder(entry)
+            holder = self._engines.choose_holder(pool, entry)
         return _Plan(entry, source, holder)
 
-    def _living_holder(
-        self, runs_on: serving.TargetEntry
-    ) -> serving.TargetEntry | None:
-        """Returns a target for the copy that was alive a moment ago."""
-        for _ in range(HOLDER_TRIES):
-            now_s = clock.now_s()
-            holder = self._context.placement.choose_copy_holder(
-                self._admission.pool, runs_on, now_s
-            )
-            if holder is None:
-                return None
-            if self._context.prober.alive(holder, HOLDER_PROBE_AGE_S):
-                return holder
-            self._context.loads.record_fault(
-                holder.target_id, now_s, HOLDER_BLOCK_S
-            )
-        return None
-
     def _record(
         self, plan: _Plan, error: target_connection.AttemptError
     ) -> None:
@@ -269,8 +248,9 @@
         """Returns the headers of one attempt."""
         names = self._context.names
         extra: list[tuple[bytes, bytes]] = []
-        if self._events.last_id is not None:
-            extra.append((b"Last-Event-Id", b"%d" % self._events.last_id))
+        if self._events.last_id is not None or plan.source is not None:
+            last_id = self._events.last_id or 0
+            extra.append((b"Last-Event-Id", b"%d" % last_id))
         if self._weights is not None:
             extra.append((names.expected_weights, self._weights.encode()))
         if plan.copy_holder is not None:
@@ -348,7 +328,7 @@
                 ) from error
             if passed:
                 self._started = True
-                quiet.note_event(clock.now_s())
+                quiet.note_events(passed.count(b"\n\n"), clock.now_s())
                 reading.end()
                 self._pass_on(head, passed)
         if frames.incomplete or not self._begun:
@@ -462,10 +442,18 @@
                 serving.Ending.SILENT,
                 f"silent for {now_s - quiet.since_s:.2f} s, probes answered",
             )
-        if not self._context.prober.alive(entry):
+        report = self._context.prober.ask(entry)
+        if report is None:
             raise target_connection.AttemptError(
                 serving.Ending.SILENT, "silent, and a probe was not answered"
             )
+        made = report.events_by_run.get(self._admission.request.request_id, 0)
+        if quiet.events_were_lost(made, clock.now_s()):
+            self._started = True
+            raise target_connection.AttemptError(
+                serving.Ending.SILENT,
+                f"silent, but the run has made {made} events",
+            )
         quiet.target_is_alive(clock.now_s())
 
     def _give_up(
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/target_health.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/target_health.py
@@ -11,6 +11,8 @@
     serving.Ending.NOT_CONNECTED: 0.4,
     serving.Ending.SILENT: 0.4,
     serving.Ending.BROKEN_OFF: 0.2,
+    # Another target has the address; the one that was meant does not return.
+    serving.Ending.ANOTHER_TARGET: 5.0,
 }
 
 
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/target_prober.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/target_prober.py
@@ -6,6 +6,7 @@
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import relay_metrics
 from rattanpulleyd._internal.relay import target_connection
+from rattanpulleyd._internal.relay import target_reports
 
 # A target in reach answers within a few milliseconds.
 PROBE_TIMEOUT_S = 0.12
@@ -16,22 +17,30 @@
 class TargetProber:
     """Sends at most one probe at a time to each target."""
 
-    def __init__(self, path: bytes, metrics: relay_metrics.RelayMetrics):
+    def __init__(
+        self,
+        reader: target_reports.TargetReportReader,
+        metrics: relay_metrics.RelayMetrics,
+    ) -> None:
         """Creates a prober.
 
         Args:
-            path: Path that a target answers at once, without a free place.
+            reader: Reads the reports of targets.
             metrics: Counts the probes.
         """
-        self._path = path
+        self._reader = reader
         self._metrics = metrics
         self._running_by_id: dict[str, event.AsyncResult] = {}
-        self._results_by_id: dict[str, tuple[float, bool]] = {}
+        self._results_by_id: dict[
+            str, tuple[float, serving.TargetReport | None]
+        ] = {}
 
-    def alive(
+    def ask(
         self, entry: serving.TargetEntry, age_limit_s: float = RESULT_AGE_S
-    ) -> bool:
-        """Returns whether a target answers on a new connection.
+    ) -> serving.TargetReport | None:
+        """Returns what a target reports, or None if it does not answer.
+
+        The report comes over a new connection.
 
         Args:
             entry: The target.
@@ -42,28 +51,29 @@
             return known[1]
         running = self._running_by_id.get(entry.target_id)
         if running is not None:
-            return bool(running.get())
+            shared: serving.TargetReport | None = running.get()
+            return shared
         result = event.AsyncResult()
         self._running_by_id[entry.target_id] = result
-        alive = False
+        report = None
         try:
-            alive = self._ask(entry)
+            report = self._call(entry)
         finally:
             del self._running_by_id[entry.target_id]
-            self._results_by_id[entry.target_id] = (clock.now_s(), alive)
-            result.set(alive)
-        self._metrics.probes.labels("alive" if alive else "silent").inc()
-        return alive
+            self._results_by_id[entry.target_id] = (clock.now_s(), report)
+            result.set(report)
+        self._metrics.probes.labels("alive" if report else "silent").inc()
+        return report
 
     def forget(self, target_id: str) -> None:
         """Drops what is known of a target that is gone."""
         self._results_by_id.pop(target_id, None)
 
-    def _ask(self, entry: serving.TargetEntry) -> bool:
+    def _call(self, entry: serving.TargetEntry) -> serving.TargetReport | None:
         try:
-            target_connection.call_target(
-                entry, b"GET", self._path, b"", PROBE_TIMEOUT_S
+            _, body = target_connection.call_target(
+                entry, b"GET", self._reader.path, b"", PROBE_TIMEOUT_S
             )
         except target_connection.AttemptError:
-            return False
-        return True
+            return None
+        return self._reader.read(body)
--- a/packages/daemon/src/rattanpulleyd/relay.py
+++ b/packages/daemon/src/rattanpulleyd/relay.py
@@ -3,6 +3,7 @@
 from rattanpulleyd._internal.relay import memory_copies
 from rattanpulleyd._internal.relay import program
 from rattanpulleyd._internal.relay import settings
+from rattanpulleyd._internal.relay import target_reports
 from rattanpulleyd._internal.relay import wire
 
 Endpoint = settings.Endpoint
@@ -12,3 +13,4 @@
 RelayBounds = settings.RelayBounds
 RelayProgram = program.RelayProgram
 RelaySettings = settings.RelaySettings
+TargetReportReader = target_reports.TargetReportReader
--- /dev/null
+++ b/packages/daemon/tests/relay/test_silence.py
@@ -0,0 +1,54 @@
+"""Tests of how long a silent stream is waited for."""
+
+from rattanpulleyd._internal.relay import silence
+
+
+def _quiet(has_copy: bool = True) -> silence.Silence:
+    return silence.Silence(0.7, 4.5, has_copy, since_s=0.0)
+
+
+def test_silent_target_is_asked_well_before_a_pause_is_too_long() -> None:
+    """Finding a dark engine and continuing must fit into the pause."""
+    quiet = _quiet()
+    quiet.note_events(1, 10.0)
+    assert quiet.examine_at_s - 10.0 <= 0.7 / 4
+
+
+def test_reading_a_prompt_is_not_silence() -> None:
+    """A prompt takes a second and more; leaving would read it twice."""
+    quiet = _quiet()
+    assert not quiet.too_long(3.0)
+    assert quiet.too_long(4.4)
+
+
+def test_stream_with_a_copy_leaves_before_the_pause_is_late() -> None:
+    """A living engine may still hold a connection that went silent."""
+    quiet = _quiet()
+    quiet.note_events(1, 10.0)
+    assert quiet.too_long(10.5)
+    without = _quiet(has_copy=False)
+    without.note_events(1, 10.0)
+    assert not without.too_long(10.7)
+
+
+def test_growing_count_during_silence_means_lost_events() -> None:
+    """The answer of a run may be lost while the run goes on."""
+    quiet = _quiet()
+    assert not quiet.events_were_lost(0, 0.4)
+    assert not quiet.events_were_lost(0, 0.8)
+    assert quiet.events_were_lost(3, 1.2)
+
+
+def test_events_of_an_earlier_run_are_not_lost_events() -> None:
+    """A continued run may report the events of its first target too."""
+    quiet = _quiet()
+    assert not quiet.events_were_lost(60, 0.4)
+    assert not quiet.events_were_lost(60, 0.8)
+
+
+def test_events_that_arrive_end_the_silence() -> None:
+    """A late report must not condemn a stream that goes on."""
+    quiet = _quiet()
+    quiet.events_were_lost(1, 0.4)
+    quiet.note_events(3, 0.5)
+    assert not quiet.events_were_lost(3, 0.9)
