Take changed settings without a restart

Cause: the settings file may change with and without a signal; a store that moved would have been lost until the next start.

Change: SIGHUP and a look at the file every 5 s read the settings anew; a file that is not valid is logged and the settings in use stay.

Conclusion: the addresses that the process listens on still need a restart.

--- a/packages/core/src/rattanpulley_core/_internal/serving/belief.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/belief.py
@@ -73,6 +73,10 @@
         self._config: config_lib.ServingConfig | None = None
         self._confirmed_at_s = float("-inf")
 
+    def use_key_age_limit(self, key_age_limit_s: float) -> None:
+        """Takes another bound on the use of removed keys."""
+        self._key_age_limit_s = key_age_limit_s - KEY_AGE_MARGIN_S
+
     @property
     def config(self) -> config_lib.ServingConfig | None:
         """The configuration in force on this host."""
--- a/packages/core/src/rattanpulley_core/_internal/serving/sources.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/sources.py
@@ -52,6 +52,10 @@
 class ServingSource(abc.ABC):
     """Reads of the platform's store; each may raise `SourceError`."""
 
+    @abc.abstractmethod
+    def use_store(self, host: str, port: int) -> None:
+        """Reads from the store at an address from now on."""
+
     @abc.abstractmethod
     def read_config(self, timeout_s: float) -> config.ServingConfig | None:
         """Returns the newest configuration, or None while there is none.
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
@@ -1,5 +1,7 @@
 """Builds the relay of one entry host and runs it until a signal."""
 
+from collections.abc import Callable
+import dataclasses
 import random
 import signal
 
@@ -7,6 +9,7 @@
 from gevent import event
 
 from rattanpulley_core import serving
+from rattanpulleyd import exceptions
 from rattanpulleyd._internal.relay import beliefs_refresh
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import context as context_lib
@@ -24,6 +27,7 @@
 # are larger than this only where a host sees fewer requests than the slack.
 HOSTS_SHARING_SLACK = 10
 GAP_CHECK_S = 0.25
+SETTINGS_CHECK_S = 5.0
 
 
 class RelayProgram:
@@ -31,7 +35,7 @@
 
     def __init__(
         self,
-        settings: settings_lib.RelaySettings,
+        load_settings: Callable[[], settings_lib.RelaySettings],
         names: wire.HeaderNames,
         source: serving.ServingSource,
         copy_calls: memory_copies.MemoryCopyCalls,
@@ -41,13 +45,15 @@
         """Builds the parts.
 
         Args:
-            settings: Settings of the host.
+            load_settings: Reads the settings of the host anew.
             names: Header names of the deployment.
             source: Reads of the platform's store.
             copy_calls: Calls by which engines copy the memory of a run.
             report_reader: Reads the reports of targets.
             readiness_path: Path that the balancer asks.
         """
+        settings = load_settings()
+        self._load_settings = load_settings
         self._settings = settings
         self._context = _context(settings, names, report_reader)
         self._source = source
@@ -76,12 +82,13 @@
         log.change("process.started", domain=self._settings.domain)
         gevent.signal_handler(signal.SIGTERM, self._stop.set)
         gevent.signal_handler(signal.SIGINT, self._stop.set)
-        gevent.signal_handler(signal.SIGHUP, self._reload)
+        gevent.signal_handler(signal.SIGHUP, self._reload, "signal")
         config = beliefs_refresh.ConfigRefresh(self._context, self._source)
         targets = beliefs_refresh.TargetRefresh(self._context, self._source)
         gevent.spawn(config.run_forever)
         gevent.spawn(targets.run_forever)
         gevent.spawn(self._watch_loop_gaps)
+        gevent.spawn(self._watch_settings)
         self._listener.start()
         self._readiness.start()
         if self._metrics is not None:
@@ -92,9 +99,44 @@
         log.change("process.stopped")
         log.flush_now()
 
-    def _reload(self) -> None:
-        """Handles SIGHUP; the settings in use need no restart."""
-        self._context.log.change("process.reload")
+    def _reload(self, cause: str) -> None:
+        """Takes changed settings; the addresses listened on stay.
+
+        Args:
+            cause: What asked for it, for the log.
+        """
+        try:
+            settings = self._load_settings()
+        except exceptions.SettingsError as error:
+            self._context.log.failure(
+                "settings.refused", cause=cause, reason=str(error)
+            )
+            return
+        changed = [
+            field.name
+            for field in dataclasses.fields(settings)
+            if getattr(settings, field.name)
+            != getattr(self._settings, field.name)
+        ]
+        self._settings = settings
+        self._source.use_store(settings.store.host, settings.store.port)
+        self._context.belief.use_key_age_limit(settings.bounds.key_removal_s)
+        self._context.log.change(
+            "settings.reloaded", cause=cause, changed=changed
+        )
+
+    def _watch_settings(self) -> None:
+        """Notices settings that change without a signal."""
+        while True:
+            gevent.sleep(SETTINGS_CHECK_S)
+            try:
+                changed = self._load_settings() != self._settings
+            except exceptions.SettingsError:
+                # The file may be read while it is written; a lasting fault is
+                # reported when a signal asks for it.
+                continue
+            if changed:
+                self._reload("file")
 
     def _watch_loop_gaps(self) -> None:
         """Records the longest time in which no greenlet ran."""
