Count the prompts that an engine reads, and notice runs that are gone

Change: prompts are those that wait and those that are read; streams that a prompt would slow count for a third of a prompt; five engines are asked; a run that two reports of one silence do not know is left.

--- a/packages/core/src/rattanpulley_core/_internal/serving/placement.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/placement.py
@@ -23,10 +23,10 @@
 # A cold target counts as if it already had this many requests.
 COLD_COST = 1.0
 CANDIDATES = 4
-# A prompt that waits before this one costs about the reading of a prompt; a
-# request that makes events slows the others a little.
-WAITING_COST = 1.0
-RUNNING_COST = 0.04
+# A prompt before this one delays it by its own reading. Reading this one slows
+# each stream there for as long, but does not stop it.
+PROMPT_COST = 1.0
+STREAM_COST = 0.35
 # Engines whose memory is nearly full put requests off in mid-stream.
 FULL_MEMORY_SHARE = 0.8
 FULL_MEMORY_COST = 4.0
@@ -198,9 +198,9 @@
     ) -> float:
         load = self._loads.of(entry.target_id)
         # Own prompts of the last moment are not in the report yet.
-        waiting = max(report.waiting, load.reading)
-        running = max(report.running, load.in_flight - load.reading)
-        cost = WAITING_COST * waiting + RUNNING_COST * running
+        prompts = max(report.prompts, load.reading)
+        streams = max(len(report.events_by_run), load.in_flight - load.reading)
+        cost = PROMPT_COST * prompts + STREAM_COST * streams
         cost += FAULT_COST * self._loads.faults(entry.target_id, now_s)
         if report.memory_share > FULL_MEMORY_SHARE:
             cost += FULL_MEMORY_COST
--- a/packages/core/src/rattanpulley_core/_internal/serving/reports.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/reports.py
@@ -10,8 +10,9 @@
 
     Attributes:
         events_by_run: Events made so far, by id of the run.
-        waiting: Requests whose prompt is not read yet.
-        running: Requests that make events.
+        waiting: Requests that are not admitted yet.
+        running: Requests that are admitted; those without an event have their
+            prompt read.
         memory_share: Part of the memory that cannot yield, from 0 to 1.
     """
 
@@ -19,3 +20,8 @@
     waiting: int = 0
     running: int = 0
     memory_share: float = 0.0
+
+    @property
+    def prompts(self) -> int:
+        """Prompts that wait or are being read."""
+        return self.waiting + max(0, self.running - len(self.events_by_run))
--- a/packages/core/tests/serving/test_placement.py
+++ b/packages/core/tests/serving/test_placement.py
@@ -153,6 +153,32 @@
     assert placement.choose_reported(rows, 0.0).target_id == "south0"
 
 
+def test_prompt_that_is_read_counts_as_one_that_waits() -> None:
+    """An engine that reads a prompt has none waiting and looks idle."""
+    roster, _, placement = _world()
+    near, far = roster.entry("north0"), roster.entry("south0")
+    assert near is not None
+    assert far is not None
+    rows = [
+        (near, serving.TargetReport({}, running=1)),
+        (far, serving.TargetReport({"run": 3}, running=1)),
+    ]
+    assert placement.choose_reported(rows, 0.0) is far
+
+
+def test_prompt_slows_as_few_streams_as_possible() -> None:
+    """Streams slow down while a prompt is read at their engine."""
+    roster, _, placement = _world()
+    near, far = roster.entry("north0"), roster.entry("south0")
+    assert near is not None
+    assert far is not None
+    rows = [
+        (near, serving.TargetReport({"a": 1, "b": 1}, running=2)),
+        (far, serving.TargetReport({}, running=0)),
+    ]
+    assert placement.choose_reported(rows, 0.0) is far
+
+
 def test_engine_with_full_memory_is_avoided() -> None:
     """An engine without memory puts requests off in mid-stream."""
     roster, _, placement = _world()
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/engine_choice.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/engine_choice.py
@@ -11,7 +11,7 @@
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import context as context_lib
 
-ASKED_TARGETS = 4
+ASKED_TARGETS = 5
 # Engines in reach answer within a few milliseconds; the others are not waited
 # for while one has answered.
 ANSWER_WAIT_S = 0.03
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/silence.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/silence.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from rattanpulley_core import serving
+
 # A report is some hundred milliseconds old, and an event may be on its way.
 LOST_EVENTS_S = 0.25
 # Engines send an event every few tens of milliseconds; reading the prompts of
@@ -33,8 +35,10 @@
         examine_at_s: When the silence is examined next.
         started: Whether an event has arrived.
         events: Events that arrived.
-        made_before: Events that the target had made when it was first asked
+        made_before: Events that the target had made when it was last asked
             in this silence, or None.
+        missing_before: Whether the target did not know the run when it was
+            last asked in this silence.
     """
 
     longest_pause_s: float
@@ -45,6 +49,7 @@
     started: bool = False
     events: int = 0
     made_before: int | None = None
+    missing_before: bool = False
 
     def __post_init__(self) -> None:
         """Plans the first examination."""
@@ -61,8 +66,18 @@
         self.started = True
         self.events += count
         self.made_before = None
+        self.missing_before = False
         self.restart(now_s)
 
+    def run_is_missing(self, report: serving.TargetReport, run_id: str) -> bool:
+        """Returns whether the target neither runs nor queues a request.
+
+        Reports lag, so that two of one silence must agree.
+        """
+        missing = run_id not in report.events_by_run and report.prompts == 0
+        before, self.missing_before = self.missing_before, missing
+        return missing and before
+
     def events_were_lost(self, made: int, now_s: float) -> bool:
         """Returns whether the target goes on while nothing arrives.
 
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
@@ -447,13 +447,18 @@
             raise target_connection.AttemptError(
                 serving.Ending.SILENT, "silent, and a probe was not answered"
             )
-        made = report.events_by_run.get(self._admission.request.request_id, 0)
+        run_id = self._admission.request.request_id
+        made = report.events_by_run.get(run_id, 0)
         if quiet.events_were_lost(made, clock.now_s()):
             self._started = True
             raise target_connection.AttemptError(
                 serving.Ending.SILENT,
                 f"silent, but the run has made {made} events",
             )
+        if quiet.run_is_missing(report, run_id):
+            raise target_connection.AttemptError(
+                serving.Ending.SILENT, "silent, and the run is not there"
+            )
         quiet.target_is_alive(clock.now_s())
 
     def _give_up(
--- a/packages/daemon/tests/relay/test_silence.py
+++ b/packages/daemon/tests/relay/test_silence.py
@@ -1,5 +1,6 @@
 """Tests of how long a silent stream is waited for."""
 
+from rattanpulley_core import serving
 from rattanpulleyd._internal.relay import silence
 
 
@@ -52,3 +53,14 @@
     quiet.events_were_lost(1, 0.4)
     quiet.note_events(3, 0.5)
     assert not quiet.events_were_lost(3, 0.9)
+
+
+def test_run_that_two_reports_do_not_know_is_lost() -> None:
+    """A run may end while its answer is lost on the way."""
+    quiet = _quiet()
+    idle = serving.TargetReport({"other": 5}, running=1)
+    reading = serving.TargetReport({"other": 5}, running=2)
+    assert not quiet.run_is_missing(idle, "mine")
+    assert not quiet.run_is_missing(reading, "mine")
+    assert not quiet.run_is_missing(idle, "mine")
+    assert quiet.run_is_missing(idle, "mine")
