Spread the prompts of one crash over the engines

Change: a random part of the cost, larger after a loss; the choice is logged with what the engines reported.

--- a/packages/core/src/rattanpulley_core/_internal/serving/placement.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/placement.py
@@ -27,6 +27,10 @@
 # each stream there for as long, but does not stop it.
 PROMPT_COST = 1.0
 STREAM_COST = 0.35
+# Hosts that lose streams to one crash choose again at the same moment and with
+# the same reports; a random part of the cost spreads them.
+SPREAD_COST = 0.25
+SPREAD_COST_AFTER_LOSS = 0.8
 # Engines whose memory is nearly full put requests off in mid-stream.
 FULL_MEMORY_SHARE = 0.8
 FULL_MEMORY_COST = 4.0
@@ -177,18 +181,26 @@
         self,
         reported: list[tuple[roster.TargetEntry, reports.TargetReport]],
         now_s: float,
+        after_loss: bool = False,
     ) -> roster.TargetEntry:
         """Returns the target where a prompt is read soonest.
 
         Args:
             reported: Targets with what they report; at least one.
             now_s: Current time.
+            after_loss: Whether another target was lost, so that other hosts
+                probably choose at the same moment.
         """
-        best, _ = min(
-            reported,
-            key=lambda row: self._reported_cost(row[0], row[1], now_s),
+        spread = SPREAD_COST_AFTER_LOSS if after_loss else SPREAD_COST
+        costs_by_id = {
+            entry.target_id: self._reported_cost(entry, report, now_s)
+            + self._rng.uniform(0.0, spread)
+            for entry, report in reported
+        }
+        return min(
+            (entry for entry, _ in reported),
+            key=lambda entry: costs_by_id[entry.target_id],
         )
-        return best
 
     def _reported_cost(
         self,
--- a/packages/core/tests/serving/test_placement.py
+++ b/packages/core/tests/serving/test_placement.py
@@ -179,6 +179,22 @@
     assert placement.choose_reported(rows, 0.0) is far
 
 
+def test_hosts_that_lose_one_engine_spread_over_the_others() -> None:
+    """Three prompts of one crash met at the engine that looked best."""
+    roster, loads, _ = _world()
+    rows = _reported(roster, {"east0": 0, "east1": 0, "east2": 0})
+    rows[0] = (rows[0][0], serving.TargetReport({}, memory_share=0.1))
+    rows[1] = (rows[1][0], serving.TargetReport({"a": 1}, running=1))
+    rows[2] = (rows[2][0], serving.TargetReport({"a": 1}, running=1))
+    chosen = {
+        serving.Placement(roster, loads, "north", random.Random(seed))
+        .choose_reported(rows, 0.0, after_loss=True)
+        .target_id
+        for seed in range(40)
+    }
+    assert len(chosen) == 3
+
+
 def test_engine_with_full_memory_is_avoided() -> None:
     """An engine without memory puts requests off in mid-stream."""
     roster, _, placement = _world()
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/engine_choice.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/engine_choice.py
@@ -28,16 +28,36 @@
         self._context = context
 
     def choose(
-        self, query: serving.PlacementQuery
+        self, query: serving.PlacementQuery, run_id: str
     ) -> serving.TargetEntry | None:
-        """Returns an engine that answered, or any if none was asked."""
+        """Returns an engine that answered, or any if none was asked.
+
+        Args:
+            query: What the engine is wanted for.
+            run_id: The request, for the log.
+        """
         placement = self._context.placement
         entries = placement.shortlist(query, ASKED_TARGETS, clock.now_s())
-        if len(entries) > 1:
-            reported = self._reports(entries)
-            if reported:
-                return placement.choose_reported(reported, clock.now_s())
-        return placement.choose(query, clock.now_s())
+        reported = self._reports(entries) if len(entries) > 1 else []
+        if not reported:
+            return placement.choose(query, clock.now_s())
+        chosen = placement.choose_reported(
+            reported, clock.now_s(), after_loss=bool(query.excluded_ids)
+        )
+        self._context.log.success(
+            "engine.chosen",
+            request=run_id,
+            target=chosen.target_id,
+            reports={
+                entry.target_id: (
+                    report.prompts,
+                    len(report.events_by_run),
+                    round(report.memory_share, 2),
+                )
+                for entry, report in reported
+            },
+        )
+        return chosen
 
     def choose_holder(
         self, pool: str, runs_on: serving.TargetEntry
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
@@ -165,7 +165,9 @@
             reads_prompt=True,
         )
         while True:
-            entry = self._engines.choose(query)
+            entry = self._engines.choose(
+                query, self._admission.request.request_id
+            )
             if entry is not None:
                 return self._plan(entry, None)
             if clock.now_s() >= until_s:
