Leave an engine that reads another prompt first

Ruled out: full memory (0.17 in use at the engine in question).

Change: a host learns the usual reading time of a token and leaves an engine that still reads other prompts after it, if another engine is idle; silent engines are asked after 0.11 s and given 0.08 s; lost events are told only before the first.

--- a/packages/core/src/rattanpulley_core/_internal/serving/endings.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/endings.py
@@ -21,6 +21,7 @@
     SILENT = "silent"
     FAILED = "failed"
     TIMED_OUT = "timed_out"
+    QUEUED = "queued"
 
 
 class Ran(enum.Enum):
@@ -58,6 +59,8 @@
     Ending.SILENT: EndingRule(Ran.UNKNOWN, True, True, 504),
     Ending.FAILED: EndingRule(Ran.YES, True, True, 502),
     Ending.TIMED_OUT: EndingRule(Ran.UNKNOWN, True, False, 504),
+    # The prompt waited behind others; whether its reading began is not known.
+    Ending.QUEUED: EndingRule(Ran.UNKNOWN, True, False, 504),
 }
 
 
--- a/packages/core/src/rattanpulley_core/serving.py
+++ b/packages/core/src/rattanpulley_core/serving.py
@@ -4,6 +4,7 @@
 from rattanpulley_core._internal.serving import config
 from rattanpulley_core._internal.serving import endings
 from rattanpulley_core._internal.serving import placement
+from rattanpulley_core._internal.serving import reading
 from rattanpulley_core._internal.serving import reports
 from rattanpulley_core._internal.serving import resends
 from rattanpulley_core._internal.serving import roster
@@ -28,6 +29,7 @@
 TargetLoad = placement.TargetLoad
 Placement = placement.Placement
 PlacementQuery = placement.PlacementQuery
+ReadingTime = reading.ReadingTime
 TargetReport = reports.TargetReport
 ResendBudget = resends.ResendBudget
 ResendWindow = resends.ResendWindow
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/client_connection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/client_connection.py
@@ -164,6 +164,9 @@
             last_event_id=wire.whole_number(
                 wire.single_value(headers, wire.LAST_EVENT_ID)
             ),
+            prompt_tokens=_prompt_tokens(
+                wire.single_value(headers, names.token_counts)
+            ),
             headers=wire.forwarded_headers(headers, names.set_by_relay),
             body=body,
             received_at_s=received_at_s,
@@ -268,3 +271,9 @@
     def close(self) -> None:
         """Closes the connection."""
         self._socket.close()
+
+
+def _prompt_tokens(text: str | None) -> int:
+    """Returns the first of two counts, or 0."""
+    first = (text or "").partition(",")[0].strip()
+    return wire.whole_number(first) or 0
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/context.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/context.py
@@ -24,6 +24,7 @@
         targets: Targets by id.
         loads: Load and health by target.
         placement: Choice of targets.
+        reading: How long engines take to read a prompt.
         resends: Budget for further attempts.
         names: Header names of the deployment.
         prober: Tells whether a silent target is alive.
@@ -36,6 +37,7 @@
     targets: serving.TargetRoster
     loads: serving.LoadTable
     placement: serving.Placement
+    reading: serving.ReadingTime
     resends: serving.ResendBudget
     names: wire.HeaderNames
     prober: target_prober.TargetProber
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/engine_choice.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/engine_choice.py
@@ -59,6 +59,17 @@
         )
         return chosen
 
+    def idle_engine(
+        self, query: serving.PlacementQuery
+    ) -> serving.TargetEntry | None:
+        """Returns an engine that reads no prompt, or None."""
+        placement = self._context.placement
+        entries = placement.shortlist(query, ASKED_TARGETS, clock.now_s())
+        idle = [row for row in self._reports(entries) if row[1].prompts == 0]
+        if not idle:
+            return None
+        return placement.choose_reported(idle, clock.now_s(), after_loss=True)
+
     def choose_holder(
         self, pool: str, runs_on: serving.TargetEntry
     ) -> serving.TargetEntry | None:
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
@@ -166,6 +166,7 @@
         targets=targets,
         loads=loads,
         placement=serving.Placement(targets, loads, settings.domain, rng),
+        reading=serving.ReadingTime(),
         resends=serving.ResendBudget(
             bounds.resend_window_s,
             bounds.resend_ratio,
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/silence.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/silence.py
@@ -4,11 +4,9 @@
 
 from rattanpulley_core import serving
 
-# A report is some hundred milliseconds old, and an event may be on its way.
-LOST_EVENTS_S = 0.25
 # Engines send an event every few tens of milliseconds; reading the prompts of
 # others delays one to about 0.2 s.
-BETWEEN_EVENTS_S = 0.15
+BETWEEN_EVENTS_S = 0.11
 # Reading the prompt takes about a second, in which nothing is sent.
 BEFORE_FIRST_EVENT_S = 0.4
 NEXT_EXAMINATION_S = 0.15
@@ -78,23 +76,18 @@
         before, self.missing_before = self.missing_before, missing
         return missing and before
 
-    def events_were_lost(self, made: int, now_s: float) -> bool:
+    def events_were_lost(self, made: int) -> bool:
         """Returns whether the target goes on while nothing arrives.
 
-        The number that a target reports may count events of earlier runs, so
-        that only its growth during one silence tells. Before the first event
-        of a fresh run any event tells.
+        Reports lag, so that after an event has arrived their growth may be of
+        events that arrived as well. The number may count events of earlier
+        runs, so that only its growth tells.
 
         Args:
             made: Events that the target says it has made.
-            now_s: Current time.
         """
         before, self.made_before = self.made_before, made
-        if now_s - self.since_s < LOST_EVENTS_S:
-            return False
-        if before is None:
-            return False
-        return made > before
+        return not self.started and before is not None and made > before
 
     def target_is_alive(self, now_s: float) -> None:
         """Plans the next examination of a target that answers probes."""
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
@@ -119,6 +119,7 @@
         self._engines = engine_choice.EngineChoice(context)
         self._copy: memory_copies.MemoryCopy | None = None
         self._weights: str | None = None
+        self._better: serving.TargetEntry | None = None
         self._begun = False
         self._started = False
         self._connect_failures = 0
@@ -154,17 +155,16 @@
 
     def _next_plan(self, last: serving.Ending | None) -> _Plan | None:
         """Returns the next attempt, after a short wait if none is possible."""
+        better, self._better = self._better, None
+        if better is not None:
+            return self._plan(better, None)
         copy, self._copy = self._copy, None
         if copy is not None and last in ENDINGS_AFTER_A_RUN:
             return self._plan(copy.holder, copy.source)
         wait_s = NO_TARGET_WAIT_BEGUN_S if self._begun else NO_TARGET_WAIT_S
         until_s = min(clock.now_s() + wait_s, self._answer_by_s())
-        query = serving.PlacementQuery(
-            self._admission.pool,
-            frozenset(self._ledger.tried_ids),
-            reads_prompt=True,
-        )
         while True:
+            query = self._query()
             entry = self._engines.choose(
                 query, self._admission.request.request_id
             )
@@ -174,6 +174,18 @@
                 return None
             target_connection.pause_s(NO_TARGET_STEP_S)
 
+    def _query(self, *others: str) -> serving.PlacementQuery:
+        """Returns what an engine is wanted for.
+
+        Args:
+            others: Targets to leave out beside those that were tried.
+        """
+        return serving.PlacementQuery(
+            self._admission.pool,
+            frozenset((*self._ledger.tried_ids, *others)),
+            reads_prompt=True,
+        )
+
     def _plan(self, entry: serving.TargetEntry, source: str | None) -> _Plan:
         holder = None
         pool = self._admission.pool
@@ -329,6 +341,8 @@
                     serving.Ending.CORRUPT, str(error)
                 ) from error
             if passed:
+                if not self._started:
+                    self._note_reading(plan, quiet)
                 self._started = True
                 quiet.note_events(passed.count(b"\n\n"), clock.now_s())
                 reading.end()
@@ -340,6 +354,15 @@
         self._channel.finish()
         self._context.loads.record_success(plan.entry.target_id, clock.now_s())
 
+    def _note_reading(self, plan: _Plan, quiet: silence.Silence) -> None:
+        """Learns the reading time from an attempt that read the prompt."""
+        if plan.source is None:
+            self._context.reading.record(
+                self._admission.pool,
+                self._admission.request.prompt_tokens,
+                clock.now_s() - quiet.since_s,
+            )
+
     def _check(
         self,
         head: target_connection.AnswerHead,
@@ -451,7 +474,7 @@
             )
         run_id = self._admission.request.request_id
         made = report.events_by_run.get(run_id, 0)
-        if quiet.events_were_lost(made, clock.now_s()):
+        if quiet.events_were_lost(made):
             self._started = True
             raise target_connection.AttemptError(
                 serving.Ending.SILENT,
@@ -461,8 +484,30 @@
             raise target_connection.AttemptError(
                 serving.Ending.SILENT, "silent, and the run is not there"
             )
+        self._leave_queue(entry, report, quiet)
         quiet.target_is_alive(clock.now_s())
 
+    def _leave_queue(
+        self,
+        entry: serving.TargetEntry,
+        report: serving.TargetReport,
+        quiet: silence.Silence,
+    ) -> None:
+        """Leaves an engine that reads another prompt if one is idle."""
+        waits = self._context.reading.has_waited(
+            self._admission.pool,
+            self._admission.request.prompt_tokens,
+            clock.now_s() - quiet.since_s,
+        )
+        if quiet.started or report.prompts < 2 or not waits:
+            return
+        self._better = self._engines.idle_engine(self._query(entry.target_id))
+        if self._better is not None:
+            raise target_connection.AttemptError(
+                serving.Ending.QUEUED,
+                f"{report.prompts} prompts are not read yet",
+            )
+
     def _give_up(
         self, ending: serving.Ending | None, reason: str
     ) -> answers.Answer:
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/target_prober.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/target_prober.py
@@ -9,7 +9,7 @@
 from rattanpulleyd._internal.relay import target_reports
 
 # A target in reach answers within a few milliseconds.
-PROBE_TIMEOUT_S = 0.12
+PROBE_TIMEOUT_S = 0.08
 # An answer is shared by all streams that ask within this time.
 RESULT_AGE_S = 0.08
 
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/wire.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/wire.py
@@ -43,6 +43,7 @@
         weights: Weight version that made an answer.
         copy_memory_to: Target that keeps a copy of the run's memory.
         continue_from: Memory that a run continues from.
+        token_counts: Tokens of the prompt and most tokens of the answer.
         set_by_relay: Headers that only the relay may set.
     """
 
@@ -58,6 +59,7 @@
     weights: bytes
     copy_memory_to: bytes
     continue_from: bytes
+    token_counts: bytes
     set_by_relay: frozenset[bytes]
 
 
@@ -73,6 +75,7 @@
         key: The client's key, or an empty string.
         time_left_s: How long the client waits, from `received_at_s`.
         last_event_id: Last event that the client has of a stream, or None.
+        prompt_tokens: Tokens of the prompt, or 0 when not stated.
         headers: Headers to forward, with their original spelling.
         body: The body.
         received_at_s: When the head was complete.
@@ -85,6 +88,7 @@
     key: str
     time_left_s: float
     last_event_id: int | None
+    prompt_tokens: int
     headers: Headers
     body: bytes
     received_at_s: float
