Explain a request from log files

Cause: an on-call engineer has log files and the id of a request; following it by hand over hosts and attempts takes a search for each target.

Measured: 7 tests.

--- a/packages/cli/src/rattanpulley/_internal/application.py
+++ b/packages/cli/src/rattanpulley/_internal/application.py
@@ -5,6 +5,7 @@
 from rattanpulley._internal.commands import audit_command
 from rattanpulley._internal.commands import base
 from rattanpulley._internal.commands import claim_commands
+from rattanpulley._internal.commands import explain_command
 from rattanpulley._internal.commands import move_commands
 from rattanpulley._internal.commands import status_command
 from rattanpulley._internal.commands import table_commands
@@ -20,6 +21,7 @@
     watch_command.WatchCommand,
     status_command.StatusCommand,
     audit_command.AuditCommand,
+    explain_command.ExplainCommand,
     claim_commands.UnknownCommand,
     claim_commands.SettleCommand,
     move_commands.MoveStartCommand,
--- /dev/null
+++ b/packages/cli/tests/commands/test_explain.py
@@ -0,0 +1,88 @@
+"""Golden timelines of three kinds of failed request.
+
+The log files are cut from runs on the users' bench. `UPDATE_GOLDEN=1` rewrites
+the timelines from the present output.
+"""
+
+import os
+import pathlib
+import shutil
+
+from cleo.testers import application_tester
+import pytest
+
+from rattanpulley._internal import application
+from rattanpulley._internal.commands import base
+
+HERE = pathlib.Path(__file__).parent
+CASES = {
+    "stream": "cfcccb9e1da19448",
+    "unsafe": "adc4013b9087df8c",
+    "refusal": "59f4de9bf25050d4",
+}
+
+
+def _run(line: str) -> tuple[int, str]:
+    services = base.Services(
+        open_store=lambda url: pytest.fail(f"the store {url} was opened"),
+        fetch_status=lambda url: pytest.fail(f"the daemon {url} was asked"),
+        wall_s=lambda: 0.0,
+        new_id=lambda: "",
+        pause=lambda seconds: None,
+        environment={},
+        user="ana",
+    )
+    tester = application_tester.ApplicationTester(application.build(services))
+    code = tester.execute(line)
+    return code, tester.io.fetch_output() + tester.io.fetch_error()
+
+
+@pytest.mark.parametrize("case", CASES)
+def test_timeline_leads_from_the_request_to_its_cause(
+    case: str, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """On-call engineers have log files and the id of a request only."""
+    monkeypatch.chdir(tmp_path)
+    shutil.copy(HERE / "logs" / f"{case}.jsonl", "host.log")
+    code, shown = _run(f"explain --request {CASES[case]} host.log")
+    shown = "\n".join(line.rstrip() for line in shown.splitlines()) + "\n"
+    golden = HERE / "golden" / f"explain_{case}.txt"
+    if os.environ.get("UPDATE_GOLDEN"):
+        golden.write_text(shown)
+    assert code == 0
+    assert shown == golden.read_text()
+
+
+def test_lines_of_other_requests_and_texts_are_passed_over(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Log files hold lines of many requests and of other programs."""
+    log = tmp_path / "log"
+    log.write_text(
+        'not a line\n{"broken\n[]\n{"event": "x"}\n'
+        'prefix {"time": 1, "event": "request.ended", "request": "a"}\n'
+        '{"time": 2, "event": "request.ended", "request": "b"}\n'
+    )
+    code, shown = _run(f"explain --request a {log}")
+    assert code == 0
+    assert shown.count("request.ended") == 1
+
+
+@pytest.mark.parametrize(
+    ("line", "code"),
+    [("explain --request a LOG", 6), ("explain LOG", 1)],
+)
+def test_mistakes_end_with_their_exit_code(
+    line: str, code: int, tmp_path: pathlib.Path
+) -> None:
+    """A script must tell an unknown request from a wrong call."""
+    log = tmp_path / "log"
+    log.write_text("")
+    assert _run(line.replace("LOG", str(log)))[0] == code
+
+
+def test_unreadable_file_is_named(tmp_path: pathlib.Path) -> None:
+    """An error without the file's name cannot be corrected."""
+    code, shown = _run(f"explain --request a {tmp_path}/none")
+    assert code == 1
+    assert "none" in shown
