--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
@@ -120,6 +120,7 @@
         self._copy: memory_copies.MemoryCopy | None = None
         self._weights: str | None = None
         self._better: serving.TargetEntry | None = None
+        self._has_left_queue = False
         self._begun = False
         self._started = False
         self._connect_failures = 0
@@ -462,7 +463,7 @@
         if not self._admission.route.resumable:
             quiet.target_is_alive(now_s)
             return
-        if quiet.too_long(now_s):
+        if quiet.started and quiet.too_long(now_s):
             raise target_connection.AttemptError(
                 serving.Ending.SILENT,
                 f"silent for {now_s - quiet.since_s:.2f} s, probes answered",
@@ -493,16 +494,24 @@
         report: serving.TargetReport,
         quiet: silence.Silence,
     ) -> None:
-        """Leaves an engine that reads another prompt if one is idle."""
+        """Leaves an engine that reads other prompts if one is idle.
+
+        Without an idle engine the prompt would wait again elsewhere, and what
+        has been read of it would be read again.
+        """
+        if quiet.started or self._has_left_queue:
+            return
+        now_s = clock.now_s()
         waits = self._context.reading.has_waited(
             self._admission.pool,
             self._admission.request.prompt_tokens,
-            clock.now_s() - quiet.since_s,
+            now_s - quiet.since_s,
         )
-        if quiet.started or report.prompts < 2 or not waits:
+        if not (waits and report.prompts > 1) and not quiet.too_long(now_s):
             return
         self._better = self._engines.idle_engine(self._query(entry.target_id))
         if self._better is not None:
+            self._has_left_queue = True
             raise target_connection.AttemptError(
                 serving.Ending.QUEUED,
                 f"{report.prompts} prompts are not read yet",
