Give an unreachable target less time and a longer pause

Change: a connection may take 0.12 s; a target that did not accept in time gets no new work for 1 s, one that refused stays out for 0.4 s.

--- a/packages/core/src/rattanpulley_core/_internal/serving/endings.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/endings.py
@@ -14,6 +14,7 @@
     """How an attempt ended without an answer that can be passed on."""
 
     NOT_CONNECTED = "not_connected"
+    UNREACHABLE = "unreachable"
     REFUSED = "refused"
     ANOTHER_TARGET = "another_target"
     BROKEN_OFF = "broken_off"
@@ -50,8 +51,12 @@
     status: int
 
 
+# Nothing was sent, so that the request may go elsewhere at no cost.
+ENDINGS_BEFORE_SENDING = frozenset({Ending.NOT_CONNECTED, Ending.UNREACHABLE})
+
 RULE_BY_ENDING: dict[Ending, EndingRule] = {
     Ending.NOT_CONNECTED: EndingRule(Ran.NO, False, True, 503),
+    Ending.UNREACHABLE: EndingRule(Ran.NO, False, True, 503),
     Ending.REFUSED: EndingRule(Ran.NO, True, False, 503),
     Ending.ANOTHER_TARGET: EndingRule(Ran.NO, False, True, 503),
     Ending.BROKEN_OFF: EndingRule(Ran.UNKNOWN, True, True, 502),
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
@@ -16,7 +16,6 @@
 from rattanpulleyd._internal.relay import target_health
 from rattanpulleyd._internal.relay import wire
 
-CONNECT_TIMEOUT_S = 0.25
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 # Connections that fail cost nothing at a target, but time.
 MAX_CONNECT_FAILURES = 6
@@ -86,7 +85,7 @@
         error: target_connection.AttemptError,
     ) -> None:
         self._ledger.record(entry.target_id, error.ending)
-        if error.ending is serving.Ending.NOT_CONNECTED:
+        if error.ending in serving.ENDINGS_BEFORE_SENDING:
             self._connect_failures += 1
         target_health.record_ending(
             self._context, self._admission, entry, error
@@ -104,7 +103,7 @@
             return False
         if not self._ledger.may_send():
             return False
-        if error.ending is serving.Ending.NOT_CONNECTED:
+        if error.ending in serving.ENDINGS_BEFORE_SENDING:
             return True
         return window.take(clock.now_s())
 
@@ -120,7 +119,7 @@
         sent_at_s = clock.now_s()
         self.targets.append(entry.target_id)
         try:
-            connection.connect(CONNECT_TIMEOUT_S)
+            connection.connect(target_connection.CONNECT_TIMEOUT_S)
             headers = context_lib.outgoing_headers(
                 self._context, self._admission, entry
             )
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
@@ -21,7 +21,6 @@
 from rattanpulleyd._internal.relay import target_health
 from rattanpulleyd._internal.relay import wire
 
-CONNECT_TIMEOUT_S = 0.2
 SEND_TIMEOUT_S = 1.0
 MAX_CONNECT_FAILURES = 12
 # How long a stream waits for a target before it is refused, and how long one
@@ -201,7 +200,7 @@
         self, plan: _Plan, error: target_connection.AttemptError
     ) -> None:
         self._ledger.record(plan.entry.target_id, error.ending)
-        if error.ending is serving.Ending.NOT_CONNECTED:
+        if error.ending in serving.ENDINGS_BEFORE_SENDING:
             self._connect_failures += 1
         target_health.record_ending(
             self._context, self._admission, plan.entry, error
@@ -219,7 +218,7 @@
             return False
         if not self._ledger.may_send():
             return False
-        if error.ending is serving.Ending.NOT_CONNECTED:
+        if error.ending in serving.ENDINGS_BEFORE_SENDING:
             return True
         return window.take(clock.now_s())
 
@@ -241,7 +240,7 @@
         copies.copies += 1
         self.report.targets.append(entry.target_id)
         try:
-            connection.connect(CONNECT_TIMEOUT_S)
+            connection.connect(target_connection.CONNECT_TIMEOUT_S)
             connection.send(
                 request.method,
                 request.target,
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/target_connection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/target_connection.py
@@ -16,6 +16,9 @@
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import wire
 
+# Targets in reach accept within a few milliseconds. A lost packet is sent again
+# after a second only; another target answers sooner.
+CONNECT_TIMEOUT_S = 0.12
 READ_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 64 * 1024
 # The kernel gives up a connection whose data stays unacknowledged this long.
@@ -83,6 +86,11 @@
                 USER_TIMEOUT_MS,
             )
             sock.connect((self._entry.host, self._entry.port))
+        except TimeoutError as error:
+            self.close()
+            raise AttemptError(
+                serving.Ending.UNREACHABLE, "connect: no answer"
+            ) from error
         except OSError as error:
             self.close()
             raise AttemptError(
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/target_health.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/target_health.py
@@ -9,6 +9,7 @@
 # that one request finds out whether it is back.
 BLOCK_S_BY_ENDING: dict[serving.Ending, float] = {
     serving.Ending.NOT_CONNECTED: 0.4,
+    serving.Ending.UNREACHABLE: 1.0,
     serving.Ending.SILENT: 0.4,
     serving.Ending.BROKEN_OFF: 0.2,
     # Another target has the address; the one that was meant does not return.
