Use engines that restarted while the store is away

Hosts there knew only the ids of the earlier starts; every try was answered by another target, 11 streams were refused. A test also showed that a host called itself ready before it had listed any target.

Ruled out: taking any target at the address, since addresses are used again by other pools.

Change: the answer names the target that has the address; if it reports the state of an engine and one pool alone has engines, it takes the earlier one's place until the next listing. A host is ready after its first listing.

--- a/packages/core/src/rattanpulley_core/_internal/serving/config.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/config.py
@@ -79,6 +79,7 @@
 
     Attributes:
         name: Unique name.
+        has_engines: Whether its targets generate tokens.
         copies_memory: Whether engines can keep a copy of a run's memory on
             another target.
         slots: Requests that a target runs at once, or 0 when unknown.
@@ -86,6 +87,7 @@
     """
 
     name: str
+    has_engines: bool = False
     copies_memory: bool = False
     slots: int = 0
     memory_tokens: int = 0
@@ -136,12 +138,10 @@
                 return route
         return None
 
-    def allows(self, route: ServingRoute, pool: str) -> bool:
-        """Returns whether requests of a route may still go to a pool."""
-        for known in self.routes_by_host.get(route.host, ()):
-            if known.path_prefix == route.path_prefix:
-                return any(entry.pool == pool for entry in known.pools)
-        return False
+    def only_engine_pool(self) -> str | None:
+        """Returns the pool with engines if there is just one."""
+        pools = [row for row in self.pools_by_name.values() if row.has_engines]
+        return pools[0].name if len(pools) == 1 else None
 
 
 def group_routes(
--- a/packages/core/src/rattanpulley_core/_internal/serving/reports.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/reports.py
@@ -14,12 +14,17 @@
         running: Requests that are admitted; those without an event have their
             prompt read.
         memory_share: Part of the memory that cannot yield, from 0 to 1.
+        is_engine: Whether the target holds models and memory; services that
+            answer plain calls do not.
+        born_ms: Unix milliseconds of the target's start, or 0.
     """
 
     events_by_run: Mapping[str, int]
     waiting: int = 0
     running: int = 0
     memory_share: float = 0.0
+    is_engine: bool = False
+    born_ms: int = 0
 
     @property
     def prompts(self) -> int:
--- a/packages/core/src/rattanpulley_core/_internal/serving/roster.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/roster.py
@@ -67,6 +67,12 @@
         self._entries_by_id: dict[str, TargetEntry] = {}
         self._ids_by_pool: dict[str, set[str]] = {}
         self._missing_since_by_id: dict[str, float] = {}
+        self._listed = False
+
+    @property
+    def listed(self) -> bool:
+        """Whether a complete listing was ever taken."""
+        return self._listed
 
     def entry(self, target_id: str) -> TargetEntry | None:
         """Returns the entry of a target that is in use or leaving."""
@@ -93,6 +99,7 @@
             interrupted: Whether the store was out of reach before the listing,
                 so that missing entries may have expired.
         """
+        self._listed = True
         listed_by_id = {entry.target_id: entry for entry in entries}
         changes: list[RosterChange] = []
         for target_id in list(self._entries_by_id):
@@ -137,6 +144,27 @@
             for change in self.remove(known.target_id)
         ]
 
+    def adopt(
+        self, target_id: str, successor_id: str, born_ms: int
+    ) -> list[RosterChange]:
+        """Puts a later start of a target in its place.
+
+        The store may be away and not name the later start for a while. The
+        next listing decides on it as on any other target.
+
+        Args:
+            target_id: The target whose address answers as another one.
+            successor_id: Id of the target that has the address now.
+            born_ms: Unix milliseconds of its start.
+        """
+        known = self._entries_by_id.get(target_id)
+        if known is None or successor_id in self._entries_by_id:
+            return self.remove(target_id)
+        successor = dataclasses.replace(
+            known, target_id=successor_id, born_ms=born_ms, leaving=False
+        )
+        return [*self.remove(target_id), *self.upsert(successor)]
+
     def remove(self, target_id: str) -> list[RosterChange]:
         """Removes a target whose entry is gone."""
         self._missing_since_by_id.pop(target_id, None)
--- a/packages/core/tests/serving/test_roster.py
+++ b/packages/core/tests/serving/test_roster.py
@@ -77,3 +77,24 @@
     roster.upsert(builders.target("a"))
     roster.upsert(builders.target("a", pool="other"))
     assert _ids(roster) == set()
+
+
+def test_later_start_takes_the_place_of_an_earlier_one() -> None:
+    """The store may be away when an engine returns under a new id."""
+    roster = serving.TargetRoster()
+    roster.upsert(builders.target("a", port=1, born_ms=1))
+    roster.adopt("a", "b", born_ms=2)
+    entry = roster.entry("b")
+    assert entry is not None
+    assert (entry.address, entry.born_ms) == ("10.0.0.1:1", 2)
+    assert _ids(roster) == {"b"}
+    assert roster.upsert(builders.target("b", port=1, born_ms=2)) == []
+
+
+def test_adopted_target_that_the_store_does_not_name_is_gone() -> None:
+    """A wrong guess must not outlive the next listing."""
+    roster = serving.TargetRoster()
+    roster.upsert(builders.target("a", born_ms=1))
+    roster.adopt("a", "b", born_ms=2)
+    roster.replace_all([], 5.0, interrupted=False)
+    assert _ids(roster) == set()
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/answers.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/answers.py
@@ -70,7 +70,9 @@
     """
     if head.status == 421:
         raise target_connection.AttemptError(
-            serving.Ending.ANOTHER_TARGET, "another target has the address"
+            serving.Ending.ANOTHER_TARGET,
+            "another target has the address",
+            found_id=head.value(names.target_id) or "",
         )
     if head.value(names.not_run) is not None:
         raise target_connection.AttemptError(
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
@@ -71,7 +71,7 @@
         self._stop = event.Event()
 
     def _ready(self) -> bool:
-        if self._listener.stopping:
+        if self._listener.stopping or not self._context.targets.listed:
             return False
         return self._context.belief.ready(clock.suspend_aware_now_s())
 
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
@@ -205,6 +205,10 @@
         target_health.record_ending(
             self._context, self._admission, plan.entry, error
         )
+        if error.found_id:
+            target_health.adopt_successor(
+                self._context, plan.entry, error.found_id
+            )
 
     def _may_go_on(
         self,
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/target_connection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/target_connection.py
@@ -30,11 +30,15 @@
 
     Attributes:
         ending: How it ended.
+        found_id: Id of the target that has the address, or an empty string.
     """
 
-    def __init__(self, ending: serving.Ending, reason: str) -> None:
+    def __init__(
+        self, ending: serving.Ending, reason: str, found_id: str = ""
+    ) -> None:
         super().__init__(reason)
         self.ending = ending
+        self.found_id = found_id
 
 
 class NothingReceived(Exception):  # noqa: N818 - a wait that ended, not a fault
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/target_health.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/target_health.py
@@ -53,3 +53,29 @@
         return
     running = int(parts[0]) + int(parts[1])
     context.loads.record_report(entry.target_id, running, clock.now_s())
+
+
+def adopt_successor(
+    context: context_lib.RelayContext,
+    entry: serving.TargetEntry,
+    successor_id: str,
+) -> None:
+    """Uses the later start of an engine before the store names it.
+
+    Addresses are used again by other pools. Only a target that reports the
+    state of an engine, where one pool alone has engines, is known to belong to
+    the pool of the earlier one.
+    """
+    config = context.belief.config
+    if config is None or config.only_engine_pool() != entry.pool:
+        return
+    report = context.prober.ask(entry, 0.0)
+    if report is None or not report.is_engine:
+        return
+    changes = context.targets.adopt(
+        entry.target_id, successor_id, report.born_ms
+    )
+    for change in changes:
+        context.log.change(
+            f"target.{change.what}", target=change.target_id, source="answer"
+        )
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/wire.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/wire.py
@@ -43,6 +43,7 @@
         weights: Weight version that made an answer.
         copy_memory_to: Target that keeps a copy of the run's memory.
         continue_from: Memory that a run continues from.
+        target_id: Id that a target states of itself.
         token_counts: Tokens of the prompt and most tokens of the answer.
         set_by_relay: Headers that only the relay may set.
     """
@@ -59,6 +60,7 @@
     weights: bytes
     copy_memory_to: bytes
     continue_from: bytes
+    target_id: bytes
     token_counts: bytes
     set_by_relay: frozenset[bytes]
 
