--- a/packages/core/src/rattanpulley_core/_internal/serving/reading.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/reading.py
@@ -5,8 +5,9 @@
 prompt that still makes no event has been waiting behind another one.
 """
 
-# Weight of a new sample. Engines of a pool differ in speed by about a third.
-SAMPLE_WEIGHT = 0.2
+# A fast sample shows the usual time; a slow one has mostly met another prompt.
+FASTER_WEIGHT = 0.4
+SLOWER_WEIGHT = 0.05
 # Waiting behind another prompt begins to show after this much more than usual.
 PATIENCE_FACTOR = 1.15
 PATIENCE_S = 0.25
@@ -15,7 +16,10 @@
 
 
 class ReadingTime:
-    """Seconds for each token of a prompt, by pool."""
+    """Seconds for each token of a prompt, by pool.
+
+    The estimate stays near the fast samples.
+    """
 
     def __init__(self) -> None:
         self._s_per_token_by_pool: dict[str, float] = {}
@@ -32,11 +36,9 @@
             return
         sample = first_event_s / tokens
         known = self._s_per_token_by_pool.get(pool, sample)
-        # A slow sample has probably met another prompt after all.
+        weight = FASTER_WEIGHT if sample < known else SLOWER_WEIGHT
         sample = min(sample, known * 2)
-        self._s_per_token_by_pool[pool] = (
-            known + (sample - known) * SAMPLE_WEIGHT
-        )
+        self._s_per_token_by_pool[pool] = known + (sample - known) * weight
 
     def has_waited(self, pool: str, tokens: int, silent_s: float) -> bool:
         """Returns whether a prompt would have been read by now.
