--- a/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
@@ -22,6 +22,8 @@
 # A repeatable request is sent again when an answer takes longer than this
 # share of the objective.
 PATIENCE_SHARE = 1.2
+# After the last attempt the client is told while it has time to ask again.
+LAST_PATIENCE_SHARE = 2.5
 # How long a request waits for a target, as a share of its objective.
 NO_TARGET_WAIT_SHARE = 0.12
 NO_TARGET_STEP_S = 0.02
@@ -200,13 +202,12 @@
             )
 
     def _patience_ends_s(self, sent_at_s: float) -> float:
-        """Returns when a repeatable request is tried elsewhere."""
-        if (
-            not self._admission.route.idempotent
-            or self._ledger.sent + 1 >= self._ledger.max_attempts
-        ):
+        """Returns when an attempt of a repeatable request is left."""
+        if not self._admission.route.idempotent:
             return float("inf")
-        return sent_at_s + self._admission.route.objective_s * PATIENCE_SHARE
+        is_last = self._ledger.sent + 1 >= self._ledger.max_attempts
+        share = LAST_PATIENCE_SHARE if is_last else PATIENCE_SHARE
+        return sent_at_s + self._admission.route.objective_s * share
 
     def _give_up(
         self, ending: serving.Ending | None, reason: str
