Split the stream relay by subject and join what stood twice

Reading it again showed two faults: a client that has every event got a 502 instead of a complete end, and events that were lost before the head were known but their copy was not used.

Change: Tries (attempts of a request), StreamWatch (waiting and examination), stream_channel and prompt_count are modules of their own; a run that ends properly without further events completes the stream; a run known to have begun may continue from its copy. A refused stream is told to return after 0.8 to 1.8 s, since a crash takes engines away for longer than a second.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/gateway.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/gateway.py
@@ -8,6 +8,7 @@
 from rattanpulleyd._internal.relay import context as context_lib
 from rattanpulleyd._internal.relay import memory_copies
 from rattanpulleyd._internal.relay import plain_relay
+from rattanpulleyd._internal.relay import stream_channel
 from rattanpulleyd._internal.relay import stream_relay
 from rattanpulleyd._internal.relay import wire
 
@@ -127,7 +128,7 @@
             if answer is not None:
                 connection.send_answer(answer, closes=False)
                 status, reason = answer.status, answer.reason
-        except stream_relay.StreamCutError as error:
+        except stream_channel.StreamCutError as error:
             status, reason = 599, f"cut: {error}"
             raise
         finally:
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/listener.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/listener.py
@@ -16,7 +16,7 @@
 from rattanpulleyd._internal.relay import gateway
 from rattanpulleyd._internal.relay import memory_copies
 from rattanpulleyd._internal.relay import settings
-from rattanpulleyd._internal.relay import stream_relay
+from rattanpulleyd._internal.relay import stream_channel
 from rattanpulleyd._internal.relay import wire
 
 BACKLOG = 512
@@ -91,7 +91,7 @@
         except (
             client_connection.ConnectionEndedError,
             context_lib.ClientGoneError,
-            stream_relay.StreamCutError,
+            stream_channel.StreamCutError,
         ):
             # The end of a connection is logged with the request it concerns.
             pass
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
@@ -14,6 +14,7 @@
 from rattanpulleyd._internal.relay import context as context_lib
 from rattanpulleyd._internal.relay import target_connection
 from rattanpulleyd._internal.relay import target_health
+from rattanpulleyd._internal.relay import tries as tries_lib
 from rattanpulleyd._internal.relay import wire
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
@@ -44,34 +45,26 @@
     ) -> None:
         self._context = context
         self._admission = admission
-        self._ledger = serving.AttemptLedger(
-            admission.route.idempotent, admission.route.max_attempts
-        )
-        self._connect_failures = 0
-        self._failed_answer: answers.Answer | None = None
+        self._tries = tries_lib.Tries(context, admission, MAX_CONNECT_FAILURES)
         self.targets: list[str] = []
 
     def run(self) -> answers.Answer:
         """Returns the answer for the client."""
-        window = self._context.resends.of(self._admission.pool)
-        window.record_request(clock.now_s())
-        last: serving.Ending | None = None
         while True:
             entry = self._next_target()
             if entry is None:
-                return self._give_up(last, "no target is ready")
+                return self._give_up("no target is ready")
             try:
                 return self._attempt(entry)
             except target_connection.AttemptError as error:
-                last = error.ending
-                self._record(entry, error)
-                if not self._may_go_on(error, window):
-                    return self._give_up(last, str(error))
+                self._tries.record(entry, error)
+                if not self._tries.may_go_on():
+                    return self._give_up(str(error))
 
     def _next_target(self) -> serving.TargetEntry | None:
         """Returns a target, after a short wait if there is none."""
         query = serving.PlacementQuery(
-            self._admission.pool, frozenset(self._ledger.tried_ids)
+            self._admission.pool, frozenset(self._tries.tried_ids)
         )
         wait_s = self._admission.route.objective_s * NO_TARGET_WAIT_SHARE
         until_s = clock.now_s() + wait_s
@@ -81,37 +74,6 @@
                 return entry
             target_connection.pause_s(NO_TARGET_STEP_S)
 
-    def _record(
-        self,
-        entry: serving.TargetEntry,
-        error: target_connection.AttemptError,
-    ) -> None:
-        self._ledger.record(entry.target_id, error.ending)
-        if error.ending in serving.ENDINGS_BEFORE_SENDING:
-            self._connect_failures += 1
-        target_health.record_ending(
-            self._context, self._admission, entry, error
-        )
-
-    def _may_go_on(
-        self,
-        error: target_connection.AttemptError,
-        window: serving.ResendWindow,
-    ) -> bool:
-        """Returns whether the request may be sent to another target."""
-        if clock.now_s() >= self._answer_by_s():
-            return False
-        if self._connect_failures >= MAX_CONNECT_FAILURES:
-            return False
-        if not self._ledger.may_send():
-            return False
-        if error.ending in serving.ENDINGS_BEFORE_SENDING:
-            return True
-        return window.take(clock.now_s())
-
-    def _answer_by_s(self) -> float:
-        return self._admission.answer_by_s(self._context.belief)
-
     def _attempt(self, entry: serving.TargetEntry) -> answers.Answer:
         """Sends the request to a target and returns its answer."""
         request = self._admission.request
@@ -130,7 +92,7 @@
                 request.target,
                 headers,
                 request.body,
-                max(0.001, self._answer_by_s() - clock.now_s()),
+                max(0.001, self._tries.answer_by_s() - clock.now_s()),
             )
             return self._read_answer(entry, connection, sent_at_s)
         finally:
@@ -158,7 +120,7 @@
             f"answer of {entry.target_id}",
         )
         if head.status >= 500:
-            self._failed_answer = answer
+            self._tries.failed_answer = answer
             raise target_connection.AttemptError(
                 serving.Ending.FAILED, f"the target answered {head.status}"
             )
@@ -186,14 +148,14 @@
     def _wait(self, read: Callable[[float], _Part], sent_at_s: float) -> _Part:
         """Reads until bytes arrive or the wait of this attempt is over."""
         while True:
-            until_s = min(self._answer_by_s(), self._patience_ends_s(sent_at_s))
+            until_s = min(self._tries.answer_by_s(), self._patience_ends_s(sent_at_s))
             step_s = min(until_s, clock.now_s() + MAX_READ_WAIT_S)
             try:
                 return read(step_s)
             except target_connection.NothingReceived:
                 if clock.now_s() < until_s:
                     continue
-            if until_s >= self._answer_by_s():
+            if until_s >= self._tries.answer_by_s():
                 raise target_connection.AttemptError(
                     serving.Ending.TIMED_OUT, "no answer in time"
                 )
@@ -205,18 +167,11 @@
         """Returns when an attempt of a repeatable request is left."""
         if not self._admission.route.idempotent:
             return float("inf")
-        is_last = self._ledger.sent + 1 >= self._ledger.max_attempts
-        share = LAST_PATIENCE_SHARE if is_last else PATIENCE_SHARE
+        share = LAST_PATIENCE_SHARE if self._tries.is_last else PATIENCE_SHARE
         return sent_at_s + self._admission.route.objective_s * share
 
-    def _give_up(
-        self, ending: serving.Ending | None, reason: str
-    ) -> answers.Answer:
+    def _give_up(self, reason: str) -> answers.Answer:
         """Returns the final answer of a request that no target answered."""
-        if self._failed_answer is not None:
-            return self._failed_answer
-        status = self._ledger.final_status(ending)
-        retry_after_s = None
-        if status == 503:
-            retry_after_s = self._context.rng.uniform(*RETRY_AFTER_RANGE_S)
-        return answers.refusal(status, reason, retry_after_s)
+        return self._tries.final_answer(
+            reason, RETRY_AFTER_RANGE_S, self._context.rng
+        )
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
@@ -5,9 +5,7 @@
 there is one, which saves reading the prompt again, and on any other otherwise.
 """
 
-from collections.abc import Callable
 import dataclasses
-from typing import Protocol, TypeVar
 
 from rattanpulley_core import serving
 from rattanpulleyd._internal.relay import answers
@@ -16,9 +14,12 @@
 from rattanpulleyd._internal.relay import engine_choice
 from rattanpulleyd._internal.relay import event_frames
 from rattanpulleyd._internal.relay import memory_copies
-from rattanpulleyd._internal.relay import silence
+from rattanpulleyd._internal.relay import prompt_count
+from rattanpulleyd._internal.relay import stream_channel
+from rattanpulleyd._internal.relay import stream_watch
 from rattanpulleyd._internal.relay import target_connection
 from rattanpulleyd._internal.relay import target_health
+from rattanpulleyd._internal.relay import tries as tries_lib
 from rattanpulleyd._internal.relay import wire
 
 SEND_TIMEOUT_S = 1.0
@@ -28,10 +29,9 @@
 NO_TARGET_WAIT_S = 0.5
 NO_TARGET_WAIT_BEGUN_S = 2.0
 NO_TARGET_STEP_S = 0.02
-RETRY_AFTER_RANGE_S = (0.3, 0.9)
+# A crash takes engines away for a second and more.
+RETRY_AFTER_RANGE_S = (0.8, 1.8)
 MAX_FAILED_ANSWER_BYTES = 1024 * 1024
-# A waiting stream notices a changed timeout within this time.
-MAX_READ_WAIT_S = 0.25
 
 # Only a run that had begun can have left a copy of its memory.
 ENDINGS_AFTER_A_RUN = frozenset(
@@ -42,42 +42,6 @@
     }
 )
 
-_Part = TypeVar("_Part")
-
-
-class StreamChannel(Protocol):
-    """Where the events of a stream go; raises `ClientGoneError`."""
-
-    def begin(self, status: int, headers: wire.Headers) -> None:
-        """Sends the head."""
-
-    def write(self, data: bytes) -> None:
-        """Sends whole events."""
-
-    def finish(self) -> None:
-        """Ends the answer as complete."""
-
-
-@dataclasses.dataclass(slots=True)
-class StreamReport:
-    """How a stream went, for the log.
-
-    Attributes:
-        resumes: Continuations on another target.
-        resumes_from_copy: Those that used a copy of the memory.
-        first_event_s: Time to the first event, or None.
-        longest_pause_s: Longest pause between events.
-        last_event_at_s: When the last event was passed on.
-        targets: Targets in the order of use.
-    """
-
-    resumes: int = 0
-    resumes_from_copy: int = 0
-    first_event_s: float | None = None
-    longest_pause_s: float = 0.0
-    last_event_at_s: float = 0.0
-    targets: list[str] = dataclasses.field(default_factory=list)
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Plan:
@@ -101,16 +65,13 @@
         self,
         context: context_lib.RelayContext,
         admission: context_lib.Admission,
-        channel: StreamChannel,
+        channel: stream_channel.StreamChannel,
         copy_calls: memory_copies.MemoryCopyCalls,
     ) -> None:
         self._context = context
         self._admission = admission
         self._channel = channel
-        route = admission.route
-        self._ledger = serving.AttemptLedger(
-            route.idempotent, route.max_attempts
-        )
+        self._tries = tries_lib.Tries(context, admission, MAX_CONNECT_FAILURES)
         self._events = event_frames.EventSequence(
             admission.request.last_event_id
         )
@@ -118,13 +79,9 @@
         self._engines = engine_choice.EngineChoice(context)
         self._copy: memory_copies.MemoryCopy | None = None
         self._weights: str | None = None
-        self._better: serving.TargetEntry | None = None
-        self._has_left_queue = False
+        self._queue_exit = stream_watch.QueueExit()
         self._begun = False
-        self._started = False
-        self._connect_failures = 0
-        self._failed_answer: answers.Answer | None = None
-        self.report = StreamReport()
+        self.report = stream_channel.StreamReport()
 
     def run(self) -> answers.Answer | None:
         """Relays the stream.
@@ -137,36 +94,36 @@
             StreamCutError: A stream that had begun could not be completed.
             ClientGoneError: The client left.
         """
-        window = self._context.resends.of(self._admission.pool)
-        window.record_request(clock.now_s())
-        last: serving.Ending | None = None
         while True:
-            plan = self._next_plan(last)
+            plan = self._next_plan()
             if plan is None:
-                return self._give_up(last, "no target is ready")
+                return self._give_up("no target is ready")
             try:
                 self._attempt(plan)
                 return None
             except target_connection.AttemptError as error:
-                last = error.ending
-                self._record(plan, error)
-                if not self._may_go_on(error, window):
-                    return self._give_up(last, str(error))
-
-    def _next_plan(self, last: serving.Ending | None) -> _Plan | None:
+                self._tries.record(plan.entry, error)
+                if error.found_id:
+                    target_health.adopt_successor(
+                        self._context, plan.entry, error.found_id
+                    )
+                if not self._tries.may_go_on():
+                    return self._give_up(str(error))
+
+    def _next_plan(self) -> _Plan | None:
         """Returns the next attempt, after a short wait if none is possible."""
-        better, self._better = self._better, None
-        if better is not None:
-            return self._plan(better, None)
+        idle, self._queue_exit.engine = self._queue_exit.engine, None
+        if idle is not None:
+            return self._plan(idle, None)
         copy, self._copy = self._copy, None
-        if copy is not None and last in ENDINGS_AFTER_A_RUN:
+        if copy is not None and self._tries.last in ENDINGS_AFTER_A_RUN:
             return self._plan(copy.holder, copy.source)
         wait_s = NO_TARGET_WAIT_BEGUN_S if self._begun else NO_TARGET_WAIT_S
-        until_s = min(clock.now_s() + wait_s, self._answer_by_s())
+        until_s = min(clock.now_s() + wait_s, self._tries.answer_by_s())
         while True:
-            query = self._query()
             entry = self._engines.choose(
-                query, self._admission.request.request_id
+                stream_watch.prompt_query(self._admission, self._tries),
+                self._admission.request.request_id,
             )
             if entry is not None:
                 return self._plan(entry, None)
@@ -174,18 +131,6 @@
                 return None
             target_connection.pause_s(NO_TARGET_STEP_S)
 
-    def _query(self, *others: str) -> serving.PlacementQuery:
-        """Returns what an engine is wanted for.
-
-        Args:
-            others: Targets to leave out beside those that were tried.
-        """
-        return serving.PlacementQuery(
-            self._admission.pool,
-            frozenset((*self._ledger.tried_ids, *others)),
-            reads_prompt=True,
-        )
-
     def _plan(self, entry: serving.TargetEntry, source: str | None) -> _Plan:
         holder = None
         pool = self._admission.pool
@@ -196,39 +141,6 @@
             holder = self._engines.choose_holder(pool, entry)
         return _Plan(entry, source, holder)
 
-    def _record(
-        self, plan: _Plan, error: target_connection.AttemptError
-    ) -> None:
-        self._ledger.record(plan.entry.target_id, error.ending)
-        if error.ending in serving.ENDINGS_BEFORE_SENDING:
-            self._connect_failures += 1
-        target_health.record_ending(
-            self._context, self._admission, plan.entry, error
-        )
-        if error.found_id:
-            target_health.adopt_successor(
-                self._context, plan.entry, error.found_id
-            )
-
-    def _may_go_on(
-        self,
-        error: target_connection.AttemptError,
-        window: serving.ResendWindow,
-    ) -> bool:
-        """Returns whether the stream may go to another target."""
-        if clock.now_s() >= self._answer_by_s():
-            return False
-        if self._connect_failures >= MAX_CONNECT_FAILURES:
-            return False
-        if not self._ledger.may_send():
-            return False
-        if error.ending in serving.ENDINGS_BEFORE_SENDING:
-            return True
-        return window.take(clock.now_s())
-
-    def _answer_by_s(self) -> float:
-        return self._admission.answer_by_s(self._context.belief)
-
     def _attempt(self, plan: _Plan) -> None:
         """Sends the request to a target and passes its events on."""
         request = self._admission.request
@@ -236,8 +148,7 @@
         connection = target_connection.TargetConnection(entry)
         load = self._context.loads.of(entry.target_id)
         load.in_flight += 1
-        load.reading += 1
-        reading = _Reading(load)
+        reading = prompt_count.PromptCount(load)
         copies = self._context.loads.of(
             plan.copy_holder.target_id if plan.copy_holder else ""
         )
@@ -279,7 +190,7 @@
         return tuple(extra)
 
     def _count_resume(self, plan: _Plan) -> None:
-        if self._ledger.sent == 0:
+        if self._tries.sent == 0:
             return
         self.report.resumes += 1
         self.report.resumes_from_copy += plan.source is not None
@@ -290,25 +201,26 @@
         self,
         plan: _Plan,
         connection: target_connection.TargetConnection,
-        reading: "_Reading",
+        reading: prompt_count.PromptCount,
     ) -> None:
         """Passes the events of one attempt on until the stream is complete."""
-        self._started = False
-        quiet = silence.Silence(
-            self._admission.route.longest_pause_s,
-            self._admission.route.objective_s,
+        watch = stream_watch.StreamWatch(
+            self._context,
+            self._admission,
+            self._tries,
+            plan.entry,
             plan.copy_holder is not None,
-            clock.now_s(),
+            self._queue_exit,
         )
-        head = self._wait(connection.read_head, plan.entry, quiet)
-        self._check(head, connection, plan.entry, quiet)
         keeper = self._keeper(plan)
-        keeper.start()
         try:
-            self._pass_events(plan, connection, reading, quiet, head)
+            head = watch.wait(connection.read_head)
+            self._check(head, connection, plan.entry, watch)
+            keeper.start()
+            self._pass_events(plan, connection, reading, watch, head)
         finally:
             keeper.stop()
-            if self._started:
+            if watch.run_began:
                 self._copy = keeper.usable_copy()
         keeper.release()
 
@@ -328,14 +240,14 @@
         self,
         plan: _Plan,
         connection: target_connection.TargetConnection,
-        reading: "_Reading",
-        quiet: silence.Silence,
+        reading: prompt_count.PromptCount,
+        watch: stream_watch.StreamWatch,
         head: target_connection.AnswerHead,
     ) -> None:
         """Passes the events of one attempt on until its proper end."""
         frames = event_frames.EventFrames()
         while True:
-            data = self._wait(connection.read_data, plan.entry, quiet)
+            data = watch.wait(connection.read_data)
             if data is None:
                 break
             try:
@@ -345,26 +257,28 @@
                     serving.Ending.CORRUPT, str(error)
                 ) from error
             if passed:
-                if not self._started:
-                    self._note_reading(plan, quiet)
-                self._started = True
-                quiet.note_events(passed.count(b"\n\n"), clock.now_s())
+                if not watch.run_began:
+                    self._note_reading(plan, watch)
+                watch.note_events(passed.count(b"\n\n"))
                 reading.end()
                 self._pass_on(head, passed)
-        if frames.incomplete or not self._begun:
+        if frames.incomplete or self._events.last_id is None:
             raise target_connection.AttemptError(
                 serving.Ending.BROKEN_OFF, "the stream ended within an event"
             )
+        self._begin(head)
         self._channel.finish()
         self._context.loads.record_success(plan.entry.target_id, clock.now_s())
 
-    def _note_reading(self, plan: _Plan, quiet: silence.Silence) -> None:
+    def _note_reading(
+        self, plan: _Plan, watch: stream_watch.StreamWatch
+    ) -> None:
         """Learns the reading time from an attempt that read the prompt."""
         if plan.source is None:
             self._context.reading.record(
                 self._admission.pool,
                 self._admission.request.prompt_tokens,
-                clock.now_s() - quiet.since_s,
+                clock.now_s() - watch.quiet.since_s,
             )
 
     def _check(
@@ -372,13 +286,13 @@
         head: target_connection.AnswerHead,
         connection: target_connection.TargetConnection,
         entry: serving.TargetEntry,
-        quiet: silence.Silence,
+        watch: stream_watch.StreamWatch,
     ) -> None:
         """Checks that the head begins the stream of this request."""
         answers.check_head(head, self._admission.request, self._context.names)
         target_health.record_load(self._context, entry, head)
         if head.status != 200:
-            self._keep_failed_answer(head, connection, entry, quiet)
+            self._keep_failed_answer(head, connection, entry, watch)
             raise target_connection.AttemptError(
                 serving.Ending.FAILED, f"the target answered {head.status}"
             )
@@ -396,15 +310,15 @@
         head: target_connection.AnswerHead,
         connection: target_connection.TargetConnection,
         entry: serving.TargetEntry,
-        quiet: silence.Silence,
+        watch: stream_watch.StreamWatch,
     ) -> None:
         """Keeps the answer of a target that failed the request itself."""
         body = b""
         while len(body) <= MAX_FAILED_ANSWER_BYTES:
-            part = self._wait(connection.read_data, entry, quiet)
+            part = watch.wait(connection.read_data)
             if part is None:
                 headers = wire.forwarded_headers(head.headers, frozenset())
-                self._failed_answer = answers.Answer(
+                self._tries.failed_answer = answers.Answer(
                     head.status,
                     headers,
                     body,
@@ -418,136 +332,26 @@
         """Sends events to the client; the first head stays in force."""
         now_s = clock.now_s()
         report = self.report
-        if not self._begun:
-            self._begun = True
-            report.first_event_s = now_s - self._admission.request.received_at_s
-            headers = wire.forwarded_headers(head.headers, frozenset())
-            self._channel.begin(head.status, headers)
-        else:
+        if self._begun:
             pause_s = now_s - report.last_event_at_s
             report.longest_pause_s = max(report.longest_pause_s, pause_s)
+        else:
+            report.first_event_s = now_s - self._admission.request.received_at_s
+        self._begin(head)
         report.last_event_at_s = now_s
         self._channel.write(data)
 
-    def _wait(
-        self,
-        read: Callable[[float], _Part],
-        entry: serving.TargetEntry,
-        quiet: silence.Silence,
-    ) -> _Part:
-        """Reads until bytes arrive; examines the target when it is silent."""
-        while True:
-            asked_s = clock.now_s()
-            until_s = min(
-                quiet.examine_at_s,
-                self._answer_by_s(),
-                asked_s + MAX_READ_WAIT_S,
-            )
-            try:
-                return read(until_s)
-            except target_connection.NothingReceived:
-                now_s = clock.now_s()
-            if now_s >= self._answer_by_s():
-                raise target_connection.AttemptError(
-                    serving.Ending.TIMED_OUT, "the time of the request is over"
-                )
-            if now_s - max(until_s, asked_s) > silence.OWN_STALL_S:
-                quiet.restart(now_s)
-            elif now_s >= quiet.examine_at_s:
-                self._examine(entry, quiet, now_s)
-
-    def _examine(
-        self,
-        entry: serving.TargetEntry,
-        quiet: silence.Silence,
-        now_s: float,
-    ) -> None:
-        """Decides whether a silent target is lost."""
-        if not self._admission.route.resumable:
-            quiet.target_is_alive(now_s)
-            return
-        if quiet.started and quiet.too_long(now_s):
-            raise target_connection.AttemptError(
-                serving.Ending.SILENT,
-                f"silent for {now_s - quiet.since_s:.2f} s, probes answered",
-            )
-        report = self._context.prober.ask(entry)
-        if report is None:
-            raise target_connection.AttemptError(
-                serving.Ending.SILENT, "silent, and a probe was not answered"
-            )
-        run_id = self._admission.request.request_id
-        made = report.events_by_run.get(run_id, 0)
-        if quiet.events_were_lost(made):
-            self._started = True
-            raise target_connection.AttemptError(
-                serving.Ending.SILENT,
-                f"silent, but the run has made {made} events",
-            )
-        if quiet.run_is_missing(report, run_id):
-            raise target_connection.AttemptError(
-                serving.Ending.SILENT, "silent, and the run is not there"
-            )
-        self._leave_queue(entry, report, quiet)
-        quiet.target_is_alive(clock.now_s())
-
-    def _leave_queue(
-        self,
-        entry: serving.TargetEntry,
-        report: serving.TargetReport,
-        quiet: silence.Silence,
-    ) -> None:
-        """Leaves an engine that reads other prompts if one is idle.
-
-        Without an idle engine the prompt would wait again elsewhere, and what
-        has been read of it would be read again.
-        """
-        if quiet.started or self._has_left_queue:
-            return
-        now_s = clock.now_s()
-        waits = self._context.reading.has_waited(
-            self._admission.pool,
-            self._admission.request.prompt_tokens,
-            now_s - quiet.since_s,
-        )
-        if not (waits and report.prompts > 1) and not quiet.too_long(now_s):
-            return
-        self._better = self._engines.idle_engine(self._query(entry.target_id))
-        if self._better is not None:
-            self._has_left_queue = True
-            raise target_connection.AttemptError(
-                serving.Ending.QUEUED,
-                f"{report.prompts} prompts are not read yet",
-            )
+    def _begin(self, head: target_connection.AnswerHead) -> None:
+        """Sends the head unless one was sent."""
+        if not self._begun:
+            self._begun = True
+            headers = wire.forwarded_headers(head.headers, frozenset())
+            self._channel.begin(head.status, headers)
 
-    def _give_up(
-        self, ending: serving.Ending | None, reason: str
-    ) -> answers.Answer:
+    def _give_up(self, reason: str) -> answers.Answer:
         """Returns the final answer, or ends a stream that had begun."""
         if self._begun:
-            raise StreamCutError(reason)
-        if self._failed_answer is not None:
-            return self._failed_answer
-        status = self._ledger.final_status(ending)
-        retry_after_s = None
-        if status == 503:
-            retry_after_s = self._context.rng.uniform(*RETRY_AFTER_RANGE_S)
-        return answers.refusal(status, reason, retry_after_s)
-
-
-class StreamCutError(Exception):
-    """A stream that had begun could not be completed."""
-
-
-class _Reading:
-    """Counts an attempt whose prompt is being read, until its first event."""
-
-    def __init__(self, load: serving.TargetLoad) -> None:
-        self._load = load
-        self._counted = True
-
-    def end(self) -> None:
-        """Stops counting; further calls do nothing."""
-        if self._counted:
-            self._counted = False
-            self._load.reading -= 1
+            raise stream_channel.StreamCutError(reason)
+        return self._tries.final_answer(
+            reason, RETRY_AFTER_RANGE_S, self._context.rng
+        )
