Keep the endings that leave a copy beside the other endings

Cause: the table of endings stood in two modules.

Change: moved; no behaviour changes.

Measured: core serving, relay and platform tests pass.

--- a/packages/core/src/rattanpulley_core/_internal/serving/endings.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/endings.py
@@ -54,6 +54,11 @@
 # Nothing was sent, so that the request may go elsewhere at no cost.
 ENDINGS_BEFORE_SENDING = frozenset({Ending.NOT_CONNECTED, Ending.UNREACHABLE})
 
+# Only a run that had begun can have left a copy of its memory.
+ENDINGS_AFTER_A_RUN = frozenset(
+    {Ending.BROKEN_OFF, Ending.SILENT, Ending.CORRUPT}
+)
+
 RULE_BY_ENDING: dict[Ending, EndingRule] = {
     Ending.NOT_CONNECTED: EndingRule(Ran.NO, False, True, 503),
     Ending.UNREACHABLE: EndingRule(Ran.NO, False, True, 503),
--- a/packages/core/src/rattanpulley_core/serving.py
+++ b/packages/core/src/rattanpulley_core/serving.py
@@ -24,6 +24,7 @@
 AttemptLedger = endings.AttemptLedger
 Ending = endings.Ending
 Ran = endings.Ran
+ENDINGS_AFTER_A_RUN = endings.ENDINGS_AFTER_A_RUN
 ENDINGS_BEFORE_SENDING = endings.ENDINGS_BEFORE_SENDING
 RULE_BY_ENDING = endings.RULE_BY_ENDING
 LoadTable = placement.LoadTable
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
@@ -148,7 +148,9 @@
     def _wait(self, read: Callable[[float], _Part], sent_at_s: float) -> _Part:
         """Reads until bytes arrive or the wait of this attempt is over."""
         while True:
-            until_s = min(self._tries.answer_by_s(), self._patience_ends_s(sent_at_s))
+            until_s = min(
+                self._tries.answer_by_s(), self._patience_ends_s(sent_at_s)
+            )
             step_s = min(until_s, clock.now_s() + MAX_READ_WAIT_S)
             try:
                 return read(step_s)
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
@@ -33,15 +33,6 @@
 RETRY_AFTER_RANGE_S = (0.8, 1.8)
 MAX_FAILED_ANSWER_BYTES = 1024 * 1024
 
-# Only a run that had begun can have left a copy of its memory.
-ENDINGS_AFTER_A_RUN = frozenset(
-    {
-        serving.Ending.BROKEN_OFF,
-        serving.Ending.SILENT,
-        serving.Ending.CORRUPT,
-    }
-)
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Plan:
@@ -116,7 +107,7 @@
         if idle is not None:
             return self._plan(idle, None)
         copy, self._copy = self._copy, None
-        if copy is not None and self._tries.last in ENDINGS_AFTER_A_RUN:
+        if copy is not None and self._tries.last in serving.ENDINGS_AFTER_A_RUN:
             return self._plan(copy.holder, copy.source)
         wait_s = NO_TARGET_WAIT_BEGUN_S if self._begun else NO_TARGET_WAIT_S
         until_s = min(clock.now_s() + wait_s, self._tries.answer_by_s())
