Take no stream late in a stop that must be cut at its end

Requests that cross the first 3 s of a stop may be cut, later ones may not; clients kept coming because too few hosts of the domain were in rotation.

Change: from 2.6 s after the beginning of a stop a request is taken only if its time is over before the host ends what still runs; others get 503, which is true, and a time to go to another host.

--- a/packages/core/src/rattanpulley_core/serving.py
+++ b/packages/core/src/rattanpulley_core/serving.py
@@ -8,6 +8,7 @@
 from rattanpulley_core._internal.serving import reports
 from rattanpulley_core._internal.serving import resends
 from rattanpulley_core._internal.serving import roster
+from rattanpulley_core._internal.serving import shutdown
 from rattanpulley_core._internal.serving import sources
 
 Acceptance = belief.Acceptance
@@ -38,6 +39,7 @@
 RosterChange = roster.RosterChange
 TargetEntry = roster.TargetEntry
 TargetRoster = roster.TargetRoster
+may_take_while_stopping = shutdown.may_take
 HistoryGoneError = sources.HistoryGoneError
 ServingSource = sources.ServingSource
 SourceError = sources.SourceError
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/gateway.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/gateway.py
@@ -1,5 +1,7 @@
 """Decides on each request and has it relayed."""
 
+import dataclasses
+
 from rattanpulley_core import results
 from rattanpulley_core import serving
 from rattanpulleyd._internal.relay import answers
@@ -23,6 +25,19 @@
 }
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stop:
+    """A stop of the host that has begun.
+
+    Attributes:
+        began_s: When it began.
+        ends_s: When the host ends what still runs.
+    """
+
+    began_s: float
+    ends_s: float
+
+
 class Gateway:
     """Serves the requests of all connections."""
 
@@ -39,6 +54,7 @@
         connection: client_connection.ClientConnection,
         request: wire.ClientRequest,
         closes: bool,
+        stop: Stop | None = None,
     ) -> None:
         """Answers one request.
 
@@ -46,6 +62,7 @@
             connection: The client's connection.
             request: The request.
             closes: Whether the connection closes after the answer.
+            stop: The stop of the host, once it has begun.
 
         Raises:
             ClientGoneError: The client left.
@@ -67,6 +84,9 @@
             decision.account,
             route.choose_pool(self._context.rng),
         )
+        if stop is not None and not self._may_take(admission, stop):
+            self._turn_away(connection, request)
+            return
         connection.closes = connection.closes or closes
         with connection.noticing_departure():
             if route.kind is serving.RouteKind.STREAM:
@@ -99,6 +119,32 @@
         self._context.metrics.requests.labels("none", str(status)).inc()
         connection.send_answer(answer, closes)
 
+    def _may_take(self, admission: context_lib.Admission, stop: Stop) -> bool:
+        """Returns whether a stopping host can finish a request."""
+        now_s = clock.now_s()
+        return serving.may_take_while_stopping(
+            since_stop_s=now_s - stop.began_s,
+            longest_s=admission.answer_by_s(self._context.belief) - now_s,
+            left_s=stop.ends_s - now_s,
+        )
+
+    def _turn_away(
+        self,
+        connection: client_connection.ClientConnection,
+        request: wire.ClientRequest,
+    ) -> None:
+        """Sends a client on to another host."""
+        self._context.log.failure(
+            "request.refused",
+            request=request.request_id,
+            reason="stopping",
+            status=503,
+        )
+        self._context.metrics.requests.labels("none", "503").inc()
+        retry_after_s = self._context.rng.uniform(*RETRY_AFTER_RANGE_S)
+        answer = answers.refusal(503, "the host is stopping", retry_after_s)
+        connection.send_answer(answer, closes=True)
+
     def _serve_plain(
         self,
         connection: client_connection.ClientConnection,
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/listener.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/listener.py
@@ -44,11 +44,16 @@
         self._greenlets_by_connection: dict[
             client_connection.ClientConnection, gevent.Greenlet
         ] = {}
-        self.stopping = False
+        self._stop: gateway.Stop | None = None
         self._server = server.StreamServer(
             (endpoint.host, endpoint.port), self._handle, backlog=BACKLOG
         )
 
+    @property
+    def stopping(self) -> bool:
+        """Whether a stop has begun."""
+        return self._stop is not None
+
     def start(self) -> None:
         """Begins to accept connections."""
         self._server.start()
@@ -60,8 +65,8 @@
             grace_s: Time until the process is killed.
         """
         began_s = clock.now_s()
-        self.stopping = True
         until_s = began_s + grace_s - GRACE_RESERVE_S
+        self._stop = gateway.Stop(began_s, until_s)
         gevent.sleep(min(ROTATION_EXIT_S, max(0.0, until_s - began_s)))
         self._close_waiting()
         gevent.sleep(CROSSING_S)
@@ -109,7 +114,7 @@
             except wire.MalformedRequestError as error:
                 self._refuse(connection, error)
                 return
-            self._gateway.serve(connection, request, self._closes())
+            self._gateway.serve(connection, request, self._closes(), self._stop)
             if not connection.next_cycle():
                 linger(connection)
                 return
