Try a newly ordered version with few requests, and decide on it together

Ruled out: a separate leader, since whichever host is first can record the decision under the revision of the order; polling the orders all the time, since targets of a version that was never seen show that there may be one. Change: targets of an unknown version wait until the orders are read. Strong evidence takes the version back at once; otherwise it is completed shortly before its limit, or taken back when the evidence is thin. Copies of memory go to an accepted version before it takes over, because the old targets stop at once then. Hosts list each other in the store, so that slack is divided by their true number. The next watch of targets begins 0.35 of the leaving bound after the last, and the period of the configuration follows its bound; both cost calls at 87 hosts.

--- a/packages/core/src/rattanpulley_core/_internal/serving/endings.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/endings.py
@@ -59,6 +59,18 @@
     {Ending.BROKEN_OFF, Ending.SILENT, Ending.CORRUPT}
 )
 
+# A version whose first attempts end so more often than the usual ones is worse.
+# Lost connections are left out: a crash takes targets of both.
+ENDINGS_OF_A_BAD_VERSION = frozenset(
+    {
+        Ending.CORRUPT,
+        Ending.FAILED,
+        Ending.QUEUED,
+        Ending.SILENT,
+        Ending.TIMED_OUT,
+    }
+)
+
 RULE_BY_ENDING: dict[Ending, EndingRule] = {
     Ending.NOT_CONNECTED: EndingRule(Ran.NO, False, True, 503),
     Ending.UNREACHABLE: EndingRule(Ran.NO, False, True, 503),
--- a/packages/core/src/rattanpulley_core/_internal/serving/placement.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/placement.py
@@ -12,6 +12,7 @@
 
 from rattanpulley_core._internal.serving import reports
 from rattanpulley_core._internal.serving import roster
+from rattanpulley_core._internal.serving import versions as versions_lib
 
 # A target of another failure domain must be less loaded by this share of a
 # request: it is further away and can be cut off.
@@ -119,11 +120,14 @@
         pool: Name of the pool.
         excluded_ids: Targets that were tried already.
         reads_prompt: Whether the request begins with a long prompt.
+        on_trial: Whether the request goes to a version on trial, if a target
+            of it is in reach.
     """
 
     pool: str
     excluded_ids: frozenset[str] = frozenset()
     reads_prompt: bool = False
+    on_trial: bool = False
 
 
 class Placement:
@@ -135,7 +139,18 @@
         loads: LoadTable,
         own_domain: str,
         rng: random.Random,
+        versions: versions_lib.VersionGate | None = None,
     ) -> None:
+        """Creates a choice.
+
+        Args:
+            targets: All targets.
+            loads: Load and health by target.
+            own_domain: Failure domain of the host.
+            rng: Source of randomness.
+            versions: Which versions take requests; all of them without it.
+        """
+        self._versions = versions or versions_lib.VersionGate()
         self._targets = targets
         self._loads = loads
         self._own_domain = own_domain
@@ -149,10 +164,9 @@
         Targets that were tried or found out of reach come last; they are used
         only when nothing else is left.
         """
-        entries = self._targets.usable(query.pool)
+        entries = self._versions.usual(self._targets.usable(query.pool))
         fresh = [e for e in entries if e.target_id not in query.excluded_ids]
-        open_entries = [e for e in fresh if not self._blocked(e, now_s)]
-        candidates = open_entries or fresh or entries
+        candidates = self._open_entries(query, now_s) or fresh or entries
         return self._least(
             candidates, lambda entry: self._cost(entry, query, now_s)
         )
@@ -165,17 +179,29 @@
         They are a random choice, except that the least loaded target of the
         own domain by own knowledge is among them.
         """
+        entries = self._open_entries(query, now_s)
+        few = self._rng.sample(entries, min(count, len(entries)))
+        near = [e for e in entries if e.domain == self._own_domain]
+        if near and not any(e.domain == self._own_domain for e in few):
+            few[-1] = self._rng.choice(near)
+        return sorted(few, key=lambda entry: self._cost(entry, query, now_s))
+
+    def _open_entries(
+        self, query: PlacementQuery, now_s: float
+    ) -> list[roster.TargetEntry]:
+        """Returns the targets that were neither tried nor found out of reach.
+
+        An accepted version stands in when no usual target is among them.
+        """
         entries = [
             entry
             for entry in self._targets.usable(query.pool)
             if entry.target_id not in query.excluded_ids
             and not self._blocked(entry, now_s)
         ]
-        few = self._rng.sample(entries, min(count, len(entries)))
-        near = [e for e in entries if e.domain == self._own_domain]
-        if near and not any(e.domain == self._own_domain for e in few):
-            few[-1] = self._rng.choice(near)
-        return sorted(few, key=lambda entry: self._cost(entry, query, now_s))
+        versions = self._versions
+        trial = versions.canaries(entries) if query.on_trial else []
+        return trial or versions.usual(entries) or versions.accepted(entries)
 
     def choose_reported(
         self,
@@ -231,7 +257,7 @@
         """
         entries = [
             entry
-            for entry in self._targets.usable(pool)
+            for entry in self._copy_holders(pool)
             if entry.domain != runs_on.domain
             and entry.target_id != runs_on.target_id
             and not self._blocked(entry, now_s)
@@ -241,6 +267,15 @@
             entries = near or entries
         return self._least(entries, lambda entry: self._copy_cost(entry, now_s))
 
+    def _copy_holders(self, pool: str) -> list[roster.TargetEntry]:
+        """Returns the targets that may keep copies.
+
+        The old targets stop at once when an accepted version takes over.
+        """
+        entries = self._targets.usable(pool)
+        versions = self._versions
+        return versions.accepted(entries) or versions.usual(entries)
+
     def _least(
         self,
         entries: list[roster.TargetEntry],
--- a/packages/core/src/rattanpulley_core/_internal/serving/resends.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/resends.py
@@ -13,7 +13,11 @@
 
 
 class ResendWindow:
-    """Resends and requests of one pool in a sliding window."""
+    """Resends and requests of one pool in a sliding window.
+
+    Attributes:
+        slack: Resends allowed without any request, on this host.
+    """
 
     def __init__(self, window_s: float, ratio: float, slack: float) -> None:
         """Creates an empty window.
@@ -25,7 +29,7 @@
         """
         self._window_s = window_s
         self._ratio = ratio * RATIO_PART
-        self._slack = slack
+        self.slack = slack
         self._requests: deque[float] = deque()
         self._resends: deque[float] = deque()
 
@@ -37,7 +41,7 @@
     def take(self, now_s: float) -> bool:
         """Takes the permit for one resend if there is one."""
         self._drop_old(now_s)
-        allowed = self._slack + self._ratio * len(self._requests)
+        allowed = self.slack + self._ratio * len(self._requests)
         if len(self._resends) + 1 > allowed:
             return False
         self._resends.append(now_s)
@@ -53,13 +57,33 @@
     """Windows by pool."""
 
     def __init__(self, window_s: float, ratio: float, slack: float) -> None:
-        self._settings = (window_s, ratio, slack)
+        """Creates a budget that is this host's alone.
+
+        Args:
+            window_s: Length of the window.
+            ratio: Resends allowed for each request, over all hosts.
+            slack: Resends allowed without any request, over all hosts.
+        """
+        self._window_s = window_s
+        self._ratio = ratio
+        self._fleet_slack = slack
+        self._hosts = 1
         self._windows_by_pool: dict[str, ResendWindow] = {}
 
+    def use_hosts(self, hosts: int) -> None:
+        """Divides the slack among another number of hosts."""
+        self._hosts = hosts
+        for window in self._windows_by_pool.values():
+            window.slack = self._slack
+
     def of(self, pool: str) -> ResendWindow:
         """Returns the window of a pool."""
         window = self._windows_by_pool.get(pool)
         if window is None:
-            window = ResendWindow(*self._settings)
+            window = ResendWindow(self._window_s, self._ratio, self._slack)
             self._windows_by_pool[pool] = window
         return window
+
+    @property
+    def _slack(self) -> float:
+        return self._fleet_slack / self._hosts
--- a/packages/core/src/rattanpulley_core/_internal/serving/sources.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/sources.py
@@ -4,6 +4,8 @@
 import dataclasses
 
 from rattanpulley_core._internal.serving import config
+from rattanpulley_core._internal.serving import fleet
+from rattanpulley_core._internal.serving import rollouts
 from rattanpulley_core._internal.serving import roster
 
 
@@ -75,3 +77,79 @@
         Raises:
             HistoryGoneError: The targets must be listed again.
         """
+
+
+class RolloutStore(abc.ABC):
+    """Orders of new versions and what hosts tell each other about them.
+
+    Each call may raise `SourceError`; a write may have been done then.
+    """
+
+    @abc.abstractmethod
+    def read_orders(
+        self, timeout_s: float
+    ) -> tuple[rollouts.RolloutOrder, ...]:
+        """Returns all orders; the read is linearizable."""
+
+    @abc.abstractmethod
+    def record_state(
+        self,
+        order: rollouts.RolloutOrder,
+        state: rollouts.OrderState,
+        timeout_s: float,
+    ) -> bool:
+        """Records how far an order has come.
+
+        Returns:
+            Whether it was recorded; False when the order has changed since it
+            was read.
+        """
+
+    @abc.abstractmethod
+    def write_evidence(
+        self,
+        pool: str,
+        evidence: rollouts.RolloutEvidence,
+        timeout_s: float,
+    ) -> None:
+        """Replaces what a host has counted."""
+
+    @abc.abstractmethod
+    def read_evidence(
+        self, order: rollouts.RolloutOrder, timeout_s: float
+    ) -> tuple[rollouts.RolloutEvidence, ...]:
+        """Returns what all hosts have counted for an order."""
+
+    @abc.abstractmethod
+    def remove_evidence(
+        self, pool: str, version: str, host: str, timeout_s: float
+    ) -> None:
+        """Removes what a host has counted."""
+
+    @abc.abstractmethod
+    def note_begin(
+        self, order: rollouts.RolloutOrder, unix_s: float, timeout_s: float
+    ) -> None:
+        """Notes when an order was first seen, unless that is known."""
+
+    @abc.abstractmethod
+    def read_begin(
+        self, order: rollouts.RolloutOrder, timeout_s: float
+    ) -> float | None:
+        """Returns the Unix seconds when an order was first seen, or None."""
+
+
+class HostDirectory(abc.ABC):
+    """The hosts of the deployment; each call may raise `SourceError`."""
+
+    @abc.abstractmethod
+    def announce_host(self, entry: fleet.HostEntry, timeout_s: float) -> None:
+        """Adds or replaces the entry of a host."""
+
+    @abc.abstractmethod
+    def list_hosts(self, timeout_s: float) -> tuple[fleet.HostEntry, ...]:
+        """Returns the entries of all hosts."""
+
+    @abc.abstractmethod
+    def withdraw_host(self, name: str, timeout_s: float) -> None:
+        """Removes the entry of a host that stops."""
--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/serving/versions.py
@@ -0,0 +1,139 @@
+"""Which versions of a pool's targets may take requests.
+
+Targets of a version that was never seen before may belong to an order of the
+operator, of which a host learns from the store only. They take no request until
+the orders were read after they appeared.
+"""
+
+from collections.abc import Iterable
+import enum
+
+from rattanpulley_core._internal.serving import rollouts
+from rattanpulley_core._internal.serving import roster
+
+
+class Standing(enum.Enum):
+    """What a version may be used for."""
+
+    UNEXAMINED = "unexamined"
+    USUAL = "usual"
+    # Takes a small share of the requests.
+    CANARY = "canary"
+    # Good by all evidence; takes over when the order is completed. Keeps copies
+    # of memory, since the targets of the old version stop at once then.
+    ACCEPTED = "accepted"
+    REJECTED = "rejected"
+
+
+_PoolVersion = tuple[str, str]
+
+
+class VersionGate:
+    """Standing of every version by pool."""
+
+    def __init__(self) -> None:
+        self._standings: dict[_PoolVersion, Standing] = {}
+
+    def standing(self, pool: str, version: str) -> Standing:
+        """Returns what a version may be used for."""
+        return self._standings.get((pool, version), Standing.UNEXAMINED)
+
+    def unexamined(
+        self, entries: Iterable[roster.TargetEntry]
+    ) -> set[_PoolVersion]:
+        """Returns the versions for which the orders must be read."""
+        seen = {(entry.pool, entry.version) for entry in entries}
+        return {key for key in seen if key not in self._standings}
+
+    def apply_orders(
+        self,
+        orders: Iterable[rollouts.RolloutOrder],
+        seen: Iterable[_PoolVersion],
+    ) -> list[tuple[str, str, Standing]]:
+        """Takes all orders as they were read from the store.
+
+        Args:
+            orders: All orders.
+            seen: Versions whose targets were known before the read was sent.
+
+        Returns:
+            The versions whose standing changed.
+        """
+        orders_by_key = {(row.pool, row.version): row for row in orders}
+        changes = []
+        for key in {*seen, *self._standings, *orders_by_key}:
+            before = self._standings.get(key)
+            after = _next_standing(before, orders_by_key.get(key))
+            if after is not before:
+                self._standings[key] = after
+                changes.append((*key, after))
+        return changes
+
+    def accept(self, pool: str, version: str) -> None:
+        """Notes that a version is good by all evidence."""
+        if self.standing(pool, version) is Standing.CANARY:
+            self._standings[pool, version] = Standing.ACCEPTED
+
+    def doubt(self, pool: str, version: str) -> None:
+        """Takes an acceptance back."""
+        if self.standing(pool, version) is Standing.ACCEPTED:
+            self._standings[pool, version] = Standing.CANARY
+
+    def canaries(
+        self, entries: list[roster.TargetEntry]
+    ) -> list[roster.TargetEntry]:
+        """Returns the targets that are on trial."""
+        trial = (Standing.CANARY, Standing.ACCEPTED)
+        return [
+            entry
+            for entry in entries
+            if self.standing(entry.pool, entry.version) in trial
+        ]
+
+    def usual(
+        self, entries: list[roster.TargetEntry]
+    ) -> list[roster.TargetEntry]:
+        """Returns the targets for usual requests.
+
+        At the start of a process, before any order was read, all of them.
+        """
+        standings = {
+            entry.target_id: self.standing(entry.pool, entry.version)
+            for entry in entries
+        }
+        if all(row is Standing.UNEXAMINED for row in standings.values()):
+            return entries
+        return [
+            entry
+            for entry in entries
+            if standings[entry.target_id] is Standing.USUAL
+        ]
+
+    def accepted(
+        self, entries: list[roster.TargetEntry]
+    ) -> list[roster.TargetEntry]:
+        """Returns the targets that stand in when no usual one is in reach."""
+        return [
+            entry
+            for entry in entries
+            if self.standing(entry.pool, entry.version) is Standing.ACCEPTED
+        ]
+
+
+def _next_standing(
+    before: Standing | None, order: rollouts.RolloutOrder | None
+) -> Standing:
+    """Returns the standing of a version after the orders were read."""
+    if order is None:
+        # A version that was taken back leaves; a later order for another
+        # version does not bring it back.
+        return (
+            Standing.REJECTED
+            if before is Standing.REJECTED
+            else (Standing.USUAL)
+        )
+    if order.state is rollouts.OrderState.COMPLETED:
+        return Standing.USUAL
+    if order.state is rollouts.OrderState.ROLLED_BACK:
+        return Standing.REJECTED
+    return before if before is Standing.ACCEPTED else Standing.CANARY
--- /dev/null
+++ b/packages/core/tests/serving/test_versions.py
@@ -0,0 +1,82 @@
+"""Tests of which versions take requests."""
+
+import serving_builders
+
+from rattanpulley_core import serving
+
+OPEN = serving.OrderState.OPEN
+
+
+def order(version: str = "v2", state: serving.OrderState = OPEN):
+    return serving.RolloutOrder("pool", version, 12.0, state, 5)
+
+
+def entries(*versions: str) -> list[serving.TargetEntry]:
+    return [
+        serving_builders.target(f"t-{version}", version=version)
+        for version in versions
+    ]
+
+
+def versions_of(found: list[serving.TargetEntry]) -> list[str]:
+    return [entry.version for entry in found]
+
+
+def examined(gate: serving.VersionGate, *orders: serving.RolloutOrder) -> None:
+    rows = entries("v1", "v2")
+    gate.apply_orders(orders, {(row.pool, row.version) for row in rows})
+
+
+def test_process_that_starts_uses_all_versions_until_orders_are_read() -> None:
+    gate = serving.VersionGate()
+    assert versions_of(gate.usual(entries("v1", "v2"))) == ["v1", "v2"]
+
+
+def test_new_version_waits_for_the_orders() -> None:
+    # Guards against requests to a bad version in the moments before its order
+    # is read.
+    gate = serving.VersionGate()
+    gate.apply_orders((), {("pool", "v1")})
+    rows = entries("v1", "v2")
+    assert gate.unexamined(rows) == {("pool", "v2")}
+    assert versions_of(gate.usual(rows)) == ["v1"]
+
+
+def test_version_without_an_order_is_usual() -> None:
+    gate = serving.VersionGate()
+    examined(gate)
+    assert versions_of(gate.usual(entries("v1", "v2"))) == ["v1", "v2"]
+
+
+def test_ordered_version_is_on_trial_until_it_is_completed() -> None:
+    gate = serving.VersionGate()
+    examined(gate, order())
+    rows = entries("v1", "v2")
+    assert versions_of(gate.usual(rows)) == ["v1"]
+    assert versions_of(gate.canaries(rows)) == ["v2"]
+    assert gate.accepted(rows) == []
+    examined(gate, order(state=serving.OrderState.COMPLETED))
+    assert versions_of(gate.usual(rows)) == ["v1", "v2"]
+
+
+def test_version_that_was_taken_back_stays_out() -> None:
+    # Guards against a bad version that comes back when the operator orders
+    # another one while its targets still leave.
+    gate = serving.VersionGate()
+    examined(gate, order(state=serving.OrderState.ROLLED_BACK))
+    examined(gate, order("v3"))
+    assert versions_of(gate.usual(entries("v1", "v2"))) == ["v1"]
+    examined(gate, order())
+    assert versions_of(gate.canaries(entries("v2"))) == ["v2"]
+
+
+def test_acceptance_lasts_until_it_is_doubted() -> None:
+    gate = serving.VersionGate()
+    gate.accept("pool", "v2")
+    assert gate.standing("pool", "v2") is serving.Standing.UNEXAMINED
+    examined(gate, order())
+    gate.accept("pool", "v2")
+    examined(gate, order())
+    assert versions_of(gate.accepted(entries("v1", "v2"))) == ["v2"]
+    gate.doubt("pool", "v2")
+    assert gate.accepted(entries("v1", "v2")) == []
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/beliefs_refresh.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/beliefs_refresh.py
@@ -6,12 +6,19 @@
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import context as context_lib
 
-# Each read confirms the configuration as of its sending, so that keys hold for
-# the rest of their bound when the store is cut off right after.
-CONFIG_PERIOD_S = 1.2
+# A changed configuration is read within this share of the time in which it must
+# be in force. Each read confirms the configuration as of its sending, so that
+# keys hold for the rest of their bound when the store is cut off right after.
+CONFIG_PERIOD_SHARE = 0.6
+LONGEST_CONFIG_PERIOD_S = 1.8
 CONFIG_TIMEOUT_S = 0.9
 CONFIG_RETRY_S = 0.35
 WATCH_WAIT_S = 2.5
+# Every change of any target ends a watch. The next one begins after this share
+# of the time in which a leaving target must be left, and gets several changes
+# at once.
+WATCH_PAUSE_SHARE = 0.35
+LONGEST_WATCH_PAUSE_S = 1.0
 # While entries are missing, the roster is looked at more often.
 SHORT_WATCH_WAIT_S = 0.5
 LIST_TIMEOUT_S = 0.9
@@ -26,17 +33,30 @@
     """Reads the configuration again and again."""
 
     def __init__(
-        self, context: context_lib.RelayContext, source: serving.ServingSource
+        self,
+        context: context_lib.RelayContext,
+        source: serving.ServingSource,
+        in_force_s: float,
     ) -> None:
+        """Creates a refresh that has read nothing.
+
+        Args:
+            context: State of the process.
+            source: Where the configuration is read.
+            in_force_s: Time in which a change must be in force.
+        """
         self._context = context
         self._source = source
+        self._period_s = min(
+            in_force_s * CONFIG_PERIOD_SHARE, LONGEST_CONFIG_PERIOD_S
+        )
         self._failing = False
 
     def run_forever(self) -> None:
         """Refreshes the belief; runs as a greenlet of its own."""
         while True:
             began_s = clock.now_s()
-            period_s = CONFIG_PERIOD_S if self._refresh() else CONFIG_RETRY_S
+            period_s = self._period_s if self._refresh() else CONFIG_RETRY_S
             share = self._context.rng.uniform(1 - JITTER_SHARE, 1.0)
             left_s = began_s + period_s * share - clock.now_s()
             gevent.sleep(max(0.01, left_s))
@@ -89,10 +109,21 @@
     """Lists the targets and then watches their changes."""
 
     def __init__(
-        self, context: context_lib.RelayContext, source: serving.ServingSource
+        self,
+        context: context_lib.RelayContext,
+        source: serving.ServingSource,
+        leave_s: float,
     ) -> None:
+        """Creates a refresh that has listed nothing.
+
+        Args:
+            context: State of the process.
+            source: Where the targets are read.
+            leave_s: Time in which a leaving target must be left.
+        """
         self._context = context
         self._source = source
+        self._pause_s = min(leave_s * WATCH_PAUSE_SHARE, LONGEST_WATCH_PAUSE_S)
         self._position: int | None = None
         self._away_since_s: float | None = None
         self._failing = False
@@ -116,6 +147,7 @@
                 gevent.sleep(LIST_RETRY_S * rng.uniform(1 - JITTER_SHARE, 1.0))
                 continue
             self._note_success(changes)
+            gevent.sleep(max(0.0, began_s + self._pause_s - clock.now_s()))
 
     def _read(self) -> list[serving.RosterChange]:
         targets = self._context.targets
@@ -158,9 +190,11 @@
             if change.what == "removed":
                 context.loads.forget(change.target_id)
                 context.prober.forget(change.target_id)
+            entry = context.targets.entry(change.target_id)
             context.log.change(
                 f"target.{change.what}",
                 target=change.target_id,
+                version=entry.version if entry else None,
                 position=self._position,
             )
 
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/context.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/context.py
@@ -26,6 +26,8 @@
         placement: Choice of targets.
         reading: How long engines take to read a prompt.
         resends: Budget for further attempts.
+        trials: Versions of targets on trial, and the standing of all versions.
+        fleet: The other hosts.
         names: Header names of the deployment.
         prober: Tells whether a silent target is alive.
         log: Log of decisions.
@@ -39,6 +41,8 @@
     placement: serving.Placement
     reading: serving.ReadingTime
     resends: serving.ResendBudget
+    trials: serving.TrialTable
+    fleet: serving.Fleet
     names: wire.HeaderNames
     prober: target_prober.TargetProber
     log: decision_log.DecisionLog
--- /dev/null
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/fleet_refresh.py
@@ -0,0 +1,78 @@
+"""Announces this host and learns of the others."""
+
+from collections.abc import Callable
+
+import gevent
+
+from rattanpulley_core import serving
+from rattanpulleyd._internal.relay import context as context_lib
+from rattanpulleyd._internal.relay import settings as settings_lib
+
+CALL_TIMEOUT_S = 0.9
+RETRY_S = 1.0
+# Hosts start at nearly the same time; the first listing waits for the others.
+FIRST_LIST_S = 2.0
+# Only budgets depend on the number of hosts, which changes seldom.
+LIST_PERIOD_S = 20.0
+JITTER_SHARE = 0.3
+
+
+class FleetRefresh:
+    """Keeps the list of hosts up to date."""
+
+    def __init__(
+        self,
+        context: context_lib.RelayContext,
+        directory: serving.HostDirectory,
+        settings: settings_lib.RelaySettings,
+    ) -> None:
+        """Creates a refresh that has announced nothing.
+
+        Args:
+            context: State of the process.
+            directory: Where hosts announce themselves.
+            settings: Settings of this host.
+        """
+        self._context = context
+        self._directory = directory
+        self._entry = serving.HostEntry(settings.name, settings.domain, "")
+
+    def run_forever(self) -> None:
+        """Announces and lists; runs as a greenlet of its own."""
+        self._repeat(self._announce)
+        gevent.sleep(FIRST_LIST_S)
+        while True:
+            self._repeat(self._list)
+            rng = self._context.rng
+            gevent.sleep(LIST_PERIOD_S * rng.uniform(1 - JITTER_SHARE, 1.0))
+
+    def leave(self) -> None:
+        """Removes the entry of a host that stops."""
+        try:
+            self._directory.withdraw_host(self._entry.name, CALL_TIMEOUT_S)
+        except serving.SourceError as error:
+            self._context.log.failure("fleet.call_failed", reason=str(error))
+
+    def _repeat(self, call: Callable[[], None]) -> None:
+        """Makes a call until it succeeds."""
+        while True:
+            try:
+                call()
+            except serving.SourceError as error:
+                self._context.log.failure(
+                    "fleet.call_failed", reason=str(error)
+                )
+                gevent.sleep(RETRY_S)
+            else:
+                return
+
+    def _announce(self) -> None:
+        self._directory.announce_host(self._entry, CALL_TIMEOUT_S)
+
+    def _list(self) -> None:
+        context = self._context
+        entries = self._directory.list_hosts(CALL_TIMEOUT_S)
+        context.metrics.store_calls.labels("hosts", "ok").inc()
+        if context.fleet.replace_all(entries):
+            context.log.change("fleet.listed", hosts=context.fleet.hosts)
+        context.resends.use_hosts(context.fleet.hosts)
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
@@ -64,7 +64,9 @@
     def _next_target(self) -> serving.TargetEntry | None:
         """Returns a target, after a short wait if there is none."""
         query = serving.PlacementQuery(
-            self._admission.pool, frozenset(self._tries.tried_ids)
+            self._admission.pool,
+            frozenset(self._tries.tried_ids),
+            on_trial=self._tries.on_trial,
         )
         wait_s = self._admission.route.objective_s * NO_TARGET_WAIT_SHARE
         until_s = clock.now_s() + wait_s
@@ -124,7 +126,9 @@
             raise target_connection.AttemptError(
                 serving.Ending.FAILED, f"the target answered {head.status}"
             )
-        self._context.loads.record_success(entry.target_id, clock.now_s())
+        now_s = clock.now_s()
+        self._context.loads.record_success(entry.target_id, now_s)
+        self._tries.note_answer(entry, now_s - sent_at_s)
         return answer
 
     def _read_body(
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
@@ -14,22 +14,25 @@
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import context as context_lib
 from rattanpulleyd._internal.relay import decision_log
+from rattanpulleyd._internal.relay import fleet_refresh
 from rattanpulleyd._internal.relay import listener as listener_lib
 from rattanpulleyd._internal.relay import memory_copies
 from rattanpulleyd._internal.relay import pages
 from rattanpulleyd._internal.relay import relay_metrics
+from rattanpulleyd._internal.relay import rollout_watch
 from rattanpulleyd._internal.relay import settings as settings_lib
 from rattanpulleyd._internal.relay import target_prober
 from rattanpulleyd._internal.relay import target_reports
 from rattanpulleyd._internal.relay import wire
 
-# Part of the fleet's slack for resends that one host may use by itself. Fleets
-# are larger than this only where a host sees fewer requests than the slack.
-HOSTS_SHARING_SLACK = 10
 GAP_CHECK_S = 0.25
 SETTINGS_CHECK_S = 5.0
 
 
+class Store(serving.ServingSource, serving.RolloutStore, serving.HostDirectory):
+    """All calls to the platform's store."""
+
+
 class RelayProgram:
     """One process."""
 
@@ -37,7 +40,7 @@
         self,
         load_settings: Callable[[], settings_lib.RelaySettings],
         names: wire.HeaderNames,
-        source: serving.ServingSource,
+        store: Store,
         copy_calls: memory_copies.MemoryCopyCalls,
         report_reader: target_reports.TargetReportReader,
         readiness_path: str,
@@ -47,7 +50,7 @@
         Args:
             load_settings: Reads the settings of the host anew.
             names: Header names of the deployment.
-            source: Reads of the platform's store.
+            store: The platform's store.
             copy_calls: Calls by which engines copy the memory of a run.
             report_reader: Reads the reports of targets.
             readiness_path: Path that the balancer asks.
@@ -56,7 +59,7 @@
         self._load_settings = load_settings
         self._settings = settings
         self._context = _context(settings, names, report_reader)
-        self._source = source
+        self._store = store
         self._listener = listener_lib.Listener(
             self._context, settings.clients, copy_calls
         )
@@ -83,10 +86,22 @@
         gevent.signal_handler(signal.SIGTERM, self._stop.set)
         gevent.signal_handler(signal.SIGINT, self._stop.set)
         gevent.signal_handler(signal.SIGHUP, self._reload, "signal")
-        config = beliefs_refresh.ConfigRefresh(self._context, self._source)
-        targets = beliefs_refresh.TargetRefresh(self._context, self._source)
+        bounds = self._settings.bounds
+        config = beliefs_refresh.ConfigRefresh(
+            self._context, self._store, bounds.config_in_force_s
+        )
+        targets = beliefs_refresh.TargetRefresh(
+            self._context, self._store, bounds.target_leave_s
+        )
+        name = self._settings.name
+        rollouts = rollout_watch.RolloutWatch(self._context, self._store, name)
+        membership = fleet_refresh.FleetRefresh(
+            self._context, self._store, self._settings
+        )
         gevent.spawn(config.run_forever)
         gevent.spawn(targets.run_forever)
+        gevent.spawn(rollouts.run_forever)
+        gevent.spawn(membership.run_forever)
         gevent.spawn(self._watch_loop_gaps)
         gevent.spawn(self._watch_settings)
         self._listener.start()
@@ -95,6 +110,7 @@
             self._metrics.start()
         self._stop.wait()
         log.change("process.stopping")
+        gevent.spawn(membership.leave)
         self._listener.stop(self._settings.bounds.shutdown_grace_s)
         log.change("process.stopped")
         log.flush_now()
@@ -119,7 +135,7 @@
             != getattr(self._settings, field.name)
         ]
         self._settings = settings
-        self._source.use_store(settings.store.host, settings.store.port)
+        self._store.use_store(settings.store.host, settings.store.port)
         self._context.belief.use_key_age_limit(settings.bounds.key_removal_s)
         self._context.log.change(
             "settings.reloaded", cause=cause, changed=changed
@@ -161,17 +177,23 @@
     metrics = relay_metrics.RelayMetrics()
     targets = serving.TargetRoster()
     loads = serving.LoadTable()
+    gate = serving.VersionGate()
+    fleet = serving.Fleet(settings.name)
+    resends = serving.ResendBudget(
+        bounds.resend_window_s, bounds.resend_ratio, bounds.resend_slack
+    )
+    resends.use_hosts(fleet.hosts)
     return context_lib.RelayContext(
         belief=serving.ConfigBelief(bounds.key_removal_s),
         targets=targets,
         loads=loads,
-        placement=serving.Placement(targets, loads, settings.domain, rng),
+        placement=serving.Placement(targets, loads, settings.domain, rng, gate),
         reading=serving.ReadingTime(),
-        resends=serving.ResendBudget(
-            bounds.resend_window_s,
-            bounds.resend_ratio,
-            bounds.resend_slack / HOSTS_SHARING_SLACK,
+        resends=resends,
+        trials=serving.TrialTable(
+            gate, bounds.exposed_share, bounds.exposed_slack, rng
         ),
+        fleet=fleet,
         names=names,
         prober=target_prober.TargetProber(report_reader, metrics),
         log=decision_log.DecisionLog(settings.name),
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/settings.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/settings.py
@@ -26,6 +26,13 @@
         resend_window_s: Length of the window of the resend budget.
         resend_ratio: Resends for each request in a window, over all hosts.
         resend_slack: Resends in a window without requests, over all hosts.
+        config_in_force_s: A changed configuration is in force this long after
+            its acknowledgement.
+        target_leave_s: A leaving target gets no new work this long after the
+            store acknowledged its leaving.
+        exposed_share: Share of a pool's requests that a bad version may get
+            while it is on trial.
+        exposed_slack: Requests that it may get beyond the share.
     """
 
     key_removal_s: float
@@ -33,6 +40,10 @@
     resend_window_s: float
     resend_ratio: float
     resend_slack: float
+    config_in_force_s: float
+    target_leave_s: float
+    exposed_share: float
+    exposed_slack: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
@@ -266,10 +266,12 @@
     ) -> None:
         """Learns the reading time from an attempt that read the prompt."""
         if plan.source is None:
+            took_s = clock.now_s() - watch.quiet.since_s
+            self._tries.note_answer(plan.entry, took_s)
             self._context.reading.record(
                 self._admission.pool,
                 self._admission.request.prompt_tokens,
-                clock.now_s() - watch.quiet.since_s,
+                took_s,
             )
 
     def _check(
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_watch.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_watch.py
@@ -171,6 +171,7 @@
         admission.pool,
         frozenset((*tries.tried_ids, *others)),
         reads_prompt=True,
+        on_trial=tries.on_trial,
     )
 
 
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/tries.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/tries.py
@@ -42,6 +42,9 @@
         )
         self._window = context.resends.of(admission.pool)
         self._window.record_request(clock.now_s())
+        self._on_trial = context.trials.offer(
+            admission.pool, admission.route.name, clock.now_s()
+        )
         self.last: serving.Ending | None = None
         self.failed_answer: answers.Answer | None = None
 
@@ -50,6 +53,11 @@
         """Targets that were tried."""
         return tuple(self._ledger.tried_ids)
 
+    @property
+    def on_trial(self) -> bool:
+        """Whether the next attempt goes to a version on trial."""
+        return self._on_trial and not self._ledger.tried_ids
+
     @property
     def sent(self) -> int:
         """Attempts that may have reached a target and have ended."""
@@ -70,6 +78,8 @@
         error: target_connection.AttemptError,
     ) -> None:
         """Records an attempt that ended without an answer."""
+        if error.ending in serving.ENDINGS_OF_A_BAD_VERSION:
+            self._observe(entry, True, None)
         self.last = error.ending
         self._ledger.record(entry.target_id, error.ending)
         if error.ending in serving.ENDINGS_BEFORE_SENDING:
@@ -78,6 +88,31 @@
             self._context, self._admission, entry, error
         )
 
+    def note_answer(self, entry: serving.TargetEntry, took_s: float) -> None:
+        """Notes a good answer, or the first event of a stream.
+
+        Args:
+            entry: The target.
+            took_s: Time since the request was sent to it.
+        """
+        self._observe(entry, False, took_s)
+
+    def _observe(
+        self, entry: serving.TargetEntry, is_bad: bool, took_s: float | None
+    ) -> None:
+        """Counts the first attempt for a version on trial.
+
+        Later attempts follow a fault and say less of the version.
+        """
+        if not self._ledger.tried_ids:
+            self._context.trials.observe(
+                entry.pool,
+                entry.version,
+                self._admission.route.name,
+                is_bad,
+                took_s,
+            )
+
     def may_go_on(self) -> bool:
         """Returns whether the request may be sent to another target."""
         if clock.now_s() >= self.answer_by_s():
--- a/packages/daemon/src/rattanpulleyd/relay.py
+++ b/packages/daemon/src/rattanpulleyd/relay.py
@@ -12,5 +12,6 @@
 TargetCall = memory_copies.TargetCall
 RelayBounds = settings.RelayBounds
 RelayProgram = program.RelayProgram
+Store = program.Store
 RelaySettings = settings.RelaySettings
 TargetReportReader = target_reports.TargetReportReader
