Let hosts ask each other before they ask the store

Ruled out: stale reads (they may be seconds old and confirm no key); longer periods (bounds of keys and configuration); longer waits of a watch (a silent connection must be found within the bound of leaving targets). Change: hosts list each other in the store. Each asks the first ones of its domain by name (of the whole fleet up to 16 hosts) over an internal port for the age of the configuration and the changes of targets after a position of the store, and the store itself when they do not answer, are older than a bound, or differ. Ages are stated on a clock that counts suspension and add up, so that no belief counts as younger than the read behind it.

--- a/packages/core/src/rattanpulley_core/_internal/serving/fleet.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/fleet.py
@@ -43,6 +43,11 @@
         """Number of hosts, this one included."""
         return len(self._entries) or UNKNOWN_FLEET_HOSTS
 
+    @property
+    def shares(self) -> bool:
+        """Whether there are other hosts that ask for beliefs."""
+        return sum(bool(entry.address) for entry in self._entries) > 1
+
     @property
     def entries(self) -> tuple[HostEntry, ...]:
         """All hosts by name, or none before the first listing."""
--- a/packages/core/src/rattanpulley_core/_internal/serving/versions.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/versions.py
@@ -95,20 +95,24 @@
     ) -> list[roster.TargetEntry]:
         """Returns the targets for usual requests.
 
-        At the start of a process, before any order was read, all of them.
+        Before any order was read, a version that is the only one is usual. Of
+        several, one may be on trial, and none is used.
         """
-        standings = {
-            entry.target_id: self.standing(entry.pool, entry.version)
-            for entry in entries
-        }
-        if all(row is Standing.UNEXAMINED for row in standings.values()):
-            return entries
+        wanted = Standing.USUAL
+        if len({entry.version for entry in entries}) == 1:
+            first = self.standing(entries[0].pool, entries[0].version)
+            if first is Standing.UNEXAMINED and not self._knows(entries[0]):
+                wanted = Standing.UNEXAMINED
         return [
             entry
             for entry in entries
-            if standings[entry.target_id] is Standing.USUAL
+            if self.standing(entry.pool, entry.version) is wanted
         ]
 
+    def _knows(self, entry: roster.TargetEntry) -> bool:
+        """Returns whether a version of a target's pool was examined."""
+        return any(pool == entry.pool for pool, _ in self._standings)
+
     def accepted(
         self, entries: list[roster.TargetEntry]
     ) -> list[roster.TargetEntry]:
--- a/packages/core/src/rattanpulley_core/serving.py
+++ b/packages/core/src/rattanpulley_core/serving.py
@@ -11,6 +11,7 @@
 from rattanpulley_core._internal.serving import rollout_trial
 from rattanpulley_core._internal.serving import rollouts
 from rattanpulley_core._internal.serving import roster
+from rattanpulley_core._internal.serving import shared_beliefs
 from rattanpulley_core._internal.serving import shutdown
 from rattanpulley_core._internal.serving import sources
 from rattanpulley_core._internal.serving import trial_table
@@ -55,6 +56,10 @@
 TrialBounds = rollout_trial.TrialBounds
 TrialStep = rollout_trial.Step
 TrialTable = trial_table.TrialTable
+ChangeLog = shared_beliefs.ChangeLog
+ConfigReport = shared_beliefs.ConfigReport
+PeerOrder = shared_beliefs.PeerOrder
+TargetsReport = shared_beliefs.TargetsReport
 Standing = versions.Standing
 VersionGate = versions.VersionGate
 RosterChange = roster.RosterChange
--- a/packages/core/tests/serving/test_versions.py
+++ b/packages/core/tests/serving/test_versions.py
@@ -27,9 +27,22 @@
     gate.apply_orders(orders, {(row.pool, row.version) for row in rows})
 
 
-def test_process_that_starts_uses_all_versions_until_orders_are_read() -> None:
+def test_only_version_is_used_before_the_orders_are_read() -> None:
     gate = serving.VersionGate()
-    assert versions_of(gate.usual(entries("v1", "v2"))) == ["v1", "v2"]
+    assert versions_of(gate.usual(entries("v1"))) == ["v1"]
+    assert gate.usual([]) == []
+
+
+def test_of_several_versions_none_is_used_before_the_orders_are_read() -> None:
+    # Guards against a host that starts during a trial and cannot read orders.
+    gate = serving.VersionGate()
+    assert gate.usual(entries("v1", "v2")) == []
+
+
+def test_new_version_that_is_left_alone_waits_as_well() -> None:
+    gate = serving.VersionGate()
+    gate.apply_orders((), {("pool", "v1")})
+    assert gate.usual(entries("v2")) == []
 
 
 def test_new_version_waits_for_the_orders() -> None:
--- /dev/null
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/belief_exchange.py
@@ -0,0 +1,152 @@
+"""Lets the hosts of a deployment share what they have read from the store.
+
+A host asks another one over HTTP on an internal port. Answers state their age,
+so that a belief never counts as younger than the read it rests on.
+"""
+
+import dataclasses
+import hashlib
+import json
+from typing import Any
+
+import bottle
+import urllib3
+
+from rattanpulley_core import serving
+from rattanpulleyd._internal.relay import clock
+from rattanpulleyd._internal.relay import context as context_lib
+
+CONFIG_PATH = "/beliefs/config"
+TARGETS_PATH = "/beliefs/targets"
+# Hosts of one domain answer within a few milliseconds.
+ANSWER_TIMEOUT_S = 0.25
+HTTP_OK = 200
+HTTP_NOT_KNOWN = 404
+
+
+class NoReportError(Exception):
+    """A host did not answer, or does not know more."""
+
+
+class BeliefPages:
+    """Answers other hosts."""
+
+    def __init__(self, context: context_lib.RelayContext) -> None:
+        """Creates the pages.
+
+        Args:
+            context: State of the process.
+        """
+        self._context = context
+        self._digest = ConfigDigest()
+
+    def app(self) -> bottle.Bottle:
+        """Returns the application that serves the pages."""
+        app = bottle.Bottle()
+        app.route(CONFIG_PATH, callback=self._config)
+        app.route(TARGETS_PATH, callback=self._targets)
+        return app
+
+    def _config(self) -> Any:
+        belief = self._context.belief
+        if belief.config is None:
+            raise bottle.HTTPError(HTTP_NOT_KNOWN)
+        return {
+            "version": belief.config.version,
+            "digest": self._digest.of(belief.config),
+            "age_s": belief.age_s(clock.suspend_aware_now_s()),
+        }
+
+    def _targets(self) -> Any:
+        """Answers with the changes after the position that is asked about."""
+        try:
+            position = int(bottle.request.query.position)
+        except ValueError:
+            raise bottle.HTTPError(400) from None
+        shared = self._context.shared_targets
+        changes = shared.log.since(position)
+        if changes is None:
+            raise bottle.HTTPError(HTTP_NOT_KNOWN)
+        return {
+            "position": changes.position,
+            "changed": [dataclasses.astuple(row) for row in changes.changed],
+            "removed": changes.removed_ids,
+            "age_s": clock.suspend_aware_now_s() - shared.confirmed_at_s,
+        }
+
+
+class PeerClient:
+    """Asks other hosts."""
+
+    def __init__(self) -> None:
+        self._pools: dict[str, urllib3.HTTPConnectionPool] = {}
+
+    def ask_config(self, entry: serving.HostEntry) -> serving.ConfigReport:
+        """Returns what a host believes of the configuration.
+
+        Raises:
+            NoReportError: It did not answer.
+        """
+        document = self._get(entry, CONFIG_PATH)
+        try:
+            return serving.ConfigReport(
+                int(document["version"]),
+                str(document["digest"]),
+                float(document["age_s"]),
+            )
+        except (KeyError, TypeError, ValueError) as error:
+            raise NoReportError(repr(error)) from error
+
+    def ask_targets(
+        self, entry: serving.HostEntry, position: int
+    ) -> serving.TargetsReport:
+        """Returns what a host knows of changes after a position.
+
+        Raises:
+            NoReportError: It did not answer, or does not know all changes.
+        """
+        document = self._get(entry, f"{TARGETS_PATH}?position={position}")
+        try:
+            changes = serving.TargetChanges(
+                tuple(serving.TargetEntry(*row) for row in document["changed"]),
+                tuple(map(str, document["removed"])),
+                int(document["position"]),
+            )
+            return serving.TargetsReport(changes, float(document["age_s"]))
+        except (KeyError, TypeError, ValueError) as error:
+            raise NoReportError(repr(error)) from error
+
+    def _get(self, entry: serving.HostEntry, path: str) -> dict[str, Any]:
+        pool = self._pools.get(entry.address)
+        if pool is None:
+            host, _, port = entry.address.rpartition(":")
+            pool = urllib3.HTTPConnectionPool(
+                host, int(port), maxsize=2, retries=False
+            )
+            self._pools[entry.address] = pool
+        try:
+            response = pool.request("GET", path, timeout=ANSWER_TIMEOUT_S)
+            if response.status != HTTP_OK:
+                raise NoReportError(f"status {response.status}")
+            document = json.loads(response.data)
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+            raise NoReportError(str(error)) from error
+        if not isinstance(document, dict):
+            raise NoReportError("the answer is not an object")
+        return document
+
+
+class ConfigDigest:
+    """Digest of the content of the newest configuration."""
+
+    def __init__(self) -> None:
+        self._config: serving.ServingConfig | None = None
+        self._digest = ""
+
+    def of(self, config: serving.ServingConfig) -> str:
+        """Returns the digest; an unchanged object is not read again."""
+        if config is not self._config:
+            self._config = config
+            content = repr(config).encode()
+            self._digest = hashlib.sha256(content).hexdigest()
+        return self._digest
--- /dev/null
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/belief_peers.py
@@ -0,0 +1,91 @@
+"""Asks other hosts for what they have read, before the store is asked."""
+
+from collections.abc import Callable
+from typing import TypeVar
+
+from rattanpulley_core import serving
+from rattanpulleyd._internal.relay import belief_exchange
+from rattanpulleyd._internal.relay import clock
+from rattanpulleyd._internal.relay import context as context_lib
+
+# A watch of targets that waits is answered after this time at the latest.
+TARGETS_AGE_LIMIT_S = 3.3
+
+_Report = TypeVar("_Report")
+
+
+class BeliefPeers:
+    """The hosts that are asked before the store."""
+
+    def __init__(
+        self, context: context_lib.RelayContext, own: serving.HostEntry
+    ) -> None:
+        """Creates a client that has asked nobody.
+
+        Args:
+            context: State of the process.
+            own: Entry of this host.
+        """
+        self._context = context
+        self._order = serving.PeerOrder(context.fleet, own)
+        self._client = belief_exchange.PeerClient()
+        self._digest = belief_exchange.ConfigDigest()
+
+    def config_confirmed_at_s(self, age_limit_s: float) -> float | None:
+        """Returns when the configuration in force was last confirmed.
+
+        Args:
+            age_limit_s: Greatest age of another host's confirmation.
+
+        Returns:
+            The time on the clock that counts suspension, or None when the
+            store must be read.
+        """
+        config = self._context.belief.config
+        if config is None:
+            return None
+        sent_at_s = clock.suspend_aware_now_s()
+        report = self._ask(self._client.ask_config)
+        if report is None or report.age_s > age_limit_s:
+            return None
+        if report.version != config.version:
+            return None
+        if report.digest != self._digest.of(config):
+            return None
+        return sent_at_s - report.age_s
+
+    def target_changes(
+        self, position: int
+    ) -> tuple[serving.TargetChanges, float] | None:
+        """Returns the changes of targets after a position.
+
+        Returns:
+            The changes and when the newest was confirmed, or None when the
+            store must be asked.
+        """
+        sent_at_s = clock.suspend_aware_now_s()
+        report = self._ask(
+            lambda entry: self._client.ask_targets(entry, position)
+        )
+        if report is None or report.age_s > TARGETS_AGE_LIMIT_S:
+            return None
+        return report.changes, sent_at_s - report.age_s
+
+    def _ask(
+        self, ask: Callable[[serving.HostEntry], _Report]
+    ) -> _Report | None:
+        """Returns the first report of the hosts that are asked."""
+        metrics = self._context.metrics.peer_calls
+        for entry in self._order.peers(clock.now_s()):
+            try:
+                report = ask(entry)
+            except belief_exchange.NoReportError as error:
+                metrics.labels("failed").inc()
+                self._order.note_silent(entry.name, clock.now_s())
+                self._context.log.change(
+                    "peer.silent", peer=entry.name, reason=str(error)
+                )
+            else:
+                metrics.labels("ok").inc()
+                return report
+        return None
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/beliefs_refresh.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/beliefs_refresh.py
@@ -3,6 +3,7 @@
 import gevent
 
 from rattanpulley_core import serving
+from rattanpulleyd._internal.relay import belief_peers
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import context as context_lib
 
@@ -11,6 +12,10 @@
 # keys hold for the rest of their bound when the store is cut off right after.
 CONFIG_PERIOD_SHARE = 0.6
 LONGEST_CONFIG_PERIOD_S = 1.8
+# Part of the period after which a host asks another one, which has read the
+# store within the same time.
+PEER_PERIOD_PART = 0.6
+PEER_AGE_MARGIN_S = 0.2
 CONFIG_TIMEOUT_S = 0.9
 CONFIG_RETRY_S = 0.35
 WATCH_WAIT_S = 2.5
@@ -36,6 +41,7 @@
         self,
         context: context_lib.RelayContext,
         source: serving.ServingSource,
+        peers: belief_peers.BeliefPeers,
         in_force_s: float,
     ) -> None:
         """Creates a refresh that has read nothing.
@@ -43,10 +49,12 @@
         Args:
             context: State of the process.
             source: Where the configuration is read.
+            peers: Hosts that may have read it a moment ago.
             in_force_s: Time in which a change must be in force.
         """
         self._context = context
         self._source = source
+        self._peers = peers
         self._period_s = min(
             in_force_s * CONFIG_PERIOD_SHARE, LONGEST_CONFIG_PERIOD_S
         )
@@ -56,11 +64,36 @@
         """Refreshes the belief; runs as a greenlet of its own."""
         while True:
             began_s = clock.now_s()
-            period_s = self._period_s if self._refresh() else CONFIG_RETRY_S
+            if self._confirm_by_peer():
+                # The age of the other host's belief adds to the period.
+                period_s = self._period_s * PEER_PERIOD_PART
+            elif self._refresh():
+                period_s = self._leading_period_s()
+            else:
+                period_s = CONFIG_RETRY_S
             share = self._context.rng.uniform(1 - JITTER_SHARE, 1.0)
             left_s = began_s + period_s * share - clock.now_s()
             gevent.sleep(max(0.01, left_s))
 
+    def _leading_period_s(self) -> float:
+        """Returns the period of a host that reads the store.
+
+        Others may rest on its reads, so that it reads more often.
+        """
+        if self._context.fleet.shares:
+            return self._period_s * PEER_PERIOD_PART
+        return self._period_s
+
+    def _confirm_by_peer(self) -> bool:
+        """Returns whether another host has confirmed the configuration."""
+        confirmed_at_s = self._peers.config_confirmed_at_s(
+            self._period_s * PEER_PERIOD_PART + PEER_AGE_MARGIN_S
+        )
+        if confirmed_at_s is None:
+            return False
+        self._context.belief.confirm_unchanged(confirmed_at_s)
+        return True
+
     def _refresh(self) -> bool:
         """Reads once and returns whether the read confirmed the belief."""
         context = self._context
@@ -112,6 +145,7 @@
         self,
         context: context_lib.RelayContext,
         source: serving.ServingSource,
+        peers: belief_peers.BeliefPeers,
         leave_s: float,
     ) -> None:
         """Creates a refresh that has listed nothing.
@@ -119,10 +153,12 @@
         Args:
             context: State of the process.
             source: Where the targets are read.
+            peers: Hosts that may have read them a moment ago.
             leave_s: Time in which a leaving target must be left.
         """
         self._context = context
         self._source = source
+        self._peers = peers
         self._pause_s = min(leave_s * WATCH_PAUSE_SHARE, LONGEST_WATCH_PAUSE_S)
         self._position: int | None = None
         self._away_since_s: float | None = None
@@ -152,36 +188,53 @@
     def _read(self) -> list[serving.RosterChange]:
         targets = self._context.targets
         now_s = clock.now_s
+        sent_at_s = clock.suspend_aware_now_s()
         if self._position is None:
             listing = self._source.list_targets(LIST_TIMEOUT_S)
             interrupted = (
                 self._away_since_s is not None
                 and now_s() - self._away_since_s >= INTERRUPTION_S
             )
+            self._context.metrics.store_calls.labels("targets", "ok").inc()
             changes = targets.replace_all(listing.entries, now_s(), interrupted)
             self._position = listing.position
+            self._context.shared_targets.log.restart(listing.position)
+            self._context.shared_targets.confirmed_at_s = sent_at_s
             if listing.unreadable:
                 self._context.log.failure(
                     "targets.unreadable", entries=listing.unreadable
                 )
             return changes
+        told = self._peers.target_changes(self._position)
+        if told is not None:
+            return self._apply(*told)
         wait_s = WATCH_WAIT_S
         if targets.awaits_return():
             wait_s = SHORT_WATCH_WAIT_S
+        sent_at_s = clock.suspend_aware_now_s()
         update = self._source.watch_targets(self._position, wait_s)
+        self._context.metrics.store_calls.labels("targets", "ok").inc()
+        return self._apply(update, sent_at_s)
+
+    def _apply(
+        self, update: serving.TargetChanges, confirmed_at_s: float
+    ) -> list[serving.RosterChange]:
+        """Takes changes and keeps them for other hosts."""
+        targets = self._context.targets
         changes = []
         for target_id in update.removed_ids:
             changes += targets.remove(target_id)
         for entry in update.changed:
             changes += targets.upsert(entry)
         self._position = update.position
+        self._context.shared_targets.log.keep(update)
+        self._context.shared_targets.confirmed_at_s = confirmed_at_s
         return changes
 
     def _note_success(self, changes: list[serving.RosterChange]) -> None:
         context = self._context
         now_s = clock.now_s()
         changes = changes + context.targets.expire(now_s)
-        context.metrics.store_calls.labels("targets", "ok").inc()
         self._away_since_s = None
         if self._failing:
             self._failing = False
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/context.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/context.py
@@ -15,6 +15,20 @@
     """The client closed its connection."""
 
 
+@dataclasses.dataclass(slots=True)
+class SharedTargets:
+    """What other hosts may learn of the targets.
+
+    Attributes:
+        log: Changes by position of the store.
+        confirmed_at_s: When the call that confirmed the newest position was
+            sent, on the clock that counts suspension.
+    """
+
+    log: serving.ChangeLog
+    confirmed_at_s: float = float("-inf")
+
+
 @dataclasses.dataclass(frozen=True)
 class RelayContext:
     """State and services of one process.
@@ -22,6 +36,7 @@
     Attributes:
         belief: The configuration and its age.
         targets: Targets by id.
+        shared_targets: Changes of targets that other hosts ask for.
         loads: Load and health by target.
         placement: Choice of targets.
         reading: How long engines take to read a prompt.
@@ -37,6 +52,7 @@
 
     belief: serving.ConfigBelief
     targets: serving.TargetRoster
+    shared_targets: SharedTargets
     loads: serving.LoadTable
     placement: serving.Placement
     reading: serving.ReadingTime
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/fleet_refresh.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/fleet_refresh.py
@@ -24,18 +24,18 @@
         self,
         context: context_lib.RelayContext,
         directory: serving.HostDirectory,
-        settings: settings_lib.RelaySettings,
+        own: serving.HostEntry,
     ) -> None:
         """Creates a refresh that has announced nothing.
 
         Args:
             context: State of the process.
             directory: Where hosts announce themselves.
-            settings: Settings of this host.
+            own: Entry of this host.
         """
         self._context = context
         self._directory = directory
-        self._entry = serving.HostEntry(settings.name, settings.domain, "")
+        self._entry = own
 
     def run_forever(self) -> None:
         """Announces and lists; runs as a greenlet of its own."""
@@ -76,3 +76,10 @@
         if context.fleet.replace_all(entries):
             context.log.change("fleet.listed", hosts=context.fleet.hosts)
         context.resends.use_hosts(context.fleet.hosts)
+
+
+def own_entry(settings: settings_lib.RelaySettings) -> serving.HostEntry:
+    """Returns the entry of a host."""
+    exchange = settings.exchange
+    address = f"{exchange.host}:{exchange.port}" if exchange else ""
+    return serving.HostEntry(settings.name, settings.domain, address)
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/pages.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/pages.py
@@ -29,7 +29,7 @@
         return "not ready\n"
 
     app.route(path, callback=answer)
-    return _server(endpoint, app)
+    return server(endpoint, app)
 
 
 def metrics_server(
@@ -43,12 +43,13 @@
         return metrics.text()
 
     app.route("/metrics", callback=answer)
-    return _server(endpoint, app)
+    return server(endpoint, app)
 
 
-def _server(
+def server(
     endpoint: settings.Endpoint, app: bottle.Bottle
 ) -> pywsgi.WSGIServer:
+    """Returns a server of an application's pages."""
     return pywsgi.WSGIServer(
         (endpoint.host, endpoint.port),
         app,
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
@@ -10,6 +10,8 @@
 
 from rattanpulley_core import serving
 from rattanpulleyd import exceptions
+from rattanpulleyd._internal.relay import belief_exchange
+from rattanpulleyd._internal.relay import belief_peers
 from rattanpulleyd._internal.relay import beliefs_refresh
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import context as context_lib
@@ -71,6 +73,12 @@
             self._metrics = pages.metrics_server(
                 settings.metrics, self._context.metrics
             )
+        self._exchange = None
+        if settings.exchange is not None:
+            pages_of_beliefs = belief_exchange.BeliefPages(self._context)
+            self._exchange = pages.server(
+                settings.exchange, pages_of_beliefs.app()
+            )
         self._stop = event.Event()
 
     def _ready(self) -> bool:
@@ -87,17 +95,17 @@
         gevent.signal_handler(signal.SIGINT, self._stop.set)
         gevent.signal_handler(signal.SIGHUP, self._reload, "signal")
         bounds = self._settings.bounds
+        own = fleet_refresh.own_entry(self._settings)
+        peers = belief_peers.BeliefPeers(self._context, own)
         config = beliefs_refresh.ConfigRefresh(
-            self._context, self._store, bounds.config_in_force_s
+            self._context, self._store, peers, bounds.config_in_force_s
         )
         targets = beliefs_refresh.TargetRefresh(
-            self._context, self._store, bounds.target_leave_s
+            self._context, self._store, peers, bounds.target_leave_s
         )
         name = self._settings.name
         rollouts = rollout_watch.RolloutWatch(self._context, self._store, name)
-        membership = fleet_refresh.FleetRefresh(
-            self._context, self._store, self._settings
-        )
+        membership = fleet_refresh.FleetRefresh(self._context, self._store, own)
         gevent.spawn(config.run_forever)
         gevent.spawn(targets.run_forever)
         gevent.spawn(rollouts.run_forever)
@@ -108,6 +116,8 @@
         self._readiness.start()
         if self._metrics is not None:
             self._metrics.start()
+        if self._exchange is not None:
+            self._exchange.start()
         self._stop.wait()
         log.change("process.stopping")
         gevent.spawn(membership.leave)
@@ -186,6 +196,7 @@
     return context_lib.RelayContext(
         belief=serving.ConfigBelief(bounds.key_removal_s),
         targets=targets,
+        shared_targets=context_lib.SharedTargets(serving.ChangeLog()),
         loads=loads,
         placement=serving.Placement(targets, loads, settings.domain, rng, gate),
         reading=serving.ReadingTime(),
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/relay_metrics.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/relay_metrics.py
@@ -31,6 +31,9 @@
         self.store_calls = self._counter(
             "store_calls", "Calls to the store", ["call", "result"]
         )
+        self.peer_calls = self._counter(
+            "peer_calls", "Questions to other hosts", ["result"]
+        )
         self.answer_seconds = self._histogram(
             "answer_seconds", "Time to the answer or first event", ["kind"]
         )
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/settings.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/settings.py
@@ -56,6 +56,7 @@
         clients: Where clients connect.
         readiness: Where the balancer asks whether the host is ready.
         metrics: Where the metrics are read, or None.
+        exchange: Where other hosts ask for beliefs, or None to share none.
         store: Where the platform's store is.
         bounds: What the deployment promises.
     """
@@ -65,5 +66,6 @@
     clients: Endpoint
     readiness: Endpoint
     metrics: Endpoint | None
+    exchange: Endpoint | None
     store: Endpoint
     bounds: RelayBounds
--- /dev/null
+++ b/packages/daemon/tests/relay/test_belief_peers.py
@@ -0,0 +1,129 @@
+"""Tests of beliefs that come from other hosts."""
+
+import random
+import threading
+import types
+from wsgiref import simple_server
+
+import pytest
+
+from rattanpulley_core import serving
+from rattanpulleyd._internal.relay import belief_exchange
+from rattanpulleyd._internal.relay import belief_peers
+from rattanpulleyd._internal.relay import clock
+from rattanpulleyd._internal.relay import context as context_lib
+from rattanpulleyd._internal.relay import decision_log
+from rattanpulleyd._internal.relay import relay_metrics
+
+
+def config(version: int, limit: int = 9) -> serving.ServingConfig:
+    return serving.ServingConfig(
+        version, {}, {}, serving.ClientLimits(limit), {"key": "account"}, True
+    )
+
+
+def target(name: str) -> serving.TargetEntry:
+    return serving.TargetEntry(
+        name, "pool", "10.0.0.1", 80, "north", "v1", 6, False, 0.0, 1
+    )
+
+
+def make_context(name: str) -> types.SimpleNamespace:
+    return types.SimpleNamespace(
+        belief=serving.ConfigBelief(5.0),
+        fleet=serving.Fleet(name),
+        shared_targets=context_lib.SharedTargets(serving.ChangeLog()),
+        metrics=relay_metrics.RelayMetrics(),
+        log=decision_log.DecisionLog(name),
+        rng=random.Random(1),
+    )
+
+
+class SilentHandler(simple_server.WSGIRequestHandler):
+    """Logs nothing."""
+
+    def log_message(self, *_arguments: object) -> None:
+        pass
+
+
+@pytest.fixture
+def leader():
+    """A host with a configuration and targets, and its pages."""
+    context = make_context("a")
+    now_s = clock.suspend_aware_now_s()
+    context.belief.accept(config(7), now_s - 0.5)
+    context.shared_targets.log.restart(10)
+    context.shared_targets.confirmed_at_s = now_s - 1.0
+    app = belief_exchange.BeliefPages(context).app()
+    # The test process is not patched, so that the pages need a thread.
+    server = simple_server.make_server(
+        "127.0.0.1", 0, app, handler_class=SilentHandler
+    )
+    threading.Thread(
+        target=server.serve_forever, args=(0.02,), daemon=True
+    ).start()
+    context.entry = serving.HostEntry(
+        "a", "north", f"127.0.0.1:{server.server_port}"
+    )
+    yield context
+    server.shutdown()
+    server.server_close()
+
+
+@pytest.fixture
+def follower(leader):
+    """A host that asks the leader."""
+    context = make_context("b")
+    own = serving.HostEntry("b", "north", "")
+    context.fleet.replace_all([leader.entry, own])
+    context.peers = belief_peers.BeliefPeers(context, own)
+    return context
+
+
+def test_confirmation_is_as_old_as_the_read_behind_it(leader, follower):
+    # Guards against keys that live longer because hosts confirm each other.
+    follower.belief.accept(config(7), 0.0)
+    before_s = clock.suspend_aware_now_s()
+    at_s = follower.peers.config_confirmed_at_s(2.0)
+    assert at_s is not None
+    age_s = before_s - at_s
+    assert age_s >= leader.belief.age_s(before_s) - 0.001
+
+
+@pytest.mark.parametrize(
+    "own", [config(6), config(8), config(7, limit=10)],
+    ids=["older", "newer", "other content"],
+)  # fmt: skip
+def test_other_configuration_confirms_nothing(leader, follower, own):
+    follower.belief.accept(own, 0.0)
+    assert follower.peers.config_confirmed_at_s(2.0) is None
+
+
+def test_old_confirmation_is_not_taken(leader, follower):
+    # Guards against a leader that is cut off from the store.
+    follower.belief.accept(config(7), 0.0)
+    assert follower.peers.config_confirmed_at_s(0.3) is None
+
+
+def test_changes_of_targets_are_passed_on(leader, follower):
+    update = serving.TargetChanges((target("t"),), ("u",), 12)
+    leader.shared_targets.log.keep(update)
+    told = follower.peers.target_changes(10)
+    assert told is not None
+    assert told[0] == update
+    assert told[1] <= clock.suspend_aware_now_s() - 1.0
+
+
+def test_old_changes_are_not_taken(leader, follower):
+    leader.shared_targets.confirmed_at_s -= 5.0
+    assert follower.peers.target_changes(10) is None
+
+
+def test_host_that_does_not_answer_is_asked_once(leader, follower):
+    # Guards against requests that wait for a lost host at every refresh.
+    gone = serving.HostEntry("a", "north", "127.0.0.1:1")
+    follower.fleet.replace_all([gone, serving.HostEntry("b", "north", "")])
+    assert follower.peers.target_changes(10) is None
+    assert follower.peers.target_changes(10) is None
+    text = follower.metrics.text().decode()
+    assert 'rattanpulley_peer_calls_total{result="failed"} 1.0' in text
