Leave a queue of prompts only for an answer in time

Change: a prompt leaves for an idle engine only where the prompts before it make it late here and it is still in time there; an engine that reads it alone and takes twice the usual time is left as well.

--- a/packages/core/src/rattanpulley_core/_internal/serving/reading.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/reading.py
@@ -5,16 +5,41 @@
 prompt that still makes no event has been waiting behind another one.
 """
 
+import dataclasses
+
 # A fast sample shows the usual time; a slow one has mostly met another prompt.
 FASTER_WEIGHT = 0.4
 SLOWER_WEIGHT = 0.05
 # Waiting behind another prompt begins to show after this much more than usual.
 PATIENCE_FACTOR = 1.15
 PATIENCE_S = 0.25
+# An engine that reads one prompt alone and takes this much longer is slow.
+SLOW_FACTOR = 2.0
+# Part of the first unread prompt that is taken as read.
+PART_READ = 0.5
+# Events need a moment to arrive.
+ON_TIME_SHARE = 0.95
 # Fewer tokens say more about the delay of a step than about reading.
 MIN_TOKENS = 500
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PromptWait:
+    """The wait of a prompt that has made no event.
+
+    Attributes:
+        at_engine_s: Time since it was sent to the engine.
+        in_all_s: Time since the client asked.
+        prompts: Prompts that the engine has not read, this one included.
+        objective_s: Time to the first event that is on time.
+    """
+
+    at_engine_s: float
+    in_all_s: float
+    prompts: int
+    objective_s: float
+
+
 class ReadingTime:
     """Seconds for each token of a prompt, by pool.
 
@@ -40,15 +65,29 @@
         sample = min(sample, known * 2)
         self._s_per_token_by_pool[pool] = known + (sample - known) * weight
 
-    def has_waited(self, pool: str, tokens: int, silent_s: float) -> bool:
-        """Returns whether a prompt would have been read by now.
+    def should_leave(self, pool: str, tokens: int, wait: PromptWait) -> bool:
+        """Returns whether an unread prompt is better read by an idle engine.
+
+        What was read of it is read again elsewhere, which costs as much as a
+        late answer of a few streams is worth. It pays only where this engine
+        will be late and the other one will not.
 
         Args:
             pool: Name of the pool.
             tokens: Tokens of the prompt.
-            silent_s: Time since it was sent.
+            wait: The wait so far.
         """
         known = self._s_per_token_by_pool.get(pool)
         if known is None or tokens < MIN_TOKENS:
             return False
-        return silent_s > known * tokens * PATIENCE_FACTOR + PATIENCE_S
+        reading_s = known * tokens
+        if wait.at_engine_s <= reading_s * PATIENCE_FACTOR + PATIENCE_S:
+            return False
+        limit_s = wait.objective_s * ON_TIME_SHARE
+        if wait.in_all_s + reading_s * PATIENCE_FACTOR >= limit_s:
+            return False
+        if wait.prompts <= 1:
+            return wait.at_engine_s > reading_s * SLOW_FACTOR
+        # The first of the unread prompts has been read in part.
+        left_s = (wait.prompts - PART_READ) * reading_s
+        return wait.in_all_s + left_s > limit_s
--- a/packages/core/tests/serving/test_reading.py
+++ b/packages/core/tests/serving/test_reading.py
@@ -2,6 +2,8 @@
 
 from rattanpulley_core import serving
 
+OBJECTIVE_S = 4.5
+
 
 def _learnt() -> serving.ReadingTime:
     reading = serving.ReadingTime()
@@ -10,21 +12,37 @@
     return reading
 
 
-def test_prompt_behind_another_one_is_noticed_in_time() -> None:
-    """Two long prompts at one engine made the second start after 4 s."""
+def _leaves(
+    reading: serving.ReadingTime,
+    at_engine_s: float,
+    prompts: int = 4,
+    tokens: int = 8000,
+    in_all_s: float | None = None,
+) -> bool:
+    wait = serving.PromptWait(
+        at_engine_s,
+        at_engine_s if in_all_s is None else in_all_s,
+        prompts,
+        OBJECTIVE_S,
+    )
+    return reading.should_leave("pool", tokens, wait)
+
+
+def test_prompt_behind_others_is_noticed_in_time() -> None:
+    """Several long prompts at one engine made the last start after 4 s."""
     reading = _learnt()
-    assert not reading.has_waited("pool", 8000, 1.3)
-    assert reading.has_waited("pool", 8000, 1.8)
+    assert not _leaves(reading, 1.3)
+    assert _leaves(reading, 1.8)
 
 
 def test_longer_prompt_may_take_longer() -> None:
     """A long prompt that is being read must not be moved."""
-    assert not _learnt().has_waited("pool", 14000, 2.0)
+    assert not _leaves(_learnt(), 2.0, tokens=14000)
 
 
 def test_nothing_is_moved_before_anything_is_known() -> None:
     """A host that has just started knows no engine."""
-    assert not serving.ReadingTime().has_waited("pool", 8000, 9.0)
+    assert not _leaves(serving.ReadingTime(), 3.0)
 
 
 def test_prompts_that_met_others_do_not_spoil_the_estimate() -> None:
@@ -32,4 +50,22 @@
     reading = _learnt()
     for _ in range(6):
         reading.record("pool", 8000, 3.5)
-    assert reading.has_waited("pool", 8000, 2.2)
+    assert _leaves(reading, 2.2)
+
+
+def test_prompt_that_will_be_in_time_stays() -> None:
+    """Eight prompts of a day were read again although two met at an engine."""
+    assert not _leaves(_learnt(), 1.8, prompts=2)
+    assert _leaves(_learnt(), 2.6, prompts=2)
+
+
+def test_prompt_that_is_late_everywhere_stays() -> None:
+    """Reading it again costs as much and gains nothing."""
+    assert not _leaves(_learnt(), 3.4)
+    assert not _leaves(_learnt(), 1.8, in_all_s=3.4)
+
+
+def test_engine_that_is_slow_by_itself_is_left() -> None:
+    """An engine that takes four times as long reads no other prompt."""
+    assert not _leaves(_learnt(), 2.2, prompts=1)
+    assert _leaves(_learnt(), 2.6, prompts=1)
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_watch.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_watch.py
@@ -132,16 +132,20 @@
         Without an idle engine the prompt would wait again elsewhere, and what
         has been read of it would be read again.
         """
-        quiet = self.quiet
-        if quiet.started or self._queue_exit.used:
+        if self.quiet.started or self._queue_exit.used:
             return
         now_s = clock.now_s()
-        waits = self._context.reading.has_waited(
-            self._admission.pool,
-            self._admission.request.prompt_tokens,
-            now_s - quiet.since_s,
+        request = self._admission.request
+        wait = serving.PromptWait(
+            at_engine_s=now_s - self.quiet.since_s,
+            in_all_s=now_s - request.received_at_s,
+            prompts=report.prompts,
+            objective_s=self._admission.route.objective_s,
         )
-        if not (waits and report.prompts > 1) and not quiet.too_long(now_s):
+        reading = self._context.reading
+        if not reading.should_leave(
+            self._admission.pool, request.prompt_tokens, wait
+        ):
             return
         engine = engine_choice.EngineChoice(self._context).idle_engine(
             prompt_query(self._admission, self._tries, self._entry.target_id)
