Start, check and show the platform's program with the existing commands

Ruled out: a second status format; the relay reports the fields of the daemon's own status beside its metrics, so that `rattanpulley status` needs no change.

--- a/packages/core/src/rattanpulley_core/_internal/serving/rollout_trial.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/rollout_trial.py
@@ -114,6 +114,12 @@
         """Whether this host has found the version good."""
         return self._accepted
 
+    @property
+    def share(self) -> float:
+        """Share of this host's requests that went to the new version."""
+        taken = sum(self._taken_by_route.values())
+        return taken / max(1, self._requests)
+
     def offer(self, route: str) -> bool:
         """Counts a request and returns whether it goes to the new version.
 
--- a/packages/core/src/rattanpulley_core/_internal/serving/shared_beliefs.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/shared_beliefs.py
@@ -59,6 +59,11 @@
         self._changes: deque[tuple[int, sources.TargetChanges]] = deque()
         self._position: int | None = None
 
+    @property
+    def position(self) -> int | None:
+        """Position of the store up to which changes are known."""
+        return self._position
+
     def restart(self, position: int) -> None:
         """Forgets all changes, after a listing."""
         self._changes.clear()
--- a/packages/daemon/src/rattanpulleyd/__main__.py
+++ b/packages/daemon/src/rattanpulleyd/__main__.py
@@ -6,8 +6,11 @@
 monkey.patch_all()
 
 import argparse
+import importlib.util
+import os
 import pathlib
 import sys
+from typing import NoReturn
 
 from rattanpulleyd import exceptions
 from rattanpulleyd._internal.runtime import daemon
@@ -26,7 +29,21 @@
     ):
         command = commands.add_parser(name, help=text)
         command.add_argument("--settings", type=pathlib.Path, required=True)
+        command.add_argument(
+            "--deployment",
+            metavar="PACKAGE",
+            help="package that runs the daemon on another platform",
+        )
     arguments = parser.parse_args()
+    package = arguments.deployment
+    if package:
+        if importlib.util.find_spec(package) is None:
+            sys.stderr.write(
+                f"rattanpulleyd: there is no package {package} "
+                "(install it, or correct --deployment)\n"
+            )
+            return EXIT_INVALID_SETTINGS
+        _run_deployment(package, arguments.command, arguments.settings)
     try:
         settings = settings_parser.load(arguments.settings)
         if arguments.command == "serve":
@@ -39,5 +56,15 @@
     return 0
 
 
+def _run_deployment(package: str, command: str, path: pathlib.Path) -> NoReturn:
+    """Replaces this process by the program of a deployment's package.
+
+    The package patches the standard library by itself, which must be done
+    before any other import.
+    """
+    arguments = ["-m", package, command, "--settings", str(path)]
+    os.execv(sys.executable, [sys.executable, *arguments])
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/pages.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/pages.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import logging
+from typing import Any
 
 import bottle
 from gevent import pywsgi
@@ -33,9 +34,17 @@
 
 
 def metrics_server(
-    endpoint: settings.Endpoint, metrics: relay_metrics.RelayMetrics
+    endpoint: settings.Endpoint,
+    metrics: relay_metrics.RelayMetrics,
+    status: Callable[[], dict[str, Any]],
 ) -> pywsgi.WSGIServer:
-    """Returns a server of the metrics in the Prometheus text format."""
+    """Returns a server of the metrics and of the status.
+
+    Args:
+        endpoint: Where to listen.
+        metrics: Metrics, in the Prometheus text format.
+        status: Returns what `rattanpulley status` shows.
+    """
     app = bottle.Bottle()
 
     def answer() -> bytes:
@@ -43,6 +52,7 @@
         return metrics.text()
 
     app.route("/metrics", callback=answer)
+    app.route("/status", callback=status)
     return server(endpoint, app)
 
 
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 import signal
+from typing import Any
 
 import gevent
 from gevent import event
@@ -23,6 +24,7 @@
 from rattanpulleyd._internal.relay import relay_metrics
 from rattanpulleyd._internal.relay import rollout_watch
 from rattanpulleyd._internal.relay import settings as settings_lib
+from rattanpulleyd._internal.relay import status_report
 from rattanpulleyd._internal.relay import target_prober
 from rattanpulleyd._internal.relay import target_reports
 from rattanpulleyd._internal.relay import wire
@@ -71,7 +73,7 @@
         self._metrics = None
         if settings.metrics is not None:
             self._metrics = pages.metrics_server(
-                settings.metrics, self._context.metrics
+                settings.metrics, self._context.metrics, self._status
             )
         self._exchange = None
         if settings.exchange is not None:
@@ -81,6 +83,10 @@
             )
         self._stop = event.Event()
 
+    def _status(self) -> dict[str, Any]:
+        report = status_report.StatusReport(self._context, self._settings)
+        return report.make(self._ready(), self._listener.stopping)
+
     def _ready(self) -> bool:
         if self._listener.stopping or not self._context.targets.listed:
             return False
--- /dev/null
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/status_report.py
@@ -0,0 +1,92 @@
+"""What `rattanpulley status` shows of a relay.
+
+The fields are those of the daemon's own status.
+"""
+
+from typing import Any
+
+from rattanpulley_core import serving
+from rattanpulleyd._internal.relay import clock
+from rattanpulleyd._internal.relay import context as context_lib
+from rattanpulleyd._internal.relay import settings as settings_lib
+
+
+class StatusReport:
+    """Reports on one host."""
+
+    def __init__(
+        self,
+        context: context_lib.RelayContext,
+        settings: settings_lib.RelaySettings,
+    ) -> None:
+        """Creates a report.
+
+        Args:
+            context: State of the process.
+            settings: Settings of the host.
+        """
+        self._context = context
+        self._settings = settings
+
+    def make(self, ready: bool, draining: bool) -> dict[str, Any]:
+        """Returns the report as JSON values.
+
+        Args:
+            ready: Whether the host takes new connections.
+            draining: Whether a stop has begun.
+        """
+        context = self._context
+        config = context.belief.config
+        age_s = context.belief.age_s(clock.suspend_aware_now_s())
+        return {
+            "name": self._settings.name,
+            "failure_domain": self._settings.domain,
+            "ready": ready,
+            "draining": draining,
+            "tables": {
+                "routes": {"version": config.version if config else None},
+                "pools": {"version": context.shared_targets.log.position},
+            },
+            "config_age_s": round(age_s, 3) if config else None,
+            "targets": self._targets(),
+            "hosts": context.fleet.hosts,
+            "moves": [self._move(trial) for trial in context.trials.trials],
+        }
+
+    def _targets(self) -> list[dict[str, Any]]:
+        """Returns the number of targets by pool and version."""
+        gate = self._context.trials.gate
+        counts: dict[tuple[str, str], list[int]] = {}
+        for entry in self._context.targets.all_entries():
+            row = counts.setdefault((entry.pool, entry.version), [0, 0])
+            row[entry.leaving] += 1
+        return [
+            {
+                "pool": pool,
+                "version": version,
+                "standing": gate.standing(pool, version).value,
+                "in_use": in_use,
+                "leaving": leaving,
+            }
+            for (pool, version), (in_use, leaving) in sorted(counts.items())
+        ]
+
+    def _move(self, trial: serving.RolloutTrial) -> dict[str, Any]:
+        order = trial.order
+        state = "accepted" if trial.accepted else "on trial"
+        if trial.wanted is not None:
+            state = trial.wanted.value
+        evidence = trial.evidence(self._settings.name)
+        counts = serving.RouteCounts()
+        for row in evidence.counts_by_route.values():
+            counts = serving.added_counts(counts, row)
+        return {
+            "pool": order.pool,
+            "move_id": order.version,
+            "state": state,
+            "share": round(trial.share, 3),
+            "reason": (
+                f"this host: new {counts.new_ok} good, {counts.new_bad} bad; "
+                f"old {counts.old_ok} good, {counts.old_bad} bad"
+            ),
+        }
