Give a trial no slack before the hosts are known; log changed timeouts

Cause: all hosts of a large fleet that start during an order would each take a tenth of the slack, since ten hosts are assumed before the first listing.

--- a/packages/core/src/rattanpulley_core/_internal/serving/config.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/config.py
@@ -138,6 +138,14 @@
                 return route
         return None
 
+    def timeouts_by_route(self) -> dict[str, float]:
+        """Returns the timeout of each route in seconds."""
+        return {
+            route.name: route.timeout_s
+            for routes in self.routes_by_host.values()
+            for route in routes
+        }
+
     def only_engine_pool(self) -> str | None:
         """Returns the pool with engines if there is just one."""
         pools = [row for row in self.pools_by_name.values() if row.has_engines]
--- a/packages/core/src/rattanpulley_core/_internal/serving/fleet.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/fleet.py
@@ -43,6 +43,11 @@
         """Number of hosts, this one included."""
         return len(self._entries) or UNKNOWN_FLEET_HOSTS
 
+    @property
+    def listed(self) -> bool:
+        """Whether the hosts were ever listed."""
+        return bool(self._entries)
+
     @property
     def shares(self) -> bool:
         """Whether there are other hosts that ask for beliefs."""
--- a/packages/core/src/rattanpulley_core/_internal/serving/rollout_trial.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/rollout_trial.py
@@ -52,12 +52,13 @@
     Attributes:
         share: Allowed share of the pool's requests.
         slack: Allowed requests beyond the share, over all hosts.
-        hosts: Number of hosts.
+        hosts: Number of hosts, or None while it is not known; no slack is
+            used then.
     """
 
     share: float
     slack: float
-    hosts: int
+    hosts: int | None
 
 
 class RolloutTrial:
@@ -141,7 +142,9 @@
         return True
 
     def _slack(self) -> float:
-        return self._bounds.slack * SLACK_PART / max(1, self._bounds.hosts)
+        if self._bounds.hosts is None:
+            return 0.0
+        return self._bounds.slack * SLACK_PART / self._bounds.hosts
 
     def observe(
         self, route: str, is_new: bool, is_bad: bool, took_s: float | None
--- a/packages/core/src/rattanpulley_core/_internal/serving/trial_table.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/trial_table.py
@@ -56,7 +56,7 @@
         return trial
 
     def begin(
-        self, order: rollouts.RolloutOrder, began_s: float, hosts: int
+        self, order: rollouts.RolloutOrder, began_s: float, hosts: int | None
     ) -> None:
         """Begins the trial of an open order."""
         bounds = rollout_trial.TrialBounds(self._share, self._slack, hosts)
--- a/packages/core/tests/serving/test_rollout_trial.py
+++ b/packages/core/tests/serving/test_rollout_trial.py
@@ -47,6 +47,13 @@
     assert 0.03 * 900 <= taken <= 0.1 * 900 + 50
 
 
+def test_no_slack_is_used_before_the_hosts_are_known() -> None:
+    # Guards against many hosts that start at once and each take a tenth of it.
+    bounds = serving.TrialBounds(0.0, 5000.0, None)
+    trial = serving.RolloutTrial(ORDER, 100.0, bounds, random.Random(1))
+    assert not any(trial.offer("a") for _ in range(50))
+
+
 def test_rare_route_gets_as_many_as_the_usual_one() -> None:
     # Guards against a fault on a rare route that is never tried.
     trial = make_trial()
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/beliefs_refresh.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/beliefs_refresh.py
@@ -29,11 +29,27 @@
 LIST_TIMEOUT_S = 0.9
 LIST_RETRY_S = 0.35
 JITTER_SHARE = 0.2
+MAX_LOGGED_ROUTES = 10
 # Entries expire after a few missed heartbeats; a store that was out of reach
 # for less has lost none.
 INTERRUPTION_S = 1.0
 
 
+def _changed_timeouts(
+    known: serving.ServingConfig | None, config: serving.ServingConfig
+) -> dict[str, tuple[float, float]]:
+    """Returns the earlier and the new timeout of routes where they differ."""
+    if known is None:
+        return {}
+    before = known.timeouts_by_route()
+    changed = {
+        name: (before[name], timeout_s)
+        for name, timeout_s in config.timeouts_by_route().items()
+        if before.get(name, timeout_s) != timeout_s
+    }
+    return dict(list(changed.items())[:MAX_LOGGED_ROUTES])
+
+
 class ConfigRefresh:
     """Reads the configuration again and again."""
 
@@ -121,6 +137,7 @@
             in_force=known.version if known else None,
             routes=sum(map(len, config.routes_by_host.values())),
             keys=len(config.account_by_key),
+            timeouts_s=_changed_timeouts(known, config),
         )
         return acceptance in (
             serving.Acceptance.ACCEPTED,
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/rollout_watch.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/rollout_watch.py
@@ -122,10 +122,11 @@
                 it started later and must learn when the order was given.
         """
         context = self._context
-        hosts = context.fleet.hosts
+        fleet = context.fleet
+        hosts = fleet.hosts if fleet.listed else None
         elapsed_s = 0.0
         if seen_new:
-            if context.rng.random() < NOTING_HOSTS / hosts:
+            if context.rng.random() < NOTING_HOSTS / fleet.hosts:
                 self._note_begin(order)
         else:
             began = self._store.read_begin(order, CALL_TIMEOUT_S)
--- /dev/null
+++ b/packages/daemon/tests/relay/conftest.py
@@ -0,0 +1,6 @@
+"""Makes the builders of this directory importable."""
+
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent))
--- /dev/null
+++ b/packages/daemon/tests/relay/relay_builders.py
@@ -0,0 +1,32 @@
+"""Configurations, targets and contexts for the tests of the relay."""
+
+import random
+import types
+
+from rattanpulley_core import serving
+from rattanpulleyd._internal.relay import context as context_lib
+from rattanpulleyd._internal.relay import decision_log
+from rattanpulleyd._internal.relay import relay_metrics
+
+
+def config(version: int, limit: int = 9) -> serving.ServingConfig:
+    return serving.ServingConfig(
+        version, {}, {}, serving.ClientLimits(limit), {"key": "account"}, True
+    )
+
+
+def target(name: str) -> serving.TargetEntry:
+    return serving.TargetEntry(
+        name, "pool", "10.0.0.1", 80, "north", "v1", 6, False, 0.0, 1
+    )
+
+
+def make_context(name: str) -> types.SimpleNamespace:
+    return types.SimpleNamespace(
+        belief=serving.ConfigBelief(5.0),
+        fleet=serving.Fleet(name),
+        shared_targets=context_lib.SharedTargets(serving.ChangeLog()),
+        metrics=relay_metrics.RelayMetrics(),
+        log=decision_log.DecisionLog(name),
+        rng=random.Random(1),
+    )
--- a/packages/daemon/tests/relay/test_belief_peers.py
+++ b/packages/daemon/tests/relay/test_belief_peers.py
@@ -1,42 +1,15 @@
 """Tests of beliefs that come from other hosts."""
 
-import random
 import threading
-import types
 from wsgiref import simple_server
 
 import pytest
+import relay_builders
 
 from rattanpulley_core import serving
 from rattanpulleyd._internal.relay import belief_exchange
 from rattanpulleyd._internal.relay import belief_peers
 from rattanpulleyd._internal.relay import clock
-from rattanpulleyd._internal.relay import context as context_lib
-from rattanpulleyd._internal.relay import decision_log
-from rattanpulleyd._internal.relay import relay_metrics
-
-
-def config(version: int, limit: int = 9) -> serving.ServingConfig:
-    return serving.ServingConfig(
-        version, {}, {}, serving.ClientLimits(limit), {"key": "account"}, True
-    )
-
-
-def target(name: str) -> serving.TargetEntry:
-    return serving.TargetEntry(
-        name, "pool", "10.0.0.1", 80, "north", "v1", 6, False, 0.0, 1
-    )
-
-
-def make_context(name: str) -> types.SimpleNamespace:
-    return types.SimpleNamespace(
-        belief=serving.ConfigBelief(5.0),
-        fleet=serving.Fleet(name),
-        shared_targets=context_lib.SharedTargets(serving.ChangeLog()),
-        metrics=relay_metrics.RelayMetrics(),
-        log=decision_log.DecisionLog(name),
-        rng=random.Random(1),
-    )
 
 
 class SilentHandler(simple_server.WSGIRequestHandler):
@@ -49,9 +22,9 @@
 @pytest.fixture
 def leader():
     """A host with a configuration and targets, and its pages."""
-    context = make_context("a")
+    context = relay_builders.make_context("a")
     now_s = clock.suspend_aware_now_s()
-    context.belief.accept(config(7), now_s - 0.5)
+    context.belief.accept(relay_builders.config(7), now_s - 0.5)
     context.shared_targets.log.restart(10)
     context.shared_targets.confirmed_at_s = now_s - 1.0
     app = belief_exchange.BeliefPages(context).app()
@@ -73,7 +46,7 @@
 @pytest.fixture
 def follower(leader):
     """A host that asks the leader."""
-    context = make_context("b")
+    context = relay_builders.make_context("b")
     own = serving.HostEntry("b", "north", "")
     context.fleet.replace_all([leader.entry, own])
     context.peers = belief_peers.BeliefPeers(context, own)
@@ -82,7 +55,7 @@
 
 def test_confirmation_is_as_old_as_the_read_behind_it(leader, follower):
     # Guards against keys that live longer because hosts confirm each other.
-    follower.belief.accept(config(7), 0.0)
+    follower.belief.accept(relay_builders.config(7), 0.0)
     before_s = clock.suspend_aware_now_s()
     at_s = follower.peers.config_confirmed_at_s(2.0)
     assert at_s is not None
@@ -91,9 +64,14 @@
 
 
 @pytest.mark.parametrize(
-    "own", [config(6), config(8), config(7, limit=10)],
+    "own",
+    [
+        relay_builders.config(6),
+        relay_builders.config(8),
+        relay_builders.config(7, limit=10),
+    ],
     ids=["older", "newer", "other content"],
-)  # fmt: skip
+)
 def test_other_configuration_confirms_nothing(leader, follower, own):
     follower.belief.accept(own, 0.0)
     assert follower.peers.config_confirmed_at_s(2.0) is None
@@ -101,12 +79,12 @@
 
 def test_old_confirmation_is_not_taken(leader, follower):
     # Guards against a leader that is cut off from the store.
-    follower.belief.accept(config(7), 0.0)
+    follower.belief.accept(relay_builders.config(7), 0.0)
     assert follower.peers.config_confirmed_at_s(0.3) is None
 
 
 def test_changes_of_targets_are_passed_on(leader, follower):
-    update = serving.TargetChanges((target("t"),), ("u",), 12)
+    update = serving.TargetChanges((relay_builders.target("t"),), ("u",), 12)
     leader.shared_targets.log.keep(update)
     told = follower.peers.target_changes(10)
     assert told is not None
