Split the handlers of failed attempts off; list hosts less often

Cause: generations/streams.py had grown to 380 lines with two subjects, and a list of all hosts every 14 to 20 s was the largest number of calls that grows with the fleet. Ruled out: no listing after the first (hosts that announce themselves late, or are added, would be missing, and shares of budgets too large). Conclusion: no behaviour of generations changed.

--- a/packages/core/src/rattanpulley_core/_internal/generations/core.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/core.py
@@ -10,6 +10,7 @@
 from rattanpulley_core._internal.generations import context
 from rattanpulley_core._internal.generations import crashes
 from rattanpulley_core._internal.generations import expiry
+from rattanpulley_core._internal.generations import failures
 from rattanpulley_core._internal.generations import leaving
 from rattanpulley_core._internal.generations import messages
 from rattanpulley_core._internal.generations import placement
@@ -37,18 +38,18 @@
     (_State.STARTING, messages.AttemptAccepted): streams.on_accepted,
     (_State.STARTING, messages.TokensReceived): streams.on_tokens,
     (_State.STARTING, messages.AttemptFinished): streams.on_finished,
-    (_State.STARTING, messages.AttemptFailed): streams.on_failed,
+    (_State.STARTING, messages.AttemptFailed): failures.on_failed,
     (_State.ATTACHING, messages.AttemptAccepted): streams.on_accepted,
     (_State.ATTACHING, messages.TokensReceived): streams.on_tokens,
     (_State.ATTACHING, messages.AttemptFinished): streams.on_finished,
-    (_State.ATTACHING, messages.AttemptFailed): streams.on_failed,
+    (_State.ATTACHING, messages.AttemptFailed): failures.on_failed,
     (_State.PREFILLING, messages.TokensReceived): streams.on_tokens,
     (_State.PREFILLING, messages.AttemptFinished): streams.on_finished,
-    (_State.PREFILLING, messages.AttemptFailed): streams.on_failed,
+    (_State.PREFILLING, messages.AttemptFailed): failures.on_failed,
     (_State.STREAMING, messages.AttemptAccepted): streams.on_accepted_late,
     (_State.STREAMING, messages.TokensReceived): streams.on_tokens,
     (_State.STREAMING, messages.AttemptFinished): streams.on_finished,
-    (_State.STREAMING, messages.AttemptFailed): streams.on_failed,
+    (_State.STREAMING, messages.AttemptFailed): failures.on_failed,
 }
 
 _HANDLERS: dict[type[messages.Event], _Handler] = {
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/fleet_refresh.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/fleet_refresh.py
@@ -10,10 +10,11 @@
 
 CALL_TIMEOUT_S = 0.9
 RETRY_S = 1.0
-# Hosts start at nearly the same time; the first listing waits for the others.
-FIRST_LIST_S = 2.0
-# Only budgets depend on the number of hosts, which changes seldom.
-LIST_PERIOD_S = 20.0
+# Hosts start at nearly the same time; the first listing waits for most others,
+# the second one finds the rest.
+FIRST_LISTS_S = (1.2, 5.0)
+# Only budgets and the order of asking depend on the list, which changes seldom.
+LIST_PERIOD_S = 45.0
 JITTER_SHARE = 0.3
 
 
@@ -40,11 +41,13 @@
     def run_forever(self) -> None:
         """Announces and lists; runs as a greenlet of its own."""
         self._repeat(self._announce)
-        gevent.sleep(FIRST_LIST_S)
-        while True:
+        for wait_s in FIRST_LISTS_S:
+            gevent.sleep(wait_s)
             self._repeat(self._list)
-            rng = self._context.rng
+        rng = self._context.rng
+        while True:
             gevent.sleep(LIST_PERIOD_S * rng.uniform(1 - JITTER_SHARE, 1.0))
+            self._repeat(self._list)
 
     def leave(self) -> None:
         """Removes the entry of a host that stops."""
