Pass over lost hosts when asking; keep a target that refuses other weights

A host asked only the first two of its domain, so that all would ask the store for good once those two are lost. And a target that refuses because of other weights answers with its own id, for which the relay removed its entry until the next listing. Ruled out: removing lost hosts from the list (nobody can tell lost from cut off). Change: silent hosts are passed over; the same id is no successor. Measured: both tests fail without the changes.

--- a/packages/core/src/rattanpulley_core/_internal/serving/roster.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/roster.py
@@ -157,6 +157,9 @@
             successor_id: Id of the target that has the address now.
             born_ms: Unix milliseconds of its start.
         """
+        if successor_id == target_id:
+            # It refused for another reason, such as other weights.
+            return []
         known = self._entries_by_id.get(target_id)
         if known is None or successor_id in self._entries_by_id:
             return self.remove(target_id)
--- a/packages/core/src/rattanpulley_core/_internal/serving/shared_beliefs.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/shared_beliefs.py
@@ -125,17 +125,20 @@
         """Returns the hosts to ask, in this order; none if this one leads.
 
         All hosts have the same order by name. Each asks the first ones before
-        itself, so that nobody asks in a circle.
+        itself that were not found silent, so that nobody asks in a circle and
+        hosts that are lost for good are passed over.
         """
         entries = self._fleet.entries
         if len(entries) > SMALL_FLEET_HOSTS:
             entries = tuple(e for e in entries if e.domain == self._own.domain)
-        before = [e for e in entries if e.name < self._own.name and e.address]
-        return [
+        before = [
             entry
-            for entry in before[:MAX_PEERS]
-            if now_s >= self._silent_until_s.get(entry.name, now_s)
+            for entry in entries
+            if entry.name < self._own.name
+            and entry.address
+            and now_s >= self._silent_until_s.get(entry.name, now_s)
         ]
+        return before[:MAX_PEERS]
 
     def note_silent(self, name: str, now_s: float) -> None:
         """Notes that a host did not answer."""
--- a/packages/core/tests/serving/test_roster.py
+++ b/packages/core/tests/serving/test_roster.py
@@ -98,3 +98,11 @@
     roster.adopt("a", "b", born_ms=2)
     roster.replace_all([], 5.0, interrupted=False)
     assert _ids(roster) == set()
+
+
+def test_target_that_refuses_other_weights_stays() -> None:
+    """It answers with its own id, and is sound."""
+    roster = serving.TargetRoster()
+    roster.upsert(builders.target("a"))
+    assert roster.adopt("a", "a", born_ms=2) == []
+    assert _ids(roster) == {"a"}
--- a/packages/core/tests/serving/test_shared_beliefs.py
+++ b/packages/core/tests/serving/test_shared_beliefs.py
@@ -104,11 +104,13 @@
     assert names(order_of(rows[39], *rows)) == ["h01", "h03"]
 
 
-def test_silent_host_is_left_out_for_a_while() -> None:
-    rows = [host(name) for name in "abc"]
-    order = order_of(rows[2], *rows)
+def test_silent_hosts_are_passed_over_for_a_while() -> None:
+    # Guards against every host asking the store once the first two are lost.
+    rows = [host(name) for name in "abcde"]
+    order = order_of(rows[4], *rows)
     order.note_silent("a", 10.0)
-    assert names(order, 11.0) == ["b"]
+    order.note_silent("b", 10.0)
+    assert names(order, 11.0) == ["c", "d"]
     assert names(order, 13.5) == ["a", "b"]
 
 
