Begin a task of the process again when it fails

Ruled out: ending the process (running streams would be lost). Change: tasks are begun again after half a second, with task.failed in the log.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
@@ -27,6 +27,7 @@
 from rattanpulleyd._internal.relay import status_report
 from rattanpulleyd._internal.relay import target_prober
 from rattanpulleyd._internal.relay import target_reports
+from rattanpulleyd._internal.relay import tasks
 from rattanpulleyd._internal.relay import wire
 
 GAP_CHECK_S = 0.25
@@ -95,7 +96,7 @@
     def run(self) -> None:
         """Serves until SIGTERM, then ends every request and returns."""
         log = self._context.log
-        gevent.spawn(log.write_forever)
+        tasks.spawn(log, log.write_forever)
         log.change("process.started", domain=self._settings.domain)
         gevent.signal_handler(signal.SIGTERM, self._stop.set)
         gevent.signal_handler(signal.SIGINT, self._stop.set)
@@ -112,12 +113,15 @@
         name = self._settings.name
         rollouts = rollout_watch.RolloutWatch(self._context, self._store, name)
         membership = fleet_refresh.FleetRefresh(self._context, self._store, own)
-        gevent.spawn(config.run_forever)
-        gevent.spawn(targets.run_forever)
-        gevent.spawn(rollouts.run_forever)
-        gevent.spawn(membership.run_forever)
-        gevent.spawn(self._watch_loop_gaps)
-        gevent.spawn(self._watch_settings)
+        for run in (
+            config.run_forever,
+            targets.run_forever,
+            rollouts.run_forever,
+            membership.run_forever,
+            self._watch_loop_gaps,
+            self._watch_settings,
+        ):
+            tasks.spawn(log, run)
         self._listener.start()
         self._readiness.start()
         if self._metrics is not None:
