Wait for hosts that are behind, pass over old beliefs, retry less often

Ruled out: followers that never watch (a leader that is cut off would be believed); a leader that is cut off was found only by its age, and the next host was not asked. Change: a host that is behind says so, and the other one waits as long as its own watch would have taken; a host whose belief is too old is passed over for 3 s; pauses between failed calls grow from 0.35 to 0.9 s.

--- a/packages/core/src/rattanpulley_core/_internal/serving/shared_beliefs.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/shared_beliefs.py
@@ -44,11 +44,13 @@
     """What a host knows of the changes of targets.
 
     Attributes:
-        changes: Changes after the position that was asked about.
+        changes: Changes after the position that was asked about, or None when
+            the host has not come that far. A watch of the store returns at the
+            first change, so that it has seen none meanwhile.
         age_s: Time since the call that confirmed the newest of them was sent.
     """
 
-    changes: sources.TargetChanges
+    changes: sources.TargetChanges | None
     age_s: float
 
 
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/belief_exchange.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/belief_exchange.py
@@ -64,6 +64,10 @@
         except ValueError:
             raise bottle.HTTPError(400) from None
         shared = self._context.shared_targets
+        age_s = clock.suspend_aware_now_s() - shared.confirmed_at_s
+        known = shared.log.position
+        if known is not None and known < position:
+            return {"behind": True, "age_s": age_s}
         changes = shared.log.since(position)
         if changes is None:
             raise bottle.HTTPError(HTTP_NOT_KNOWN)
@@ -71,7 +75,7 @@
             "position": changes.position,
             "changed": [dataclasses.astuple(row) for row in changes.changed],
             "removed": changes.removed_ids,
-            "age_s": clock.suspend_aware_now_s() - shared.confirmed_at_s,
+            "age_s": age_s,
         }
 
 
@@ -107,12 +111,15 @@
         """
         document = self._get(entry, f"{TARGETS_PATH}?position={position}")
         try:
+            age_s = float(document["age_s"])
+            if document.get("behind"):
+                return serving.TargetsReport(None, age_s)
             changes = serving.TargetChanges(
                 tuple(serving.TargetEntry(*row) for row in document["changed"]),
                 tuple(map(str, document["removed"])),
                 int(document["position"]),
             )
-            return serving.TargetsReport(changes, float(document["age_s"]))
+            return serving.TargetsReport(changes, age_s)
         except (KeyError, TypeError, ValueError) as error:
             raise NoReportError(repr(error)) from error
 
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/belief_peers.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/belief_peers.py
@@ -11,7 +11,7 @@
 # A watch of targets that waits is answered after this time at the latest.
 TARGETS_AGE_LIMIT_S = 3.3
 
-_Report = TypeVar("_Report")
+_Report = TypeVar("_Report", serving.ConfigReport, serving.TargetsReport)
 
 
 class BeliefPeers:
@@ -45,8 +45,8 @@
         if config is None:
             return None
         sent_at_s = clock.suspend_aware_now_s()
-        report = self._ask(self._client.ask_config)
-        if report is None or report.age_s > age_limit_s:
+        report = self._ask(self._client.ask_config, age_limit_s)
+        if report is None:
             return None
         if report.version != config.version:
             return None
@@ -54,38 +54,48 @@
             return None
         return sent_at_s - report.age_s
 
-    def target_changes(
+    def targets(
         self, position: int
-    ) -> tuple[serving.TargetChanges, float] | None:
-        """Returns the changes of targets after a position.
+    ) -> tuple[serving.TargetsReport, float] | None:
+        """Returns what another host knows of targets after a position.
 
         Returns:
-            The changes and when the newest was confirmed, or None when the
-            store must be asked.
+            Its report and when that was confirmed, or None when the store must
+            be asked.
         """
         sent_at_s = clock.suspend_aware_now_s()
         report = self._ask(
-            lambda entry: self._client.ask_targets(entry, position)
+            lambda entry: self._client.ask_targets(entry, position),
+            TARGETS_AGE_LIMIT_S,
         )
-        if report is None or report.age_s > TARGETS_AGE_LIMIT_S:
+        if report is None:
             return None
-        return report.changes, sent_at_s - report.age_s
+        return report, sent_at_s - report.age_s
 
     def _ask(
-        self, ask: Callable[[serving.HostEntry], _Report]
+        self,
+        ask: Callable[[serving.HostEntry], _Report],
+        age_limit_s: float,
     ) -> _Report | None:
-        """Returns the first report of the hosts that are asked."""
+        """Returns the first report that is young enough.
+
+        A host without such a report is cut off, or asks others itself; it is
+        passed over for a while.
+        """
         metrics = self._context.metrics.peer_calls
         for entry in self._order.peers(clock.now_s()):
+            reason = ""
             try:
                 report = ask(entry)
+                if report.age_s <= age_limit_s:
+                    metrics.labels("ok").inc()
+                    return report
+                reason = f"its belief is {report.age_s:.1f} s old"
             except belief_exchange.NoReportError as error:
-                metrics.labels("failed").inc()
-                self._order.note_silent(entry.name, clock.now_s())
-                self._context.log.change(
-                    "peer.silent", peer=entry.name, reason=str(error)
-                )
-            else:
-                metrics.labels("ok").inc()
-                return report
+                reason = str(error)
+            metrics.labels("failed").inc()
+            self._order.note_silent(entry.name, clock.now_s())
+            self._context.log.change(
+                "peer.passed_over", peer=entry.name, reason=reason
+            )
         return None
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/beliefs_refresh.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/beliefs_refresh.py
@@ -17,7 +17,10 @@
 PEER_PERIOD_PART = 0.6
 PEER_AGE_MARGIN_S = 0.2
 CONFIG_TIMEOUT_S = 0.9
-CONFIG_RETRY_S = 0.35
+# A store that is away is asked again soon, and then less often.
+RETRY_S = 0.35
+LONGEST_RETRY_S = 0.9
+RETRY_GROWTH = 1.4
 WATCH_WAIT_S = 2.5
 # Every change of any target ends a watch. The next one begins after this share
 # of the time in which a leaving target must be left, and gets several changes
@@ -27,7 +30,6 @@
 # While entries are missing, the roster is looked at more often.
 SHORT_WATCH_WAIT_S = 0.5
 LIST_TIMEOUT_S = 0.9
-LIST_RETRY_S = 0.35
 JITTER_SHARE = 0.2
 MAX_LOGGED_ROUTES = 10
 # Entries expire after a few missed heartbeats; a store that was out of reach
@@ -50,6 +52,23 @@
     return dict(list(changed.items())[:MAX_LOGGED_ROUTES])
 
 
+class Retry:
+    """Pauses between calls to a store that is away."""
+
+    def __init__(self) -> None:
+        self._pause_s = RETRY_S
+
+    def next_pause_s(self) -> float:
+        """Returns the next pause; each is longer than the one before."""
+        pause_s = self._pause_s
+        self._pause_s = min(pause_s * RETRY_GROWTH, LONGEST_RETRY_S)
+        return pause_s
+
+    def reset(self) -> None:
+        """Notes that a call has succeeded."""
+        self._pause_s = RETRY_S
+
+
 class ConfigRefresh:
     """Reads the configuration again and again."""
 
@@ -75,6 +94,7 @@
             in_force_s * CONFIG_PERIOD_SHARE, LONGEST_CONFIG_PERIOD_S
         )
         self._failing = False
+        self._retry = Retry()
 
     def run_forever(self) -> None:
         """Refreshes the belief; runs as a greenlet of its own."""
@@ -84,9 +104,10 @@
                 # The age of the other host's belief adds to the period.
                 period_s = self._period_s * PEER_PERIOD_PART
             elif self._refresh():
+                self._retry.reset()
                 period_s = self._leading_period_s()
             else:
-                period_s = CONFIG_RETRY_S
+                period_s = self._retry.next_pause_s()
             share = self._context.rng.uniform(1 - JITTER_SHARE, 1.0)
             left_s = began_s + period_s * share - clock.now_s()
             gevent.sleep(max(0.01, left_s))
@@ -180,6 +201,7 @@
         self._position: int | None = None
         self._away_since_s: float | None = None
         self._failing = False
+        self._retry = Retry()
 
     def run_forever(self) -> None:
         """Refreshes the roster; runs as a greenlet of its own."""
@@ -196,9 +218,10 @@
             except serving.SourceError as error:
                 self._position = None
                 self._note_failure(error, began_s)
-                rng = self._context.rng
-                gevent.sleep(LIST_RETRY_S * rng.uniform(1 - JITTER_SHARE, 1.0))
+                share = self._context.rng.uniform(1 - JITTER_SHARE, 1.0)
+                gevent.sleep(self._retry.next_pause_s() * share)
                 continue
+            self._retry.reset()
             self._note_success(changes)
             gevent.sleep(max(0.0, began_s + self._pause_s - clock.now_s()))
 
@@ -222,9 +245,13 @@
                     "targets.unreadable", entries=listing.unreadable
                 )
             return changes
-        told = self._peers.target_changes(self._position)
+        told = self._peers.targets(self._position)
         if told is not None:
-            return self._apply(*told)
+            report, confirmed_at_s = told
+            if report.changes is not None:
+                return self._apply(report.changes, confirmed_at_s)
+            if self._confirmed_lately():
+                return []
         wait_s = WATCH_WAIT_S
         if targets.awaits_return():
             wait_s = SHORT_WATCH_WAIT_S
@@ -233,6 +260,15 @@
         self._context.metrics.store_calls.labels("targets", "ok").inc()
         return self._apply(update, sent_at_s)
 
+    def _confirmed_lately(self) -> bool:
+        """Returns whether the own knowledge is as young as a watch leaves it.
+
+        A host that has watched the store itself is a little ahead of the
+        others until their next watch returns.
+        """
+        confirmed_at_s = self._context.shared_targets.confirmed_at_s
+        return clock.suspend_aware_now_s() - confirmed_at_s < WATCH_WAIT_S
+
     def _apply(
         self, update: serving.TargetChanges, confirmed_at_s: float
     ) -> list[serving.RosterChange]:
--- a/packages/daemon/tests/relay/test_belief_peers.py
+++ b/packages/daemon/tests/relay/test_belief_peers.py
@@ -44,9 +44,11 @@
 
 
 @pytest.fixture
-def follower(leader):
-    """A host that asks the leader."""
+def follower(leader, monkeypatch):
+    """A host that asks the leader; its steady clock is the test's."""
     context = relay_builders.make_context("b")
+    context.fake_now = [100.0]
+    monkeypatch.setattr(clock, "now_s", lambda: context.fake_now[0])
     own = serving.HostEntry("b", "north", "")
     context.fleet.replace_all([leader.entry, own])
     context.peers = belief_peers.BeliefPeers(context, own)
@@ -86,22 +88,35 @@
 def test_changes_of_targets_are_passed_on(leader, follower):
     update = serving.TargetChanges((relay_builders.target("t"),), ("u",), 12)
     leader.shared_targets.log.keep(update)
-    told = follower.peers.target_changes(10)
+    told = follower.peers.targets(10)
     assert told is not None
-    assert told[0] == update
+    assert told[0].changes == update
     assert told[1] <= clock.suspend_aware_now_s() - 1.0
 
 
-def test_old_changes_are_not_taken(leader, follower):
+def test_host_that_is_behind_says_so(leader, follower):
+    # Guards against hosts that are ahead by a heartbeat of some target and
+    # therefore all watch the store.
+    told = follower.peers.targets(11)
+    assert told is not None
+    assert told[0].changes is None
+
+
+def test_host_with_old_beliefs_is_passed_over(leader, follower):
+    # Guards against a leader that is cut off from the store.
     leader.shared_targets.confirmed_at_s -= 5.0
-    assert follower.peers.target_changes(10) is None
+    assert follower.peers.targets(10) is None
+    leader.shared_targets.confirmed_at_s += 5.0
+    assert follower.peers.targets(10) is None
+    follower.fake_now[0] += 3.1
+    assert follower.peers.targets(10) is not None
 
 
 def test_host_that_does_not_answer_is_asked_once(leader, follower):
     # Guards against requests that wait for a lost host at every refresh.
     gone = serving.HostEntry("a", "north", "127.0.0.1:1")
     follower.fleet.replace_all([gone, serving.HostEntry("b", "north", "")])
-    assert follower.peers.target_changes(10) is None
-    assert follower.peers.target_changes(10) is None
+    assert follower.peers.targets(10) is None
+    assert follower.peers.targets(10) is None
     text = follower.metrics.text().decode()
     assert 'rattanpulley_peer_calls_total{result="failed"} 1.0' in text
--- a/packages/daemon/tests/relay/test_beliefs_refresh.py
+++ b/packages/daemon/tests/relay/test_beliefs_refresh.py
@@ -58,7 +58,7 @@
     # the time took five calls of each of 87 hosts in a second.
     context = relay_builders.make_context("a")
     context.targets = serving.TargetRoster()
-    peers = types.SimpleNamespace(target_changes=lambda position: None)
+    peers = types.SimpleNamespace(targets=lambda position: None)
     source = Source(fake_clock)
     refresh = beliefs_refresh.TargetRefresh(context, source, peers, LEAVE_S)
     with pytest.raises(EndOfTestError):
@@ -75,20 +75,55 @@
     context.targets = serving.TargetRoster()
     told = []
 
-    def target_changes(position):
+    def targets(position):
         told.append(position)
         if len(told) > 5:
             raise EndOfTestError
         changes = serving.TargetChanges(
             (relay_builders.target(f"p{position}"),), (), position + 1
         )
-        return changes, fake_clock.now
+        return serving.TargetsReport(changes, 0.0), fake_clock.now
 
     source = Source(fake_clock)
-    peers = types.SimpleNamespace(target_changes=target_changes)
+    peers = types.SimpleNamespace(targets=targets)
     refresh = beliefs_refresh.TargetRefresh(context, source, peers, LEAVE_S)
     with pytest.raises(EndOfTestError):
         refresh.run_forever()
     assert [name for name, _ in source.calls] == ["list"]
     assert context.targets.entry("p4") is not None
     assert context.shared_targets.log.position == 6
+
+
+def test_host_ahead_of_the_others_waits_for_their_next_watch(fake_clock):
+    # Guards against fleets in which every host watches the store because each
+    # is ahead of the other.
+    context = relay_builders.make_context("b")
+    context.targets = serving.TargetRoster()
+    asked = []
+
+    def targets(position):
+        asked.append(fake_clock.now)
+        if len(asked) > 40:
+            raise EndOfTestError
+        return serving.TargetsReport(None, 0.0), fake_clock.now
+
+    source = Source(fake_clock)
+    peers = types.SimpleNamespace(targets=targets)
+    refresh = beliefs_refresh.TargetRefresh(context, source, peers, LEAVE_S)
+    with pytest.raises(EndOfTestError):
+        refresh.run_forever()
+    watches = [at for name, at in source.calls if name == "watch"]
+    gaps = [late - early for early, late in itertools.pairwise(watches)]
+    assert min(gaps) >= beliefs_refresh.WATCH_WAIT_S
+    assert max(gaps) <= beliefs_refresh.WATCH_WAIT_S + LEAVE_S / 2
+
+
+def test_store_that_is_away_is_asked_less_and_less(fake_clock):
+    # Guards the price of calls that fail: 25 hosts that were turned away made
+    # half of the calls of a day.
+    retry = beliefs_refresh.Retry()
+    pauses = [retry.next_pause_s() for _ in range(10)]
+    assert pauses == sorted(pauses)
+    assert (pauses[0], pauses[-1]) == (0.35, 0.9)
+    retry.reset()
+    assert retry.next_pause_s() == 0.35
