--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SRC_PATH := packages/core/src:packages/adapters/src:packages/daemon/src:packages/cli/src:packages/standins/src:platform/src
 export PYTHONPATH := $(SRC_PATH)
 
-.PHONY: setup test demo up lock format
+.PHONY: setup test demo up lock format soak
 .PHONY: measure measure-resume measure-moves measure-config
 
 # The name of the stamp changes with the lock file, so that a changed lock file
@@ -48,6 +48,12 @@
 up: setup
 	@$(PY) -m rattanpulley_standins.launcher
 
+SEED ?= 1
+SEEDS ?= 1
+LENGTH ?= 30
+soak: setup
+	PYTHONPATH=$(SRC_PATH):platform/tests $(PY) -m platform_soak --seed $(SEED) --seeds $(SEEDS) --length $(LENGTH)
+
 measure: setup
 	$(PY) -m rattanpulley_standins.measure
 
