Take failed requests back after the date while a new version is unproven

Cause: without traffic, the share of a move reaches 1 before any request of the new version ends. After the date failed requests had no version to go back to, and errors at full share were not compared, so that a bad version failed every request for ever.

Change: after the date, failed requests go back to the old version until one request of the new version has succeeded, at this daemon or in a peer's counts; the comparison at full share starts as before the date.

--- a/packages/core/src/rattanpulley_core/_internal/moves/controller.py
+++ b/packages/core/src/rattanpulley_core/_internal/moves/controller.py
@@ -130,8 +130,15 @@
 
     @property
     def retry_version(self) -> str | None:
-        """Old version before the deadline and without a verdict, else None."""
-        if self.verdict is not None or self._wall_s >= self.move.finish_by_s:
+        """Old version while the new one is unproven, else None.
+
+        The new version is unproven until the deadline, and after it until one
+        of its requests has succeeded. A verdict ends this in any case.
+        """
+        if self.verdict is not None:
+            return None
+        is_due = self._wall_s >= self.move.finish_by_s
+        if is_due and self.evidence.new_version_succeeded:
             return None
         return self.move.from_version
 
--- a/packages/core/src/rattanpulley_core/_internal/moves/evidence.py
+++ b/packages/core/src/rattanpulley_core/_internal/moves/evidence.py
@@ -110,6 +110,8 @@
         expected_requests: Expected number of requests of the new version, the
             sum of the shares.
         uncompared_errors: Errors of the new version at a share of 1.
+        new_version_succeeded: Whether a request of the new version has
+            succeeded at this daemon, or at a peer while both were compared.
     """
 
     def __init__(
@@ -124,6 +126,7 @@
         self.new_requests = 0
         self.expected_requests = 0.0
         self.uncompared_errors = 0
+        self.new_version_succeeded = False
         self.update_plan(pool, move, route_count, daemon_count)
         self._crashes = crashes.CrashFilter()
         self._progress = 0.0
@@ -162,6 +165,8 @@
         is_new = ended.version == self._move.to_version
         if not is_new and ended.version != self._move.from_version:
             return
+        if is_new and ended.result is messages.Result.OK:
+            self.new_version_succeeded = True
         if not 0.0 < ended.share < 1.0:
             is_error = ended.result is messages.Result.ERROR
             self.uncompared_errors += is_new and is_error
@@ -297,6 +302,8 @@
         if observation.signal is messages.Signal.ERRORS:
             counts = observation.counts
             self.new_requests += counts.new_ok + counts.new_bad
+            if counts.new_ok:
+                self.new_version_succeeded = True
 
     def _apply_to(
         self,
--- a/packages/core/src/rattanpulley_core/_internal/moves/manager.py
+++ b/packages/core/src/rattanpulley_core/_internal/moves/manager.py
@@ -133,10 +133,11 @@
         return weights
 
     def retry_version(self, pool: str) -> str | None:
-        """Returns the old version of a move until its deadline or verdict.
+        """Returns the old version of a move that is open or unproven.
 
         Without traffic the share reaches 1 before a bad version is detected.
-        Until the deadline, failed requests are retried on the old version.
+        Until the deadline, failed requests are retried on the old version, and
+        after it for as long as no request of the new version has succeeded.
         """
         move_controller = self._controllers_by_pool.get(pool)
         return (
