Do not blame a request for targets that are lost together

The daemon saw one reset first and moved the streams within the same millisecond to the other engine, which was dying as well; that reset counted as a second crash, and the prompt was refused with 1205 everywhere. A peer that learned of both crashes counted them as two in any case, since reports carried no run.

Change: for the second in which losses of a domain have a common cause, a reset request avoids the lost target's domain if another one has a live target. Reports carry the run's duration and tokens, and a fact's remaining time tells when the crash was, so that peers count crashes that happened together once. A value that is not a report is malformed, also when it is no list. The test stops waiting when a caller has ended and says why.

--- a/packages/core/src/rattanpulley_core/_internal/generations/crashes.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/crashes.py
@@ -18,7 +18,7 @@
     for report in ctx.ledger.resolve_due(now_s):
         ctx.actions.append(
             messages.PublishCrashReport(
-                report.fingerprint, report.target, report.boot_id
+                report.fingerprint, report.target, report.boot_id, report.run
             )
         )
     refused = set(ctx.suspects.pop_newly_refused())
@@ -65,8 +65,7 @@
     Args:
         generation: A generation of a suspect request.
         attempt: Its current attempt.
-        crashed_tokens: Number of tokens at the crash, or None if only peers
-            have seen the crash.
+        crashed_tokens: Number of tokens at the crash, or None if unknown.
     """
     length = len(generation.journal)
     if attempt.suspect or crashed_tokens is None:
--- a/packages/core/src/rattanpulley_core/_internal/generations/failures.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/failures.py
@@ -11,6 +11,7 @@
 from rattanpulley_core._internal.generations import placement
 from rattanpulley_core._internal.generations import probes
 from rattanpulley_core._internal.generations import rows
+from rattanpulley_core._internal.suspects import attribution
 
 # Short, because a target that refused may soon have capacity again.
 REFUSED_EXCLUSION_S = 0.5
@@ -166,6 +167,9 @@
     # The start request was sent, so the generation may have run and crashed
     # the target, even if the target died before it responded.
     probes.record_reset(ctx, generation, attempt, now_s)
+    placement.exclude_domain(
+        ctx, generation, target, now_s + attribution.COMMON_CAUSE_WINDOW_S
+    )
     outcomes.defer_reset(ctx, generation, attempt)
     attempts.cancel(ctx, generation)
     probes.probe_after_failure(ctx, target, now_s)
--- a/packages/core/src/rattanpulley_core/_internal/generations/messages.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/messages.py
@@ -9,6 +9,7 @@
 import enum
 
 from rattanpulley_core import results
+from rattanpulley_core._internal.suspects import reports
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -390,11 +391,13 @@
         fingerprint: Fingerprint of the request.
         target: Name of the target.
         boot_id: Id of the target's process that crashed.
+        run: Run of the request on the target.
     """
 
     fingerprint: str
     target: str
     boot_id: str
+    run: reports.CrashedRun
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/rattanpulley_core/_internal/generations/placement.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/placement.py
@@ -300,3 +300,39 @@
     for target in pool:
         if target.version == version:
             generation.exclude(target.name, until_s)
+
+
+def exclude_domain(
+    ctx: context.Context,
+    generation: rows.Generation,
+    lost: target_rows.Target,
+    until_s: float,
+) -> None:
+    """Excludes a lost target's failure domain if another one is usable.
+
+    The targets of a domain are often lost together. A request that moves from
+    one to the next would be on each of them when it is lost, and be blamed for
+    it.
+
+    Args:
+        ctx: Shared state.
+        generation: The generation whose attempt was reset.
+        lost: The target of that attempt.
+        until_s: Monotonic time until which the targets are excluded.
+    """
+    pool = [
+        target
+        for target in ctx.targets.targets_by_name.values()
+        if target.pool == generation.request.pool
+        and generation.version in (None, target.version)
+    ]
+    live = target_rows.TargetState.LIVE
+    has_other = any(
+        target.failure_domain != lost.failure_domain and target.state is live
+        for target in pool
+    )
+    if not has_other:
+        return
+    for target in pool:
+        if target.failure_domain == lost.failure_domain:
+            generation.exclude(target.name, until_s)
--- a/packages/core/src/rattanpulley_core/_internal/suspects/attribution.py
+++ b/packages/core/src/rattanpulley_core/_internal/suspects/attribution.py
@@ -42,11 +42,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfirmedReport:
-    """A confirmed report to be sent to peers."""
+    """A confirmed report to be sent to peers.
+
+    Attributes:
+        fingerprint: Content fingerprint of the request.
+        target: Name of the target that crashed.
+        boot_id: Boot id of the process that crashed.
+        run: Run of the request on the target.
+    """
 
     fingerprint: str
     target: str
     boot_id: str
+    run: reports.CrashedRun
 
 
 @dataclasses.dataclass(slots=True)
@@ -208,7 +216,12 @@
                 fingerprint, case.target, case.boot_id
             ):
                 continue
-            yield ConfirmedReport(fingerprint, case.target, case.boot_id)
+            yield ConfirmedReport(
+                fingerprint,
+                case.target,
+                case.boot_id,
+                case.run_by_fingerprint[fingerprint],
+            )
 
     def _responsible_requests(
         self, case: UnconfirmedCrash, now_s: float
--- a/packages/core/src/rattanpulley_core/_internal/suspects/reports.py
+++ b/packages/core/src/rattanpulley_core/_internal/suspects/reports.py
@@ -16,8 +16,8 @@
         expires_at_s: Monotonic time at which the report expires.
         provisional: Whether a common cause may still withdraw the report.
         cleared: Whether the request has since run without a crash.
-        run: Run of the request on the target; None for a report of a peer,
-            which always counts as a crash of its own.
+        run: Run of the request on the target. None if a peer did not report
+            it; the crash then always counts as one of its own.
     """
 
     expires_at_s: float
@@ -91,12 +91,23 @@
         boot_id: str,
         now_s: float,
         ttl_s: float = REPORT_TTL_S,
+        run: CrashedRun | None = None,
     ) -> None:
-        """Adds a report of a peer, valid for `ttl_s` seconds from `now_s`."""
+        """Adds a report of a peer, valid for `ttl_s` seconds from `now_s`.
+
+        Args:
+            fingerprint: Content fingerprint of the request.
+            target: Name of the target that crashed.
+            boot_id: Boot id of the process that crashed.
+            now_s: Monotonic time.
+            ttl_s: Seconds for which the report is valid.
+            run: Run of the request on the target, in this daemon's time; None
+                if the peer did not report it.
+        """
         ttl_s = min(ttl_s, REPORT_TTL_S)
         if ttl_s <= 0:
             return
-        found = CrashReport(now_s + ttl_s)
+        found = CrashReport(now_s + ttl_s, run=run)
         self._add(fingerprint, (target, boot_id), found, now_s)
 
     def confirm(
--- a/packages/core/tests/generations/test_crashes.py
+++ b/packages/core/tests/generations/test_crashes.py
@@ -1,6 +1,7 @@
 """Tests for crash reports of the generation core."""
 
 import generation_world
+import pytest
 
 from rattanpulley_core import generations
 from rattanpulley_core import results
@@ -125,3 +126,18 @@
     world.run_to_completion()
     assert reader.is_complete
     assert not crash_reports(world)
+
+
+@pytest.mark.parametrize("name", list("abcdef"))
+def test_targets_lost_together_with_their_domain_blame_no_request(name):
+    # Guards against refusing a request because it moved from a lost target to
+    # another one of the domain that was lost at the same time.
+    world = generation_world.World(("v1",) * 3, answer_tokens=60)
+    reader = world.submit_request(name)
+    for _ in range(5):
+        world.step(0.05)
+    for engine in ("e2", "e0"):
+        world.engines[engine].kill()
+        world.deliver_all()
+    world.run_to_completion()
+    assert reader.is_complete
--- a/packages/core/tests/suspects/test_attribution.py
+++ b/packages/core/tests/suspects/test_attribution.py
@@ -140,3 +140,20 @@
     table.clear("a")
     table.apply_remote("a", "t1", "boot", now_s)
     assert not table.is_suspect("a", now_s)
+
+
+def test_remote_reports_of_targets_lost_together_count_once():
+    # Guards against a refusal of a popular request at a daemon that learns from
+    # a peer that two targets with copies of it were lost together.
+    table = suspects.SuspectTable()
+    runs = [
+        suspects.CrashedRun(started_s=1.0, crashed_s=9.0, tokens=60),
+        suspects.CrashedRun(started_s=2.0, crashed_s=9.1, tokens=66),
+        suspects.CrashedRun(started_s=9.3, crashed_s=9.8, tokens=90),
+    ]
+    for number, run in enumerate(runs[:2]):
+        table.apply_remote("a", f"t{number}", "boot", 11.0, run=run)
+    assert not table.is_refused("a", 11.0)
+    assert table.crashed_tokens("a", 11.0) == 66
+    table.apply_remote("a", "t2", "boot", 12.0, run=runs[2])
+    assert table.is_refused("a", 12.0)
--- a/packages/daemon/src/rattanpulleyd/_internal/peers/peer_runtime.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/peers/peer_runtime.py
@@ -11,11 +11,13 @@
 import gevent
 import loguru
 
+from rattanpulley_core import generations
 from rattanpulley_core import interfaces
 from rattanpulley_core import limits
 from rattanpulley_core import peers
 from rattanpulley_core import suspects
 from rattanpulley_core import tables
+from rattanpulleyd._internal.peers import crash_report_codec
 from rattanpulleyd._internal.peers import tcp_streams
 from rattanpulleyd._internal.settings import model
 
@@ -26,7 +28,6 @@
 TABLE_SOURCE = "peer"
 # Limit of the object API for one value, which also bounds a table.
 MAX_TABLE_BYTES = 1_048_576
-CRASH_REPORT_TTL_S = 3600.0
 # Time to write the last messages before the streams are closed.
 LEAVE_LINGER_S = 0.1
 
@@ -155,16 +156,11 @@
         )
 
     def publish_crash_report(
-        self, fingerprint: str, target: str, boot_id: str
+        self, report: generations.PublishCrashReport
     ) -> None:
         """Reports to the peers that a request ran on a target that crashed."""
-        value = json.dumps([fingerprint, target, boot_id]).encode()
-        key = hashlib.blake2b(value, digest_size=16).hexdigest()
-        self.feed(
-            peers.FactPublished(
-                peers.FactKind.CRASH_REPORT, key, 1, value, CRASH_REPORT_TTL_S
-            )
-        )
+        now_s = self._clock.monotonic_s()
+        self.feed(crash_report_codec.encode(report, now_s))
 
     def publish_clearance(self, fingerprint: str) -> None:
         """Reports to the peers that a suspected request causes no crashes."""
@@ -175,7 +171,7 @@
                 fingerprint,
                 version,
                 b"",
-                CRASH_REPORT_TTL_S,
+                suspects.REPORT_TTL_S,
             )
         )
 
@@ -214,13 +210,22 @@
     def _on_crash_report(self, fact: peers.Fact) -> None:
         now_s = self._clock.monotonic_s()
         try:
-            fingerprint, target, boot_id = json.loads(fact.value)
-        except ValueError:
+            report = crash_report_codec.decode(fact)
+        except crash_report_codec.MalformedCrashReportError:
             self.core.state.counters.malformed_facts += 1
             return
         expires_s = fact.expires_s
-        ttl_s = CRASH_REPORT_TTL_S if expires_s is None else expires_s - now_s
-        self._suspects.apply_remote(fingerprint, target, boot_id, now_s, ttl_s)
+        ttl_s = suspects.REPORT_TTL_S
+        if expires_s is not None:
+            ttl_s = expires_s - now_s
+        self._suspects.apply_remote(
+            report.fingerprint,
+            report.target,
+            report.boot_id,
+            now_s,
+            ttl_s,
+            report.run,
+        )
 
     def _on_clearance(self, fact: peers.Fact) -> None:
         self._suspects.clear(fact.key)
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/runtime.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/runtime.py
@@ -59,7 +59,9 @@
         self.counts = counts
         self.target_table = target_table
         self.draining = False
-        self.on_crash_report: Callable[[str, str, str], None] | None = None
+        self.on_crash_report: (
+            Callable[[generations.PublishCrashReport], None] | None
+        ) = None
         self.on_clearance: Callable[[str], None] | None = None
         self.limits = limits.AccountLimits()
         self.health: health.HealthObserver = health.NullObserver()
@@ -238,6 +240,4 @@
     ) -> None:
         self.counts.count(_Counter.CRASH_REPORTS)
         if self.on_crash_report is not None:
-            self.on_crash_report(
-                action.fingerprint, action.target, action.boot_id
-            )
+            self.on_crash_report(action)
--- a/packages/daemon/tests/processes/test_popular_request.py
+++ b/packages/daemon/tests/processes/test_popular_request.py
@@ -27,6 +27,23 @@
         yield running
 
 
+def _wait_for_progress(
+    callers: list[chaos_callers.DisconnectingCaller],
+) -> None:
+    """Waits until each answer is `PROGRESS_TOKENS` longer, or has ended."""
+    records = [caller.record for caller in callers]
+    required_indexes = [
+        min(record.checker.next_index + PROGRESS_TOKENS, LENGTH)
+        for record in records
+    ]
+    support.poll_until(
+        lambda: all(
+            record.error or record.checker.next_index >= index
+            for record, index in zip(records, required_indexes, strict=True)
+        )
+    )
+
+
 def test_same_prompt_is_not_blamed_for_independent_crashes(
     deployment: launcher.Deployment,
 ) -> None:
@@ -42,15 +59,7 @@
     running = chaos_callers.run_concurrently([c.run for c in callers])
     engines = [engine.name for engine in deployment.engines]
     for engine_names in (engines[:2], engines[2:3]):
-        required_indexes = [
-            c.record.checker.next_index + PROGRESS_TOKENS for c in callers
-        ]
-        support.poll_until(
-            lambda required_indexes=required_indexes: all(
-                c.record.checker.next_index >= index
-                for c, index in zip(callers, required_indexes, strict=True)
-            )
-        )
+        _wait_for_progress(callers)
         deployment.kill_all(engine_names)
     problems = [
         record.error or str(record.checker.problems())
