--- a/packages/core/src/rattanpulley_core/_internal/serving/peer_sync.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/peer_sync.py
@@ -7,6 +7,7 @@
 
 from collections import deque
 import dataclasses
+import random
 
 from rattanpulley_core._internal.serving import fleet
 from rattanpulley_core._internal.serving import sources
@@ -19,12 +20,37 @@
 MAX_PEERS = 2
 # In a fleet of at most this size, all hosts query the same ones. In a larger
 # one, they query hosts of their own failure domain, which stay reachable when
-# the domains are partitioned.
+# the domains are partitioned; only the leaders of the domains query each other.
 SMALL_FLEET_HOSTS = 16
 # A host that did not respond is not queried again for this long.
 UNRESPONSIVE_PEER_S = 3.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SharingPeriods:
+    """Times of a host's refreshes, as fractions of the refresh period.
+
+    The longest time that a change takes to reach a host is the sum of the
+    periods of the hosts on its way from the store.
+
+    Attributes:
+        store: Time between two reads of the store.
+        query: Time between two queries of other hosts.
+        max_age: Greatest age of a report that is accepted.
+    """
+
+    store: float
+    query: float
+    max_age: float
+
+
+# All hosts query the one that reads the store.
+SMALL_FLEET_PERIODS = SharingPeriods(store=0.6, query=0.6, max_age=0.6)
+# Reports pass through the leader of the domain, so each step is shorter.
+DOMAIN_LEADER_PERIODS = SharingPeriods(store=0.5, query=0.3, max_age=0.8)
+DOMAIN_MEMBER_PERIODS = SharingPeriods(store=0.5, query=0.4, max_age=0.8)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigReport:
     """Report of a host about its cached configuration.
@@ -129,20 +155,70 @@
 
         Hosts are ordered by name. Each host queries the first responsive ones
         that precede it, so that there are no cycles and hosts that are
-        permanently lost are skipped.
+        permanently lost are skipped. In a large fleet these are hosts of its
+        own failure domain. The first one of a domain is its leader and queries
+        the leaders of other domains, so that the number of hosts that read the
+        store does not depend on the number of domains.
         """
-        entries = self._fleet.entries
-        if len(entries) > SMALL_FLEET_HOSTS:
-            entries = tuple(e for e in entries if e.domain == self._own.domain)
-        preceding = [
+        responsive = self._responsive(now_s)
+        if not self._is_large:
+            return self._preceding(responsive)
+        domain = self._own.domain
+        own_domain = [entry for entry in responsive if entry.domain == domain]
+        return self._preceding(own_domain) or self._preceding(
+            _first_by_domain(responsive)
+        )
+
+    def other_hosts(
+        self, now_s: float, rng: random.Random
+    ) -> list[fleet.HostEntry]:
+        """Returns random hosts to query when the store turns this host away.
+
+        They may include hosts that query this one. Reports carry their age, so
+        that a cycle does not make old state look recent.
+        """
+        others = [
             entry
-            for entry in entries
-            if entry.name < self._own.name
-            and entry.address
+            for entry in self._responsive(now_s)
+            if entry.name != self._own.name
+        ]
+        return rng.sample(others, min(MAX_PEERS, len(others)))
+
+    def periods(self, now_s: float) -> SharingPeriods:
+        """Returns the times of this host's refreshes."""
+        if not self._is_large:
+            return SMALL_FLEET_PERIODS
+        is_member = any(
+            entry.domain == self._own.domain for entry in self.peers(now_s)
+        )
+        return DOMAIN_MEMBER_PERIODS if is_member else DOMAIN_LEADER_PERIODS
+
+    @property
+    def _is_large(self) -> bool:
+        return len(self._fleet.entries) > SMALL_FLEET_HOSTS
+
+    def _responsive(self, now_s: float) -> list[fleet.HostEntry]:
+        return [
+            entry
+            for entry in self._fleet.entries
+            if entry.address
             and now_s >= self._unresponsive_until_s.get(entry.name, now_s)
         ]
+
+    def _preceding(
+        self, entries: list[fleet.HostEntry]
+    ) -> list[fleet.HostEntry]:
+        preceding = [e for e in entries if e.name < self._own.name]
         return preceding[:MAX_PEERS]
 
     def mark_unresponsive(self, name: str, now_s: float) -> None:
         """Records that a host did not respond."""
         self._unresponsive_until_s[name] = now_s + UNRESPONSIVE_PEER_S
+
+
+def _first_by_domain(entries: list[fleet.HostEntry]) -> list[fleet.HostEntry]:
+    """Returns the first host of each failure domain, in the given order."""
+    first_by_domain: dict[str, fleet.HostEntry] = {}
+    for entry in entries:
+        first_by_domain.setdefault(entry.domain, entry)
+    return list(first_by_domain.values())
--- a/packages/core/src/rattanpulley_core/_internal/serving/sources.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/sources.py
@@ -150,7 +150,7 @@
 
     @abc.abstractmethod
     def list_hosts(self, timeout_s: float) -> tuple[fleet.HostEntry, ...]:
-        """Returns the entries of all hosts."""
+        """Returns the entries of all hosts; they may be seconds old."""
 
     @abc.abstractmethod
     def withdraw_host(self, name: str, timeout_s: float) -> None:
--- a/packages/core/tests/serving/test_peer_sync.py
+++ b/packages/core/tests/serving/test_peer_sync.py
@@ -1,7 +1,11 @@
 """Tests of the exchange of state between hosts."""
 
+import collections
+import random
+
 from hypothesis import given
 from hypothesis import strategies as st
+import pytest
 import serving_builders
 
 from rattanpulley_core import serving
@@ -120,3 +124,88 @@
 def test_host_without_an_address_is_not_queried() -> None:
     rows = [serving.HostEntry("a", "north", ""), host("b")]
     assert peer_names(make_selector(rows[1], *rows)) == []
+
+
+def large_fleet(
+    domains: int, hosts_per_domain: int
+) -> tuple[serving.Fleet, list[serving.HostEntry]]:
+    rows = [
+        host(f"d{domain}-h{number:03}", f"d{domain}")
+        for domain in range(domains)
+        for number in range(hosts_per_domain)
+    ]
+    fleet = serving.Fleet(rows[0].name)
+    fleet.replace_all(rows)
+    return fleet, rows
+
+
+@pytest.mark.parametrize(
+    ("domains", "hosts_per_domain"),
+    [(1, 8), (6, 3), (3, 25), (6, 33), (5, 60), (6, 167)],
+)
+def test_one_host_reads_the_store_at_every_size(domains, hosts_per_domain):
+    # Guards against calls to the store that grow with the failure domains: 18
+    # hosts in six domains made ten times the calls of a fleet in one.
+    fleet, rows = large_fleet(domains, hosts_per_domain)
+    readers = [
+        row.name
+        for row in rows
+        if not serving.PeerSelector(fleet, row).peers(0.0)
+    ]
+    assert readers == [rows[0].name]
+
+
+@pytest.mark.parametrize(
+    ("domains", "hosts_per_domain"), [(6, 3), (6, 33), (6, 167)]
+)
+def test_each_host_is_queried_by_one_domain_and_the_leaders(
+    domains, hosts_per_domain
+):
+    # Guards against a single host that answers the queries of all others.
+    fleet, rows = large_fleet(domains, hosts_per_domain)
+    queries = collections.Counter(
+        serving.PeerSelector(fleet, row).peers(0.0)[0].name for row in rows[1:]
+    )
+    assert max(queries.values()) <= hosts_per_domain - 1 + domains - 1
+
+
+def test_domain_without_its_leaders_still_shares():
+    # Guards against a domain in which every host reads the store after its
+    # leader is lost.
+    fleet, rows = large_fleet(6, 10)
+    lost = {"d2-h000", "d2-h001"}
+    readers = []
+    for row in rows:
+        selector = serving.PeerSelector(fleet, row)
+        for name in lost:
+            selector.mark_unresponsive(name, 0.0)
+        if not selector.peers(1.0) and row.name not in lost:
+            readers.append(row.name)
+    assert readers == ["d0-h000"]
+
+
+def test_change_reaches_every_host_before_denials_become_unsafe():
+    # Guards against a chain of hosts whose ages add up to more than a denial
+    # may be old.
+    period_s = 1.8
+    leader, member = (
+        serving.DOMAIN_LEADER_PERIODS,
+        serving.DOMAIN_MEMBER_PERIODS,
+    )
+    longest_s = period_s * (leader.store + leader.query + member.query)
+    assert longest_s < serving.DENIAL_AGE_LIMIT_S - 0.2
+    margin_s = 0.1
+    assert (
+        period_s * (leader.store + leader.query)
+        < period_s * member.max_age + margin_s
+    )
+
+
+def test_host_that_the_store_turns_away_queries_any_other():
+    # Guards against a leader that nobody but the store can confirm.
+    fleet, rows = large_fleet(3, 10)
+    selector = serving.PeerSelector(fleet, rows[0])
+    assert selector.peers(0.0) == []
+    others = selector.other_hosts(0.0, random.Random(1))
+    assert len(others) == 2
+    assert rows[0] not in others
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/peer_reader.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/peer_reader.py
@@ -35,11 +35,18 @@
         self._client = state_exchange.PeerClient()
         self._digest = state_exchange.ConfigDigest()
 
-    def config_confirmed_at_s(self, age_limit_s: float) -> float | None:
+    def periods(self) -> serving.SharingPeriods:
+        """Returns the times of this host's refreshes."""
+        return self._selector.periods(clock.now_s())
+
+    def config_confirmed_at_s(
+        self, age_limit_s: float, any_host: bool = False
+    ) -> float | None:
         """Returns when another host last confirmed the cached configuration.
 
         Args:
             age_limit_s: Maximum age of another host's confirmation.
+            any_host: Whether to query hosts that do not precede this one.
 
         Returns:
             The time on `clock.suspend_aware_now_s`, or None if the store must
@@ -49,7 +56,8 @@
         if config is None:
             return None
         sent_at_s = clock.suspend_aware_now_s()
-        report = self._fetch(self._client.fetch_config, age_limit_s)
+        entries = self._entries(any_host)
+        report = self._fetch(self._client.fetch_config, entries, age_limit_s)
         if report is None:
             return None
         if report.version != config.version:
@@ -73,15 +81,23 @@
         sent_at_s = clock.suspend_aware_now_s()
         report = self._fetch(
             lambda entry: self._client.fetch_targets(entry, position),
+            self._entries(any_host=False),
             MAX_TARGETS_AGE_S,
         )
         if report is None:
             return None
         return report, sent_at_s - report.age_s
 
+    def _entries(self, any_host: bool) -> list[serving.HostEntry]:
+        now_s = clock.now_s()
+        if any_host:
+            return self._selector.other_hosts(now_s, self._context.rng)
+        return self._selector.peers(now_s)
+
     def _fetch(
         self,
         fetch: Callable[[serving.HostEntry], _Report],
+        entries: list[serving.HostEntry],
         age_limit_s: float,
     ) -> _Report | None:
         """Returns the first report that is recent enough, or None.
@@ -90,7 +106,7 @@
         other hosts itself; it is skipped for a while.
         """
         metrics = self._context.metrics.peer_calls
-        for entry in self._selector.peers(clock.now_s()):
+        for entry in entries:
             reason = ""
             try:
                 report = fetch(entry)
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/store_refresh.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/store_refresh.py
@@ -13,9 +13,6 @@
 # unreachable right after.
 CONFIG_PERIOD_FRACTION = 0.6
 MAX_CONFIG_PERIOD_S = 1.8
-# Fraction of the period after which a host queries another one, which has read
-# the store within the same time.
-PEER_PERIOD_FRACTION = 0.6
 PEER_AGE_MARGIN_S = 0.2
 CONFIG_TIMEOUT_S = 0.9
 # Backoff for an unreachable store: the first retry follows soon, later ones
@@ -32,6 +29,8 @@
 # returns several changes at once.
 WATCH_PAUSE_FRACTION = 0.35
 MAX_WATCH_PAUSE_S = 1.0
+# Members of a domain learn of a change one pause after their leader.
+LEADER_PAUSE_S = 0.5
 # Wait while entries are missing, so that missing entries expire on time.
 SHORT_WATCH_WAIT_S = 0.5
 LIST_TIMEOUT_S = 0.9
@@ -105,37 +104,47 @@
         """Refreshes the cached configuration; runs in its own greenlet."""
         while True:
             started_s = clock.now_s()
-            if self._confirm_with_peer():
+            periods = self._peers.periods()
+            if self._confirm_with_peer(periods):
                 # The age of the other host's state adds to the period.
-                period_s = self._period_s * PEER_PERIOD_FRACTION
+                period_s = self._period_s * periods.query
             elif self._refresh():
                 self._backoff.reset()
-                period_s = self._store_read_period_s()
+                period_s = self._store_read_period_s(periods)
             else:
+                self._confirm_with_any_host()
                 period_s = self._backoff.next_delay_s()
             factor = self._context.rng.uniform(1 - JITTER_FRACTION, 1.0)
             left_s = started_s + period_s * factor - clock.now_s()
             gevent.sleep(max(0.01, left_s))
 
-    def _store_read_period_s(self) -> float:
+    def _store_read_period_s(self, periods: serving.SharingPeriods) -> float:
         """Returns the period of a host that reads the store.
 
         Other hosts may rely on its reads, so it reads more often.
         """
         if self._context.fleet.has_peers:
-            return self._period_s * PEER_PERIOD_FRACTION
+            return self._period_s * periods.store
         return self._period_s
 
-    def _confirm_with_peer(self) -> bool:
+    def _confirm_with_peer(self, periods: serving.SharingPeriods) -> bool:
         """Returns whether another host has confirmed the configuration."""
         confirmed_at_s = self._peers.config_confirmed_at_s(
-            self._period_s * PEER_PERIOD_FRACTION + PEER_AGE_MARGIN_S
+            self._period_s * periods.max_age + PEER_AGE_MARGIN_S
         )
         if confirmed_at_s is None:
             return False
         self._context.cached_config.confirm_unchanged(confirmed_at_s)
         return True
 
+    def _confirm_with_any_host(self) -> None:
+        """Queries any host when the store does not serve this one."""
+        cached_config = self._context.cached_config
+        age_s = cached_config.age_s(clock.suspend_aware_now_s())
+        confirmed_at_s = self._peers.config_confirmed_at_s(age_s, any_host=True)
+        if confirmed_at_s is not None:
+            cached_config.confirm_unchanged(confirmed_at_s)
+
     def _refresh(self) -> bool:
         """Reads the store; returns whether that confirmed the configuration."""
         context = self._context
@@ -228,7 +237,10 @@
                 continue
             self._backoff.reset()
             self._record_success(changes)
-            gevent.sleep(max(0.0, started_s + self._pause_s - clock.now_s()))
+            pause_s = self._pause_s
+            if self._peers.periods() is serving.DOMAIN_LEADER_PERIODS:
+                pause_s = min(pause_s, LEADER_PAUSE_S)
+            gevent.sleep(max(0.0, started_s + pause_s - clock.now_s()))
 
     def _read(self) -> list[serving.RegistryChange]:
         targets = self._context.targets
--- a/packages/daemon/tests/relay/test_store_refresh.py
+++ b/packages/daemon/tests/relay/test_store_refresh.py
@@ -40,6 +40,16 @@
         return serving.TargetChanges((changed,), (), position + 1)
 
 
+def make_peers(
+    fetch_target_changes,
+    periods: serving.SharingPeriods = serving.SMALL_FLEET_PERIODS,
+) -> types.SimpleNamespace:
+    """Returns the other hosts as a refresh sees them."""
+    return types.SimpleNamespace(
+        fetch_target_changes=fetch_target_changes, periods=lambda: periods
+    )
+
+
 @pytest.fixture
 def fake_clock(monkeypatch):
     """A clock that advances only while a greenlet sleeps."""
@@ -59,7 +69,7 @@
     # constantly caused five calls per second from each of 87 hosts.
     context = relay_builders.make_context("a")
     context.targets = serving.TargetRegistry()
-    peers = types.SimpleNamespace(fetch_target_changes=lambda position: None)
+    peers = make_peers(lambda position: None)
     source = Source(fake_clock)
     refresh = store_refresh.TargetRefresh(context, source, peers, LEAVE_S)
     with pytest.raises(EndOfTestError):
@@ -86,7 +96,7 @@
         return serving.TargetsReport(changes, 0.0), fake_clock.now
 
     source = Source(fake_clock)
-    peers = types.SimpleNamespace(fetch_target_changes=targets)
+    peers = make_peers(targets)
     refresh = store_refresh.TargetRefresh(context, source, peers, LEAVE_S)
     with pytest.raises(EndOfTestError):
         refresh.run_forever()
@@ -109,7 +119,7 @@
         return serving.TargetsReport(None, 0.0), fake_clock.now
 
     source = Source(fake_clock)
-    peers = types.SimpleNamespace(fetch_target_changes=targets)
+    peers = make_peers(targets)
     refresh = store_refresh.TargetRefresh(context, source, peers, LEAVE_S)
     with pytest.raises(EndOfTestError):
         refresh.run_forever()
@@ -149,10 +159,66 @@
                 raise EndOfTestError
             return serving.TargetChanges((), (), position + 1)
 
-    peers = types.SimpleNamespace(fetch_target_changes=lambda position: None)
+    peers = make_peers(lambda position: None)
     refresh = store_refresh.TargetRefresh(
         context, IdleSource(fake_clock), peers, LEAVE_S
     )
     with pytest.raises(EndOfTestError):
         refresh.run_forever()
     assert max(ages) < peer_reader.MAX_TARGETS_AGE_S
+
+
+def test_domain_leader_passes_changes_on_early(fake_clock):
+    # Guards against a leaving target that members of a domain notice late,
+    # because a change reaches them one pause after their leader.
+    context = relay_builders.make_context("b")
+    context.targets = serving.TargetRegistry()
+    asked = []
+
+    def targets(position):
+        asked.append(fake_clock.now)
+        if len(asked) > 5:
+            raise EndOfTestError
+        changes = serving.TargetChanges((), (), position + 1)
+        return serving.TargetsReport(changes, 0.0), fake_clock.now
+
+    refresh = store_refresh.TargetRefresh(
+        context,
+        Source(fake_clock),
+        make_peers(targets, serving.DOMAIN_LEADER_PERIODS),
+        leave_s=4.0,
+    )
+    with pytest.raises(EndOfTestError):
+        refresh.run_forever()
+    gaps = [late - early for early, late in itertools.pairwise(asked)]
+    assert max(gaps) <= store_refresh.LEADER_PAUSE_S
+
+
+class ConfigStore:
+    """A store that turns this host away."""
+
+    def read_config(self, timeout_s: float) -> serving.ServingConfig | None:
+        raise serving.SourceError("status 503")
+
+
+def test_host_that_the_store_turns_away_asks_any_other_host(fake_clock):
+    # Guards against keys that lapse at the leader of a domain, which asks no
+    # other host, while the store serves the others.
+    context = relay_builders.make_context("a")
+    context.cached_config.accept(relay_builders.config(7), fake_clock.now)
+    asked = []
+
+    def confirmed_at_s(age_limit_s, any_host=False):
+        asked.append(any_host)
+        if len(asked) > 20:
+            raise EndOfTestError
+        return fake_clock.now - 0.5 if any_host else None
+
+    peers = make_peers(None, serving.DOMAIN_LEADER_PERIODS)
+    peers.config_confirmed_at_s = confirmed_at_s
+    refresh = store_refresh.ConfigRefresh(
+        context, ConfigStore(), peers, activation_s=4.0
+    )
+    with pytest.raises(EndOfTestError):
+        refresh.run_forever()
+    assert context.cached_config.age_s(fake_clock.now) < 2.0
