Bound the responses of the store, of other hosts and of targets' own pages

Cause: bodies of the store and of other hosts were read whole, with a timeout for each read only, so that a peer which sends bytes without end, or one now and then, held memory and a greenlet for ever. Comments of a stream counted as progress of its run, so that a stalled run that sends comments was never examined.

Change: one reader bounds size and duration of such bodies, and closes the connection where a bound is passed. Answers to the relay's own calls of targets are bounded in size too. Only events with an id count as progress.

--- /dev/null
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/bounded_http.py
@@ -0,0 +1,48 @@
+"""HTTP calls whose responses are bounded in size and duration.
+
+A peer in trouble may send bytes without end, or one byte now and then. The
+timeout of a read does not end such a response, since each read succeeds.
+"""
+
+import urllib3
+
+from rattanpulleyd._internal.relay import clock
+
+READ_BYTES = 64 * 1024
+
+
+class ResponseBoundsError(Exception):
+    """A response is larger or takes longer than allowed."""
+
+
+def read_body(
+    response: urllib3.BaseHTTPResponse, max_bytes: int, until_s: float
+) -> bytes:
+    """Returns the body of a response that was requested without preloading.
+
+    The connection is reusable after a complete body and closed otherwise.
+
+    Args:
+        response: Response whose body has not been read.
+        max_bytes: Maximum size of the body.
+        until_s: Time on `clock.now_s` until which the body must be complete.
+
+    Raises:
+        ResponseBoundsError: The body is too large or not complete in time.
+        urllib3.exceptions.HTTPError: The connection failed.
+    """
+    parts: list[bytes] = []
+    size = 0
+    try:
+        while part := response.read1(READ_BYTES):
+            parts.append(part)
+            size += len(part)
+            if size > max_bytes:
+                raise ResponseBoundsError(f"more than {max_bytes} bytes")
+            if clock.now_s() > until_s:
+                raise ResponseBoundsError("not complete in time")
+    except BaseException:
+        response.close()
+        raise
+    response.release_conn()
+    return b"".join(parts)
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/state_exchange.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/state_exchange.py
@@ -14,6 +14,7 @@
 import urllib3
 
 from rattanpulley_core import serving
+from rattanpulleyd._internal.relay import bounded_http
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import context as context_lib
 
@@ -21,6 +22,8 @@
 TARGETS_PATH = "/beliefs/targets"
 # Hosts of one failure domain respond within a few milliseconds.
 REQUEST_TIMEOUT_S = 0.25
+# Several times the changes that a host keeps for others.
+MAX_RESPONSE_BYTES = 1024 * 1024
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 
@@ -134,11 +137,23 @@
             )
             self._pools[entry.address] = pool
         try:
-            response = pool.request("GET", path, timeout=REQUEST_TIMEOUT_S)
+            response = pool.request(
+                "GET", path, timeout=REQUEST_TIMEOUT_S, preload_content=False
+            )
+            body = bounded_http.read_body(
+                response,
+                MAX_RESPONSE_BYTES,
+                clock.now_s() + REQUEST_TIMEOUT_S,
+            )
             if response.status != HTTP_OK:
                 raise PeerReportError(f"status {response.status}")
-            document = json.loads(response.data)
-        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+            document = json.loads(body)
+        except (
+            bounded_http.ResponseBoundsError,
+            urllib3.exceptions.HTTPError,
+            OSError,
+            ValueError,
+        ) as error:
             raise PeerReportError(str(error)) from error
         if not isinstance(document, dict):
             raise PeerReportError("the response is not a JSON object")
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
@@ -259,16 +259,20 @@
             if data is None:
                 break
             try:
-                passed = self._events.admit(frames.feed(data))
+                events = frames.feed(data)
+                passed = self._events.admit(events)
             except event_frames.MalformedEventError as error:
                 raise target_connection.AttemptError(
                     serving.FailureKind.CORRUPT, str(error)
                 ) from error
-            if passed:
+            # A comment is no progress of the run.
+            count = sum(event.event_id is not None for event in events)
+            if count:
                 if not monitor.run_started:
                     self._record_prefill(plan, monitor)
-                monitor.record_events(passed.count(b"\n\n"))
+                monitor.record_events(count)
                 prefill.end()
+            if passed:
                 self._forward(head, passed)
         if frames.incomplete or self._events.last_id is None:
             raise target_connection.AttemptError(
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/target_connection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/target_connection.py
@@ -21,6 +21,8 @@
 CONNECT_TIMEOUT_S = 0.12
 READ_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 64 * 1024
+# Responses to calls of the relay itself, such as reports.
+MAX_CALL_RESPONSE_BYTES = 1024 * 1024
 # The kernel closes a connection whose data stays unacknowledged this long.
 USER_TIMEOUT_MS = 3000
 
@@ -225,7 +227,8 @@
     """Sends a request that the relay itself makes; returns status and body.
 
     Raises:
-        AttemptError: No complete response arrived in time.
+        AttemptError: No complete response arrived in time, or it is too
+            long.
     """
     connection = TargetConnection(entry)
     until_s = clock.now_s() + timeout_s
@@ -236,10 +239,7 @@
         connection.connect(timeout_s)
         connection.send(method, path, headers, body, timeout_s)
         head = connection.read_head(until_s)
-        parts: list[bytes] = []
-        while (part := connection.read_data(until_s)) is not None:
-            parts.append(part)
-        return head.status, b"".join(parts)
+        return head.status, _read_call_body(connection, until_s)
     except ReadWaitExpired as error:
         raise AttemptError(
             serving.FailureKind.UNRESPONSIVE, "no answer"
@@ -248,6 +248,22 @@
         connection.close()
 
 
+def _read_call_body(connection: TargetConnection, until_s: float) -> bytes:
+    """Returns the body of a response to a call of the relay itself."""
+    parts: list[bytes] = []
+    size = 0
+    while (part := connection.read_data(until_s)) is not None:
+        parts.append(part)
+        size += len(part)
+        if size > MAX_CALL_RESPONSE_BYTES:
+            raise AttemptError(
+                serving.FailureKind.CORRUPT, "the response is too long"
+            )
+        if clock.now_s() > until_s:
+            raise ReadWaitExpired
+    return b"".join(parts)
+
+
 def pause(seconds: float) -> None:
     """Sleeps so that other greenlets can run."""
     gevent.sleep(seconds)
--- a/packages/daemon/src/rattanpulleyd/relay.py
+++ b/packages/daemon/src/rattanpulleyd/relay.py
@@ -1,5 +1,7 @@
 """Public API of the relay, for programs that start it."""
 
+from rattanpulleyd._internal.relay import bounded_http
+from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import memory_copies
 from rattanpulleyd._internal.relay import program
 from rattanpulleyd._internal.relay import settings
@@ -7,6 +9,9 @@
 from rattanpulleyd._internal.relay import wire
 
 Endpoint = settings.Endpoint
+ResponseBoundsError = bounded_http.ResponseBoundsError
+now_s = clock.now_s
+read_body = bounded_http.read_body
 HeaderNames = wire.HeaderNames
 MemoryCopyCalls = memory_copies.MemoryCopyCalls
 TargetCall = memory_copies.TargetCall
