Answer every request that a stopping host has accepted

Cause: from 2.4 s after SIGTERM on, a host closed each connection on which no byte had been read, every 50 ms, also those just accepted whose request lay in the socket, and those that were still receiving their last answer. Unread bytes turn the close into a reset. At the end the listening socket was closed with connections waiting in it.

Change: a connection is closed as idle only if no bytes wait on it and, before its first request, after one second; it is closed by ending the sending side and discarding what crosses the close. The connections that wait in the listening socket are accepted and answered before it is closed.

A connection that arrives between the last accept and the close can still be reset; it has not been accepted.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/client_connection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/client_connection.py
@@ -35,6 +35,10 @@
     Attributes:
         busy: Whether a request has started to arrive and is not completed.
         closes: Whether the connection closes after the next response.
+        closing: Whether no further request is read, while the client receives
+            the last response.
+        responses: Number of responses sent.
+        opened_at_s: When the connection was accepted.
     """
 
     def __init__(
@@ -49,6 +53,9 @@
         self._http = self._new_parser()
         self.busy = False
         self.closes = False
+        self.closing = False
+        self.responses = 0
+        self.opened_at_s = clock.now_s()
         sock.setsockopt(socket_lib.IPPROTO_TCP, socket_lib.TCP_NODELAY, 1)
         sock.setsockopt(
             socket_lib.IPPROTO_TCP,
@@ -259,6 +266,7 @@
     def next_cycle(self) -> bool:
         """Prepares for the next request; returns False if there can be none."""
         self.busy = False
+        self.responses += 1
         if self.closes or self._http.our_state is not h11.DONE:
             return False
         if self._http.their_state is not h11.DONE:
@@ -266,6 +274,30 @@
         self._http.start_next_cycle()
         return True
 
+    def is_idle(self, first_request_wait_s: float) -> bool:
+        """Returns whether no request is on its way, as far as is known.
+
+        A client that has just connected is about to send a request, and one
+        may have arrived that is not read yet.
+
+        Args:
+            first_request_wait_s: Seconds in which the first request of a new
+                connection is expected.
+        """
+        if self.busy or self.closing:
+            return False
+        is_new = self.responses == 0
+        if is_new and clock.now_s() - self.opened_at_s < first_request_wait_s:
+            return False
+        return not self._has_unread_bytes()
+
+    def _has_unread_bytes(self) -> bool:
+        flags = socket_lib.MSG_PEEK | socket_lib.MSG_DONTWAIT
+        try:
+            return bool(self._socket._sock.recv(1, flags))
+        except OSError:
+            return False
+
     def can_respond(self) -> bool:
         """Returns whether a response can still be sent."""
         return self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE)
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/listener.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/listener.py
@@ -5,6 +5,8 @@
 their response.
 """
 
+from typing import Any
+
 import gevent
 from gevent import server
 from gevent import socket
@@ -25,8 +27,12 @@
 # A request that was sent before the client noticed the close of its idle
 # connection arrives within this time.
 LATE_REQUEST_WAIT_S = 0.3
+# A client sends its first request within this time after it has connected.
+FIRST_REQUEST_WAIT_S = 1.0
 # Rest of the grace period when the remaining streams are aborted.
 GRACE_RESERVE_S = 0.3
+# Time to answer the connections that were accepted last, within that rest.
+LAST_ANSWERS_S = 0.15
 POLL_INTERVAL_S = 0.05
 LINGER_S = 0.2
 
@@ -74,12 +80,36 @@
         while self._greenlets_by_connection and clock.now_s() < until_s:
             self._close_idle()
             gevent.sleep(POLL_INTERVAL_S)
-        self._server.stop(timeout=0)
+        self._stop_accepting()
+        until_s = max(until_s, clock.now_s() + LAST_ANSWERS_S)
+        while self._greenlets_by_connection and clock.now_s() < until_s:
+            self._close_idle()
+            gevent.sleep(POLL_INTERVAL_S)
+
+    def _stop_accepting(self) -> None:
+        """Closes the listening socket after the connections that wait in it.
+
+        Closing the socket resets connections that are not accepted yet, whose
+        requests may have arrived.
+        """
+        self._server.stop_accepting()
+        while (accepted := self._accept_waiting()) is not None:
+            gevent.spawn(self._handle, *accepted)
+        self._server.close()
+
+    def _accept_waiting(self) -> tuple[socket.socket, Any] | None:
+        """Returns a connection that waits to be accepted and its address."""
+        try:
+            accepted: tuple[socket.socket, Any] | None = self._server.do_read()
+        except OSError:
+            return None
+        return accepted
 
     def _close_idle(self) -> None:
         """Closes the connections on which no request has started to arrive."""
         for connection, greenlet in list(self._greenlets_by_connection.items()):
-            if not connection.busy:
+            if connection.is_idle(FIRST_REQUEST_WAIT_S):
+                connection.closing = True
                 greenlet.kill(
                     client_connection.ConnectionEndedError(), block=False
                 )
@@ -99,8 +129,10 @@
             context_lib.ClientDisconnectedError,
             stream_channel.StreamAbortedError,
         ):
-            # Logged with the request that was interrupted, if any.
-            pass
+            # Logged with the request that was interrupted, if any. A request
+            # that crosses the close is discarded without a reset.
+            if connection.closing:
+                linger(connection)
         finally:
             del self._greenlets_by_connection[connection]
             connection.close()
@@ -148,5 +180,6 @@
     Closing a socket with unread bytes resets the connection, and the reset can
     reach the client before the response.
     """
+    connection.closing = True
     connection.end_sending()
     connection.discard_until_closed(clock.now_s() + LINGER_S)
