--- a/packages/core/src/rattanpulley_core/serving.py
+++ b/packages/core/src/rattanpulley_core/serving.py
@@ -9,7 +9,6 @@
 from rattanpulley_core._internal.serving import prefill
 from rattanpulley_core._internal.serving import reports
 from rattanpulley_core._internal.serving import retries
-from rattanpulley_core._internal.serving import retry_after
 from rattanpulley_core._internal.serving import rollout_trial
 from rattanpulley_core._internal.serving import rollouts
 from rattanpulley_core._internal.serving import shutdown
@@ -82,4 +81,3 @@
 SourceTimeoutError = sources.SourceTimeoutError
 TargetChanges = sources.TargetChanges
 TargetListing = sources.TargetListing
-choose_retry_after_s = retry_after.choose_retry_after_s
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
@@ -137,7 +137,7 @@
         Args:
             reason: Why the request failed.
             retry_after_range_s: Range of the Retry-After of a request that has
-                not run, in seconds, if its target was only busy.
+                not run, in seconds; a random value spreads the retries.
             rng: Random number generator.
         """
         if self.failed_response is not None:
@@ -145,10 +145,5 @@
         status = self._tracker.final_status(self.last)
         retry_after_s = None
         if status == 503:
-            retry_after_s = serving.choose_retry_after_s(
-                self.last,
-                self.deadline_s() - clock.now_s(),
-                retry_after_range_s,
-                rng,
-            )
+            retry_after_s = rng.uniform(*retry_after_range_s)
         return responses.error_response(status, reason, retry_after_s)
