End calls whose answer never ends, also in trailers

The parser of the HTTP client reads trailers until the first empty line, so that a peer which sends trailers without end held the call for ever; each read is within its timeout.

Change: the time left bounds the whole reading of a body.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/bounded_http.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/bounded_http.py
@@ -4,6 +4,7 @@
 timeout of a read does not end such a response, since each read succeeds.
 """
 
+import gevent
 import urllib3
 
 from rattanpulleyd._internal.relay import clock
@@ -31,18 +32,28 @@
         ResponseBoundsError: The body is too large or not complete in time.
         urllib3.exceptions.HTTPError: The connection failed.
     """
-    parts: list[bytes] = []
-    size = 0
+    # A read does not return while trailers arrive, so it is interrupted.
+    late = ResponseBoundsError("not complete in time")
     try:
-        while part := response.read1(READ_BYTES):
-            parts.append(part)
-            size += len(part)
-            if size > max_bytes:
-                raise ResponseBoundsError(f"more than {max_bytes} bytes")
-            if clock.now_s() > until_s:
-                raise ResponseBoundsError("not complete in time")
+        with gevent.Timeout(max(0.0, until_s - clock.now_s()), late):
+            body = _read_limited(response, max_bytes, until_s)
     except BaseException:
         response.close()
         raise
     response.release_conn()
+    return body
+
+
+def _read_limited(
+    response: urllib3.BaseHTTPResponse, max_bytes: int, until_s: float
+) -> bytes:
+    parts: list[bytes] = []
+    size = 0
+    while part := response.read1(READ_BYTES):
+        parts.append(part)
+        size += len(part)
+        if size > max_bytes:
+            raise ResponseBoundsError(f"more than {max_bytes} bytes")
+        if clock.now_s() > until_s:
+            raise ResponseBoundsError("not complete in time")
     return b"".join(parts)
--- a/packages/daemon/tests/relay/relay_builders.py
+++ b/packages/daemon/tests/relay/relay_builders.py
@@ -15,9 +15,11 @@
     )
 
 
-def target(name: str) -> serving.TargetEntry:
+def target(
+    name: str, host: str = "10.0.0.1", port: int = 80
+) -> serving.TargetEntry:
     return serving.TargetEntry(
-        name, "pool", "10.0.0.1", 80, "north", "v1", 6, False, 0.0, 1
+        name, "pool", host, port, "north", "v1", 6, False, 0.0, 1
     )
 
 
