Allow for the delay of facts when crashes of a request are compared

The times of a peer's report are known only up to the delay of its fact. The report of the first crash took longer than that of the second, which then seemed to have started before it and was not counted, so that the other daemon ran the request on a third target.

Change: a run of a peer states the error of its times (1 s), and a run counts as a crash of its own if it may have started after the one before. Streams that run longer are still counted once when their targets are lost together.

--- a/packages/core/src/rattanpulley_core/_internal/suspects/reports.py
+++ b/packages/core/src/rattanpulley_core/_internal/suspects/reports.py
@@ -34,11 +34,19 @@
         started_s: Monotonic time at which the latest attempt started.
         crashed_s: Monotonic time of the crash.
         tokens: Largest number of tokens of an answer at the crash.
+        clock_error_s: Largest error of the times against this daemon's clock;
+            0 for a run of its own.
     """
 
     started_s: float
     crashed_s: float
     tokens: int
+    clock_error_s: float = 0.0
+
+    def may_follow(self, earlier: "CrashedRun") -> bool:
+        """Returns whether the run may have started after an earlier crash."""
+        error_s = self.clock_error_s + earlier.clock_error_s
+        return self.started_s + error_s >= earlier.crashed_s
 
 
 # A crash is identified by the target's name and the boot id of the process.
@@ -245,9 +253,9 @@
         key=lambda run: run.crashed_s,
     )
     crashes = sum(run is None for run in runs)
-    first_crash_s = None
+    counted: CrashedRun | None = None
     for run in known:
-        if first_crash_s is None or run.started_s >= first_crash_s:
+        if counted is None or run.may_follow(counted):
             crashes += 1
-            first_crash_s = run.crashed_s
+            counted = run
     return crashes
--- a/packages/core/tests/suspects/test_attribution.py
+++ b/packages/core/tests/suspects/test_attribution.py
@@ -142,14 +142,21 @@
     assert not table.is_suspect("a", now_s)
 
 
+def remote_run(
+    started_s: float, crashed_s: float, tokens: int
+) -> suspects.CrashedRun:
+    """Returns a run of a peer, whose times are known roughly."""
+    return suspects.CrashedRun(started_s, crashed_s, tokens, clock_error_s=1.0)
+
+
 def test_remote_reports_of_targets_lost_together_count_once():
     # Guards against a refusal of a popular request at a daemon that learns from
     # a peer that two targets with copies of it were lost together.
     table = suspects.SuspectTable()
     runs = [
-        suspects.CrashedRun(started_s=1.0, crashed_s=9.0, tokens=60),
-        suspects.CrashedRun(started_s=2.0, crashed_s=9.1, tokens=66),
-        suspects.CrashedRun(started_s=9.3, crashed_s=9.8, tokens=90),
+        remote_run(1.0, 9.0, 60),
+        remote_run(2.0, 9.1, 66),
+        remote_run(9.3, 9.8, 90),
     ]
     for number, run in enumerate(runs[:2]):
         table.apply_remote("a", f"t{number}", "boot", 11.0, run=run)
@@ -157,3 +164,14 @@
     assert table.crashed_tokens("a", 11.0) == 66
     table.apply_remote("a", "t2", "boot", 12.0, run=runs[2])
     assert table.is_refused("a", 12.0)
+
+
+@pytest.mark.parametrize("delay_s", [-0.4, 0.0, 0.05, 0.4])
+def test_delay_of_a_remote_report_does_not_hide_a_second_crash(delay_s):
+    # Guards against a request that crashes a third target, because the report
+    # of the first crash took longer than that of the second.
+    table = suspects.SuspectTable()
+    first = remote_run(9.0 + delay_s, 9.1 + delay_s, 0)
+    table.apply_remote("a", "t1", "boot", 12.0, run=first)
+    table.apply_remote("a", "t2", "boot", 12.0, run=remote_run(9.101, 9.2, 0))
+    assert table.is_refused("a", 12.0)
--- a/packages/daemon/src/rattanpulleyd/_internal/peers/crash_report_codec.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/peers/crash_report_codec.py
@@ -14,6 +14,8 @@
 from rattanpulley_core import suspects
 
 _VERSION = 1
+# Facts take up to a tick of each daemon on their way, and each its own time.
+CLOCK_ERROR_S = 1.0
 
 
 class MalformedCrashReportError(ValueError):
@@ -70,7 +72,9 @@
     run = None
     if len(row) == 5 and fact.expires_s is not None:
         crashed_s = fact.expires_s - suspects.REPORT_TTL_S
-        run = suspects.CrashedRun(crashed_s - row[3], crashed_s, row[4])
+        run = suspects.CrashedRun(
+            crashed_s - row[3], crashed_s, row[4], CLOCK_ERROR_S
+        )
     return RemoteCrashReport(row[0], row[1], row[2], run)
 
 
--- a/packages/daemon/tests/peers/test_crash_report_codec.py
+++ b/packages/daemon/tests/peers/test_crash_report_codec.py
@@ -36,6 +36,7 @@
     assert report.run.crashed_s == pytest.approx(4998.0)
     assert report.run.started_s == pytest.approx(4995.5)
     assert report.run.tokens == 66
+    assert report.run.clock_error_s > 0
 
 
 def test_two_daemons_name_one_crash_by_the_same_key():
