Log the fingerprint of a request's content with its attempts and its end

Callers saw: nothing of this change.

Change: a digest of account, method, host, path, query and body on `attempt.ended` and `request.ended`. The key is left out, since a client may change it.

Why it works: repetitions of a request have one fingerprint at every host.

--- a/packages/core/src/rattanpulley_core/serving.py
+++ b/packages/core/src/rattanpulley_core/serving.py
@@ -3,6 +3,7 @@
 from rattanpulley_core._internal.serving import cached_config
 from rattanpulley_core._internal.serving import config
 from rattanpulley_core._internal.serving import failure_kinds
+from rattanpulley_core._internal.serving import fingerprints
 from rattanpulley_core._internal.serving import fleet
 from rattanpulley_core._internal.serving import peer_sync
 from rattanpulley_core._internal.serving import placement
@@ -36,6 +37,7 @@
 FAILURES_BEFORE_SENDING = failure_kinds.FAILURES_BEFORE_SENDING
 BAD_VERSION_FAILURES = failure_kinds.BAD_VERSION_FAILURES
 RULE_BY_FAILURE = failure_kinds.RULE_BY_FAILURE
+request_fingerprint = fingerprints.request_fingerprint
 Fleet = fleet.Fleet
 HostEntry = fleet.HostEntry
 LoadTable = placement.LoadTable
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/context.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/context.py
@@ -75,12 +75,14 @@
         route: Route that matched when the request arrived.
         account: Client account that owns the key.
         pool: Pool selected for the request.
+        fingerprint: Identifies repetitions of the request.
     """
 
     request: wire.ClientRequest
     route: serving.ServingRoute
     account: str
     pool: str
+    fingerprint: str
 
     def deadline_s(self, cached_config: serving.CachedConfig) -> float:
         """Returns when the timeout of the client or of the route expires.
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/gateway.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/gateway.py
@@ -84,6 +84,7 @@
             route,
             decision.account,
             route.choose_pool(self._context.rng),
+            serving.request_fingerprint(decision.account, request.content),
         )
         if shutdown is not None and not self._can_finish(admission, shutdown):
             self._reject_while_stopping(connection, request)
@@ -223,6 +224,7 @@
             route=admission.route.name,
             kind=kind,
             account=admission.account,
+            fingerprint=admission.fingerprint,
             status=status,
             reason=reason,
             targets=targets,
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/target_health.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/target_health.py
@@ -33,6 +33,7 @@
     context.log.failure(
         "attempt.ended",
         request=admission.request.request_id,
+        fingerprint=admission.fingerprint,
         target=entry.target_id,
         domain=entry.domain,
         ending=error.kind.value,
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/wire.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/wire.py
@@ -101,6 +101,11 @@
         """The path without the query."""
         return self.target.partition(b"?")[0].decode("latin-1")
 
+    @property
+    def content(self) -> tuple[bytes, bytes, bytes, bytes]:
+        """What the request asks for: method, host, target and body."""
+        return (self.method, self.host.encode(), self.target, self.body)
+
 
 class MalformedRequestError(Exception):
     """An invalid request, which is not forwarded.
