Refuse a request that has crashed three targets, at every host

Cause: a host forgot a request with its attempt. `max_attempts` bounds the targets of one attempt of a client, and each repetition is a new attempt with a new id at any host, so that it was sent to two more targets each time. Class: a limit kept for an attempt or a process where the harm adds up over attempts and processes.

Change: a request is known by the digest of account, method, host, path, query and body. A connection lost after sending, to a target that then refuses connections, is a crash under it. Hosts pass these reports on with the target changes that they already ask each other for, and keep refused requests in the store. After three crashes in succession the content is refused for 15 min with 503 and that time. A response, or 30 events past the crash, clears a request everywhere.

Why it works: the count belongs to the content, so that new ids and other hosts add to it; it passes through every host that others ask, and the store keeps it when all of them end.

--- a/packages/core/src/rattanpulley_core/_internal/serving/peer_sync.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/peer_sync.py
@@ -12,6 +12,7 @@
 from rattanpulley_core._internal.serving import fleet
 from rattanpulley_core._internal.serving import sources
 from rattanpulley_core._internal.serving import target_registry
+from rattanpulley_core._internal.suspects import shared
 
 # Number of changes that are kept for hosts that query rarely. A crash of a
 # failure domain causes a few tens of changes.
@@ -75,10 +76,13 @@
             not reached it. A watch of the store returns at the first change,
             so the host has not seen any in the meantime.
         age_s: Seconds since the call that confirmed the newest change was sent.
+        crashes: Crash reports that the host has and this one may lack, or None
+            if it sent none.
     """
 
     changes: sources.TargetChanges | None
     age_s: float
+    crashes: shared.ReportBatch | None = None
 
 
 class ChangeLog:
--- a/packages/core/src/rattanpulley_core/_internal/serving/sources.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/sources.py
@@ -7,6 +7,7 @@
 from rattanpulley_core._internal.serving import fleet
 from rattanpulley_core._internal.serving import rollouts
 from rattanpulley_core._internal.serving import target_registry
+from rattanpulley_core._internal.suspects import shared
 
 
 class SourceError(Exception):
@@ -141,6 +142,37 @@
         """Returns when an order was first seen, in Unix seconds, or None."""
 
 
+class SuspectStore(abc.ABC):
+    """Refused requests that outlast all hosts; calls may raise `SourceError`.
+
+    A write whose call fails may still have taken effect.
+    """
+
+    @abc.abstractmethod
+    def record_suspect(
+        self,
+        fingerprint: str,
+        found: tuple[shared.SharedReport, ...],
+        timeout_s: float,
+    ) -> None:
+        """Replaces the reports of a refused request."""
+
+    @abc.abstractmethod
+    def read_suspects(
+        self, timeout_s: float, may_be_old: bool
+    ) -> dict[str, tuple[shared.SharedReport, ...]]:
+        """Returns the reports of all recorded requests by fingerprint.
+
+        Args:
+            timeout_s: Maximum wait for the response.
+            may_be_old: Whether the records may be seconds old.
+        """
+
+    @abc.abstractmethod
+    def remove_suspect(self, fingerprint: str, timeout_s: float) -> None:
+        """Removes the record of a request."""
+
+
 class HostDirectory(abc.ABC):
     """Registered hosts of the deployment; calls may raise `SourceError`."""
 
--- a/packages/core/src/rattanpulley_core/_internal/suspects/reports.py
+++ b/packages/core/src/rattanpulley_core/_internal/suspects/reports.py
@@ -58,10 +58,16 @@
 
     A report is identified by fingerprint, target and boot id, so that several
     reports of one crash count once. One report makes a request suspect; two
-    cause its refusal.
+    cause its refusal, unless another number is given.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, refusal_crash_count: int = REFUSAL_CRASH_COUNT) -> None:
+        """Creates an empty table.
+
+        Args:
+            refusal_crash_count: Crashes from which a request is refused.
+        """
+        self._refusal_crash_count = refusal_crash_count
         self._reports_by_fingerprint: dict[
             str, dict[CrashKey, CrashReport]
         ] = {}
@@ -133,9 +139,7 @@
         reports = self._reports_by_fingerprint.get(fingerprint, {})
         found = reports.get((target, boot_id))
         if found is not None and found.provisional:
-            del reports[target, boot_id]
-            if not reports:
-                del self._reports_by_fingerprint[fingerprint]
+            self.remove(fingerprint, target, boot_id)
 
     def clear(self, fingerprint: str) -> bool:
         """Clears all reports of a request; they do not count again.
@@ -149,6 +153,20 @@
             found.cleared = True
         return had_final
 
+    def clear_report(self, fingerprint: str, target: str, boot_id: str) -> None:
+        """Clears one report of a request; it does not count again."""
+        reports = self._reports_by_fingerprint.get(fingerprint, {})
+        found = reports.get((target, boot_id))
+        if found is not None:
+            found.cleared = True
+
+    def remove(self, fingerprint: str, target: str, boot_id: str) -> None:
+        """Removes one report of a request."""
+        reports = self._reports_by_fingerprint.get(fingerprint, {})
+        reports.pop((target, boot_id), None)
+        if not reports:
+            self._reports_by_fingerprint.pop(fingerprint, None)
+
     def is_cleared(self, fingerprint: str, target: str, boot_id: str) -> bool:
         """Returns whether the report of a crash has been cleared."""
         reports = self._reports_by_fingerprint.get(fingerprint, {})
@@ -194,7 +212,7 @@
         active = self._active_reports(fingerprint, now_s)
         final = [found for found in active if not found.provisional]
         crashes = _count_consecutive_crashes([found.run for found in final])
-        return crashes >= REFUSAL_CRASH_COUNT
+        return crashes >= self._refusal_crash_count
 
     def pop_newly_refused(self) -> list[str]:
         """Returns and removes the fingerprints refused since the last call."""
--- a/packages/core/src/rattanpulley_core/serving.py
+++ b/packages/core/src/rattanpulley_core/serving.py
@@ -76,6 +76,7 @@
 TargetRegistry = target_registry.TargetRegistry
 accepts_while_stopping = shutdown.accepts_request
 RolloutStore = sources.RolloutStore
+SuspectStore = sources.SuspectStore
 HostDirectory = sources.HostDirectory
 HistoryGoneError = sources.HistoryGoneError
 ServingSource = sources.ServingSource
--- a/packages/core/src/rattanpulley_core/suspects.py
+++ b/packages/core/src/rattanpulley_core/suspects.py
@@ -1,7 +1,12 @@
 """Public API for requests suspected of crashing targets."""
 
 from rattanpulley_core._internal.suspects import reports
+from rattanpulley_core._internal.suspects import shared
 
 CrashedRun = reports.CrashedRun
 REPORT_TTL_S = reports.REPORT_TTL_S
 SuspectTable = reports.SuspectTable
+ReportBatch = shared.ReportBatch
+SharedReport = shared.SharedReport
+SharedSuspects = shared.SharedSuspects
+SHARED_REPORT_TTL_S = shared.SHARED_REPORT_TTL_S
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
@@ -5,6 +5,7 @@
 from rattanpulley_core import serving
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import context as context_lib
+from rattanpulleyd._internal.relay import request_crashes
 from rattanpulleyd._internal.relay import responses
 from rattanpulleyd._internal.relay import target_connection
 from rattanpulleyd._internal.relay import target_health
@@ -76,8 +77,17 @@
         self,
         entry: serving.TargetEntry,
         error: target_connection.AttemptError,
+        sent_at_s: float,
+        events: int = 0,
     ) -> None:
-        """Records a failed attempt."""
+        """Records a failed attempt.
+
+        Args:
+            entry: The target.
+            error: How the attempt failed.
+            sent_at_s: When the attempt started.
+            events: Id of the last event of the stream, or 0.
+        """
         if error.kind in serving.BAD_VERSION_FAILURES:
             self._observe(entry, True, None)
         self.last = error.kind
@@ -87,6 +97,11 @@
         target_health.record_failure(
             self._context, self._admission, entry, error
         )
+        if error.kind is serving.FailureKind.CONNECTION_LOST:
+            ran_s = clock.now_s() - sent_at_s
+            request_crashes.record_crash(
+                self._context, self._admission, entry, events, ran_s
+            )
 
     def record_success(self, entry: serving.TargetEntry, took_s: float) -> None:
         """Records a successful response, or the first event of a stream.
@@ -114,6 +129,13 @@
                 took_s,
             )
 
+    def is_refused(self) -> bool:
+        """Returns whether the request is known to crash targets by now."""
+        refused_for_s = request_crashes.refused_for_s(
+            self._context, self._admission
+        )
+        return refused_for_s > 0
+
     def can_retry(self) -> bool:
         """Returns whether the request may be retried at another target."""
         if clock.now_s() >= self.deadline_s():
@@ -145,5 +167,7 @@
         status = self._tracker.final_status(self.last)
         retry_after_s = None
         if status == 503:
-            retry_after_s = rng.uniform(*retry_after_range_s)
+            retry_after_s = request_crashes.refused_for_s(
+                self._context, self._admission
+            ) or rng.uniform(*retry_after_range_s)
         return responses.error_response(status, reason, retry_after_s)
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/context.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/context.py
@@ -4,6 +4,7 @@
 import random
 
 from rattanpulley_core import serving
+from rattanpulley_core import suspects as suspects_lib
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import decision_log
 from rattanpulleyd._internal.relay import relay_metrics
@@ -42,6 +43,7 @@
         prefill_estimator: Estimates how long engines take to prefill a prompt.
         retry_budget: Limits retries for each pool.
         trials: Running rollout trials, and the status of all versions.
+        suspects: Requests that crash targets.
         fleet: The hosts of the deployment.
         names: Header names of the deployment.
         prober: Checks whether an unresponsive target is alive.
@@ -58,6 +60,7 @@
     prefill_estimator: serving.PrefillEstimator
     retry_budget: serving.PoolRetryBudget
     trials: serving.TrialTable
+    suspects: suspects_lib.SharedSuspects
     fleet: serving.Fleet
     names: wire.HeaderNames
     prober: target_prober.TargetProber
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/gateway.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/gateway.py
@@ -9,6 +9,7 @@
 from rattanpulleyd._internal.relay import context as context_lib
 from rattanpulleyd._internal.relay import memory_copies
 from rattanpulleyd._internal.relay import plain_relay
+from rattanpulleyd._internal.relay import request_crashes
 from rattanpulleyd._internal.relay import responses
 from rattanpulleyd._internal.relay import stream_channel
 from rattanpulleyd._internal.relay import stream_relay
@@ -89,6 +90,10 @@
         if shutdown is not None and not self._can_finish(admission, shutdown):
             self._reject_while_stopping(connection, request)
             return
+        refused_for_s = request_crashes.refused_for_s(self._context, admission)
+        if refused_for_s:
+            self._reject_suspect(connection, admission, refused_for_s)
+            return
         connection.closes = connection.closes or closes
         with connection.cancelling_on_disconnect():
             if route.kind is serving.RouteKind.STREAM:
@@ -154,6 +159,30 @@
         )
         connection.send_response(response, closes=True)
 
+    def _reject_suspect(
+        self,
+        connection: client_connection.ClientConnection,
+        admission: context_lib.Admission,
+        refused_for_s: float,
+    ) -> None:
+        """Refuses a request that crashes targets; it has not run this time."""
+        self._context.log.failure(
+            "request.refused",
+            request=admission.request.request_id,
+            fingerprint=admission.fingerprint,
+            account=admission.account,
+            reason="crashes_targets",
+            status=503,
+            refused_for_s=round(refused_for_s, 1),
+        )
+        metrics = self._context.metrics
+        metrics.requests.labels(admission.route.kind.value, "503").inc()
+        metrics.suspects.labels("refused").inc()
+        response = responses.error_response(
+            503, request_crashes.REFUSAL_REASON, refused_for_s
+        )
+        connection.send_response(response, closes=False)
+
     def _serve_plain(
         self,
         connection: client_connection.ClientConnection,
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/peer_reader.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/peer_reader.py
@@ -7,6 +7,7 @@
 from typing import TypeVar
 
 from rattanpulley_core import serving
+from rattanpulley_core import suspects as suspects_lib
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import context as context_lib
 from rattanpulleyd._internal.relay import state_exchange
@@ -34,6 +35,9 @@
         self._selector = serving.PeerSelector(context.fleet, own)
         self._client = state_exchange.PeerClient()
         self._digest = state_exchange.ConfigDigest()
+        # Log of crash reports that was read last, and the position in it.
+        self._crash_log = ""
+        self._crash_position = 0
 
     def periods(self) -> serving.SharingPeriods:
         """Returns the times of this host's refreshes."""
@@ -80,7 +84,7 @@
         """
         sent_at_s = clock.suspend_aware_now_s()
         report = self._fetch(
-            lambda entry: self._client.fetch_targets(entry, position),
+            lambda entry: self._fetch_targets(entry, position),
             self._entries(any_host=False),
             MAX_TARGETS_AGE_S,
         )
@@ -88,6 +92,58 @@
             return None
         return report, sent_at_s - report.age_s
 
+    def _fetch_targets(
+        self, entry: serving.HostEntry, position: int
+    ) -> serving.TargetsReport:
+        """Returns another host's changes after it added its crash reports."""
+        sent_at_s = clock.suspend_aware_now_s()
+        report = self._client.fetch_targets(
+            entry, position, self._crash_log, self._crash_position
+        )
+        if report.crashes is not None:
+            self._add_crashes(report.crashes, sent_at_s)
+        return report
+
+    def _add_crashes(
+        self, batch: suspects_lib.ReportBatch, sent_at_s: float
+    ) -> None:
+        """Adds crash reports of the host that this one queries."""
+        self._follow_log(batch.log_id)
+        now_s = clock.suspend_aware_now_s()
+        added = self._context.suspects.merge(
+            batch.reports, now_s, now_s - sent_at_s, is_upstream=True
+        )
+        self._crash_position = batch.position
+        self._context.metrics.suspects.labels("received").inc(added)
+
+    def _follow_log(self, log_id: str) -> None:
+        """Starts anew when another host, or a restarted one, is queried."""
+        if log_id != self._crash_log:
+            self._crash_log = log_id
+            self._crash_position = 0
+            self._context.suspects.forget_upstream()
+
+    @property
+    def queries_peers(self) -> bool:
+        """Whether this host queries another one before the store."""
+        return bool(self._entries(any_host=False))
+
+    def send_crashes(self, batch: suspects_lib.ReportBatch) -> bool:
+        """Sends crash reports to the host that this one queries.
+
+        Returns:
+            Whether a host has received them.
+        """
+        for entry in self._entries(any_host=False):
+            try:
+                log_id = self._client.send_crashes(entry, batch)
+            except state_exchange.PeerReportError as error:
+                self._pass_over(entry, str(error))
+                continue
+            self._follow_log(log_id)
+            return True
+        return False
+
     def _entries(self, any_host: bool) -> list[serving.HostEntry]:
         now_s = clock.now_s()
         if any_host:
@@ -116,9 +172,13 @@
                 reason = f"its cached state is {report.age_s:.1f} s old"
             except state_exchange.PeerReportError as error:
                 reason = str(error)
-            metrics.labels("failed").inc()
-            self._selector.mark_unresponsive(entry.name, clock.now_s())
-            self._context.log.change(
-                "peer.passed_over", peer=entry.name, reason=reason
-            )
+            self._pass_over(entry, reason)
         return None
+
+    def _pass_over(self, entry: serving.HostEntry, reason: str) -> None:
+        """Queries a host that did not respond not again for a while."""
+        self._context.metrics.peer_calls.labels("failed").inc()
+        self._selector.mark_unresponsive(entry.name, clock.now_s())
+        self._context.log.change(
+            "peer.passed_over", peer=entry.name, reason=reason
+        )
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
@@ -12,6 +12,7 @@
 from rattanpulleyd._internal.relay import attempts as attempts_lib
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import context as context_lib
+from rattanpulleyd._internal.relay import request_crashes
 from rattanpulleyd._internal.relay import responses
 from rattanpulleyd._internal.relay import target_connection
 from rattanpulleyd._internal.relay import target_health
@@ -61,10 +62,13 @@
             entry = self._next_target()
             if entry is None:
                 return self._give_up("no target is ready")
+            if self._attempts.is_refused():
+                return self._give_up(request_crashes.REFUSAL_REASON)
+            sent_at_s = clock.now_s()
             try:
-                return self._attempt(entry)
+                return self._attempt(entry, sent_at_s)
             except target_connection.AttemptError as error:
-                self._attempts.record(entry, error)
+                self._attempts.record(entry, error, sent_at_s)
                 if not self._attempts.can_retry():
                     return self._give_up(str(error))
 
@@ -83,13 +87,14 @@
                 return entry
             target_connection.pause(NO_TARGET_POLL_S)
 
-    def _attempt(self, entry: serving.TargetEntry) -> responses.Response:
+    def _attempt(
+        self, entry: serving.TargetEntry, sent_at_s: float
+    ) -> responses.Response:
         """Sends the request to a target and returns the response."""
         request = self._admission.request
         connection = target_connection.TargetConnection(entry)
         load = self._context.loads.load_of(entry.target_id)
         load.in_flight += 1
-        sent_at_s = clock.now_s()
         self.targets.append(entry.target_id)
         try:
             connection.connect(target_connection.CONNECT_TIMEOUT_S)
@@ -138,6 +143,7 @@
         now_s = clock.now_s()
         self._context.loads.record_success(entry.target_id, now_s)
         self._attempts.record_success(entry, now_s - sent_at_s)
+        request_crashes.record_progress(self._context, self._admission)
         return response
 
     def _read_body(
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
@@ -5,11 +5,13 @@
 import random
 import signal
 from typing import Any
+import uuid
 
 import gevent
 from gevent import event
 
 from rattanpulley_core import serving
+from rattanpulley_core import suspects
 from rattanpulleyd import exceptions
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import context as context_lib
@@ -25,6 +27,7 @@
 from rattanpulleyd._internal.relay import state_exchange
 from rattanpulleyd._internal.relay import status_report
 from rattanpulleyd._internal.relay import store_refresh
+from rattanpulleyd._internal.relay import suspect_sharing
 from rattanpulleyd._internal.relay import target_prober
 from rattanpulleyd._internal.relay import target_reports
 from rattanpulleyd._internal.relay import tasks
@@ -34,7 +37,12 @@
 SETTINGS_CHECK_S = 5.0
 
 
-class Store(serving.ServingSource, serving.RolloutStore, serving.HostDirectory):
+class Store(
+    serving.ServingSource,
+    serving.RolloutStore,
+    serving.SuspectStore,
+    serving.HostDirectory,
+):
     """Interface for all calls to the platform's store."""
 
 
@@ -111,11 +119,15 @@
         name = self._settings.name
         rollouts = rollout_watch.RolloutWatch(self._context, self._store, name)
         membership = fleet_refresh.FleetRefresh(self._context, self._store, own)
+        sharing = suspect_sharing.SuspectSharing(
+            self._context, self._store, peers
+        )
         for run in (
             config.run_forever,
             targets.run_forever,
             rollouts.run_forever,
             membership.run_forever,
+            sharing.run_forever,
             self._watch_loop_gaps,
             self._watch_settings,
         ):
@@ -214,6 +226,7 @@
         trials=serving.TrialTable(
             gate, bounds.exposed_share, bounds.exposed_slack, rng
         ),
+        suspects=suspects.SharedSuspects(uuid.uuid4().hex),
         fleet=fleet,
         names=names,
         prober=target_prober.TargetProber(report_reader, metrics),
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/relay_metrics.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/relay_metrics.py
@@ -28,6 +28,9 @@
             "memory_copies", "Copies of a run's memory", ["result"]
         )
         self.probes = self._counter("probes", "Probes of targets", ["result"])
+        self.suspects = self._counter(
+            "suspects", "Requests that crash targets", ["event"]
+        )
         self.store_calls = self._counter(
             "store_calls", "Calls to the store", ["call", "result"]
         )
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/state_exchange.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/state_exchange.py
@@ -1,4 +1,4 @@
-"""Shares configuration and target changes among the hosts of a deployment.
+"""Shares configuration, target changes and crash reports among all hosts.
 
 A host requests them from another one over HTTP on an internal port. Each
 response contains its age, so that cached state never counts as more recent than
@@ -9,17 +9,20 @@
 import hashlib
 import json
 from typing import Any
+from urllib import parse
 
 import bottle
 import urllib3
 
 from rattanpulley_core import serving
+from rattanpulley_core import suspects
 from rattanpulleyd._internal.relay import bounded_http
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import context as context_lib
 
 CONFIG_PATH = "/beliefs/config"
 TARGETS_PATH = "/beliefs/targets"
+CRASHES_PATH = "/beliefs/crashes"
 # Hosts of one failure domain respond within a few milliseconds.
 REQUEST_TIMEOUT_S = 0.25
 # Several times the changes that a host keeps for others.
@@ -28,6 +31,10 @@
 HTTP_NOT_FOUND = 404
 
 
+# Errors of a document that lacks fields or has other types.
+_UNREADABLE = (KeyError, TypeError, ValueError)
+
+
 class PeerReportError(Exception):
     """A host did not respond, or has no report for the request."""
 
@@ -49,6 +56,7 @@
         app = bottle.Bottle()
         app.route(CONFIG_PATH, callback=self._config)
         app.route(TARGETS_PATH, callback=self._targets)
+        app.route(CRASHES_PATH, method="POST", callback=self._add_crashes)
         return app
 
     def _config(self) -> Any:
@@ -69,9 +77,10 @@
             raise bottle.HTTPError(400) from None
         shared = self._context.shared_targets
         age_s = clock.suspend_aware_now_s() - shared.confirmed_at_s
+        crashes = self._crashes()
         known = shared.log.position
         if known is not None and known < position:
-            return {"behind": True, "age_s": age_s}
+            return {"behind": True, "age_s": age_s, "crashes": crashes}
         changes = shared.log.since(position)
         if changes is None:
             raise bottle.HTTPError(HTTP_NOT_FOUND)
@@ -80,8 +89,36 @@
             "changed": [dataclasses.astuple(row) for row in changes.changed],
             "removed": changes.removed_ids,
             "age_s": age_s,
+            "crashes": crashes,
         }
 
+    def _crashes(self) -> dict[str, Any]:
+        """Returns the crash reports that the requesting host lacks."""
+        query = bottle.request.query
+        try:
+            position = int(query.crash_position or 0)
+        except ValueError:
+            raise bottle.HTTPError(400) from None
+        batch = self._context.suspects.since(
+            query.crash_log, position, clock.suspend_aware_now_s()
+        )
+        return _encode_batch(batch)
+
+    def _add_crashes(self) -> Any:
+        """Adds the crash reports of another host."""
+        body = bottle.request.body.read(MAX_RESPONSE_BYTES)
+        try:
+            batch = _decode_batch(json.loads(body))
+        except _UNREADABLE:
+            raise bottle.HTTPError(400) from None
+        self._context.suspects.merge(
+            batch.reports,
+            clock.suspend_aware_now_s(),
+            error_s=REQUEST_TIMEOUT_S,
+            is_upstream=False,
+        )
+        return {"log": self._context.suspects.log_id}
+
 
 class PeerClient:
     """Requests state from other hosts."""
@@ -95,7 +132,7 @@
         Raises:
             PeerReportError: The host did not respond or has no configuration.
         """
-        document = self._get(entry, CONFIG_PATH)
+        document = self._call(entry, "GET", CONFIG_PATH)
         try:
             return serving.ConfigReport(
                 int(document["version"]),
@@ -106,29 +143,73 @@
             raise PeerReportError(repr(error)) from error
 
     def fetch_targets(
-        self, entry: serving.HostEntry, position: int
+        self,
+        entry: serving.HostEntry,
+        position: int,
+        crash_log: str,
+        crash_position: int,
     ) -> serving.TargetsReport:
         """Returns the target changes after a position from another host.
 
+        Args:
+            entry: The other host.
+            position: Store position of the last change that is known.
+            crash_log: Log of crash reports that was read last.
+            crash_position: Position in that log.
+
         Raises:
             PeerReportError: The host did not respond or does not have all
                 changes.
         """
-        document = self._get(entry, f"{TARGETS_PATH}?position={position}")
+        query = parse.urlencode(
+            {
+                "position": position,
+                "crash_log": crash_log,
+                "crash_position": crash_position,
+            }
+        )
+        document = self._call(entry, "GET", f"{TARGETS_PATH}?{query}")
         try:
             age_s = float(document["age_s"])
+            crashes = None
+            # Hosts of earlier versions send no crash reports.
+            if "crashes" in document:
+                crashes = _decode_batch(document["crashes"])
             if document.get("behind"):
-                return serving.TargetsReport(None, age_s)
+                return serving.TargetsReport(None, age_s, crashes)
             changes = serving.TargetChanges(
                 tuple(serving.TargetEntry(*row) for row in document["changed"]),
                 tuple(map(str, document["removed"])),
                 int(document["position"]),
             )
-            return serving.TargetsReport(changes, age_s)
-        except (KeyError, TypeError, ValueError) as error:
+            return serving.TargetsReport(changes, age_s, crashes)
+        except _UNREADABLE as error:
             raise PeerReportError(repr(error)) from error
 
-    def _get(self, entry: serving.HostEntry, path: str) -> dict[str, Any]:
+    def send_crashes(
+        self, entry: serving.HostEntry, batch: suspects.ReportBatch
+    ) -> str:
+        """Sends crash reports to another host.
+
+        Returns:
+            Id of the log of that host.
+
+        Raises:
+            PeerReportError: The host did not respond.
+        """
+        document = self._call(entry, "POST", CRASHES_PATH, _encode_batch(batch))
+        log_id = document.get("log")
+        if not isinstance(log_id, str):
+            raise PeerReportError("the response names no log")
+        return log_id
+
+    def _call(
+        self,
+        entry: serving.HostEntry,
+        method: str,
+        path: str,
+        content: dict[str, Any] | None = None,
+    ) -> dict[str, Any]:
         pool = self._pools.get(entry.address)
         if pool is None:
             host, _, port = entry.address.rpartition(":")
@@ -138,7 +219,11 @@
             self._pools[entry.address] = pool
         try:
             response = pool.request(
-                "GET", path, timeout=REQUEST_TIMEOUT_S, preload_content=False
+                method,
+                path,
+                body=None if content is None else json.dumps(content).encode(),
+                timeout=REQUEST_TIMEOUT_S,
+                preload_content=False,
             )
             body = bounded_http.read_body(
                 response,
@@ -160,6 +245,24 @@
         return document
 
 
+def _encode_batch(batch: suspects.ReportBatch) -> dict[str, Any]:
+    """Returns the JSON object of a batch of crash reports."""
+    return {
+        "log": batch.log_id,
+        "position": batch.position,
+        "reports": [dataclasses.astuple(row) for row in batch.reports],
+    }
+
+
+def _decode_batch(document: dict[str, Any]) -> suspects.ReportBatch:
+    """Returns the batch in a JSON object; raises one of `_UNREADABLE`."""
+    return suspects.ReportBatch(
+        str(document["log"]),
+        int(document["position"]),
+        tuple(suspects.SharedReport.parse(row) for row in document["reports"]),
+    )
+
+
 class ConfigDigest:
     """Caches the digest of the latest configuration."""
 
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
@@ -15,6 +15,7 @@
 from rattanpulleyd._internal.relay import event_frames
 from rattanpulleyd._internal.relay import memory_copies
 from rattanpulleyd._internal.relay import prefill_counter
+from rattanpulleyd._internal.relay import request_crashes
 from rattanpulleyd._internal.relay import responses
 from rattanpulleyd._internal.relay import stream_channel
 from rattanpulleyd._internal.relay import stream_monitor
@@ -96,11 +97,15 @@
             plan = self._next_plan()
             if plan is None:
                 return self._give_up("no target is ready")
+            if self._attempts.is_refused():
+                return self._give_up(request_crashes.REFUSAL_REASON)
+            sent_at_s = clock.now_s()
             try:
                 self._attempt(plan)
                 return None
             except target_connection.AttemptError as error:
-                self._attempts.record(plan.entry, error)
+                events = self._events.last_id or 0
+                self._attempts.record(plan.entry, error, sent_at_s, events)
                 if error.reported_id:
                     target_health.adopt_restarted_target(
                         self._context, plan.entry, error.reported_id
@@ -274,6 +279,9 @@
                 prefill.end()
             if passed:
                 self._forward(head, passed)
+                request_crashes.record_progress(
+                    self._context, self._admission, self._events.last_id
+                )
         if frames.incomplete or self._events.last_id is None:
             raise target_connection.AttemptError(
                 serving.FailureKind.CONNECTION_LOST,
@@ -282,6 +290,7 @@
         self._send_head(head)
         self._channel.finish()
         self._context.loads.record_success(plan.entry.target_id, clock.now_s())
+        request_crashes.record_progress(self._context, self._admission)
 
     def _record_prefill(
         self, plan: _AttemptPlan, monitor: stream_monitor.StreamMonitor
--- a/packages/daemon/tests/relay/relay_builders.py
+++ b/packages/daemon/tests/relay/relay_builders.py
@@ -4,6 +4,7 @@
 import types
 
 from rattanpulley_core import serving
+from rattanpulley_core import suspects
 from rattanpulleyd._internal.relay import context as context_lib
 from rattanpulleyd._internal.relay import decision_log
 from rattanpulleyd._internal.relay import relay_metrics
@@ -26,6 +27,7 @@
 def make_context(name: str) -> types.SimpleNamespace:
     return types.SimpleNamespace(
         cached_config=serving.CachedConfig(5.0),
+        suspects=suspects.SharedSuspects(f"log of {name}"),
         fleet=serving.Fleet(name),
         shared_targets=context_lib.SharedTargets(serving.ChangeLog()),
         metrics=relay_metrics.RelayMetrics(),
--- a/packages/daemon/tests/relay/test_peer_reader.py
+++ b/packages/daemon/tests/relay/test_peer_reader.py
@@ -5,8 +5,10 @@
 
 import pytest
 import relay_builders
+import urllib3
 
 from rattanpulley_core import serving
+from rattanpulley_core import suspects
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import peer_reader
 from rattanpulleyd._internal.relay import state_exchange
@@ -121,3 +123,44 @@
     assert follower.peers.fetch_target_changes(10) is None
     text = follower.metrics.text().decode()
     assert 'rattanpulley_peer_calls_total{result="failed"} 1.0' in text
+
+
+def _crash(context, target: str, at_s: float) -> None:
+    context.suspects.record_crash("cause", target, "boot", 3, 0.1, at_s)
+
+
+def test_crash_reports_pass_in_both_directions(leader, follower):
+    # Guards against a request that each host has to see crash on its own.
+    now_s = clock.suspend_aware_now_s()
+    _crash(leader, "t1", now_s - 3.0)
+    _crash(follower, "t2", now_s - 2.0)
+    assert follower.peers.fetch_target_changes(10) is not None
+    batch = follower.suspects.missing_upstream(now_s)
+    assert [row.target for row in batch.reports] == ["t2"]
+    assert follower.peers.send_crashes(batch)
+    for context in (leader, follower):
+        assert context.suspects.crash_count("cause", now_s) == 2
+
+
+def test_restarted_leader_gets_all_crash_reports_again(leader, follower):
+    # Guards against reports that are lost with the host that collected them.
+    now_s = clock.suspend_aware_now_s()
+    _crash(follower, "t1", now_s)
+    batch = follower.suspects.missing_upstream(now_s)
+    follower.peers.send_crashes(batch)
+    follower.suspects.mark_upstream(batch)
+    assert not follower.suspects.missing_upstream(now_s).reports
+    leader.suspects = suspects.SharedSuspects("log of the next process")
+    follower.peers.fetch_target_changes(10)
+    assert follower.suspects.missing_upstream(now_s).reports
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"[]", b'{"log":"x","position":1,"reports":[[1,2]]}']
+)
+def test_malformed_crash_reports_change_nothing(leader, body):
+    # Guards against one malformed message that stops the exchange.
+    http = urllib3.HTTPConnectionPool(leader.entry.address)
+    path = state_exchange.CRASHES_PATH
+    assert http.request("POST", path, body=body).status == 400
+    assert len(leader.suspects) == 0
