Send a plain request once to a target that has been replaced

A plain request that met another target at the address blocked the expected one for 5 s, but blocked targets are the last resort, so that the same request, and every other, came back while the entry lasted. Such sends count in the retry budget of all hosts.

Change: a target is removed at this host when its address answers with the id of another one. An answer without an id, or with the expected one, removes nothing.

Why it works: an id is never at an address again after another one is there, but for a restart under the same id, which the store lists as a change.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
@@ -69,6 +69,10 @@
                 return self._attempt(entry, sent_at_s)
             except target_connection.AttemptError as error:
                 self._attempts.record(entry, error, sent_at_s)
+                if error.kind is serving.FailureKind.WRONG_TARGET:
+                    target_health.remove_replaced_target(
+                        self._context, entry, error.reported_id
+                    )
                 if not self._attempts.can_retry():
                     return self._give_up(str(error))
 
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/target_health.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/target_health.py
@@ -56,6 +56,32 @@
     context.loads.record_report(entry.target_id, running, clock.now_s())
 
 
+def remove_replaced_target(
+    context: context_lib.RelayContext,
+    entry: serving.TargetEntry,
+    found_id: str,
+) -> None:
+    """Removes a target whose address another one has.
+
+    Its entry in the store expires seconds after its crash. A response that
+    names no other target is no proof, since the entry of a target that lives
+    is not read again.
+
+    Args:
+        context: State of the process.
+        entry: The target that was expected.
+        found_id: Id that the target at the address reports, or an empty string.
+    """
+    if found_id in ("", entry.target_id):
+        return
+    for change in context.targets.remove(entry.target_id):
+        context.loads.forget(change.target_id)
+        context.prober.forget(change.target_id)
+        context.log.change(
+            f"target.{change.kind}", target=change.target_id, source="answer"
+        )
+
+
 def adopt_restarted_target(
     context: context_lib.RelayContext,
     entry: serving.TargetEntry,
