--- a/packages/daemon/src/rattanpulleyd/_internal/relay/status_report.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/status_report.py
@@ -50,6 +50,7 @@
             "config_age_s": round(age_s, 3) if config else None,
             "targets": self._targets(),
             "hosts": context.fleet.hosts,
+            "crash_reports": len(context.suspects),
             "moves": [
                 self._trial_status(trial) for trial in context.trials.trials
             ],
