Do not refuse a request that only ran beside the cause of crashes

Callers saw: nothing yet; a popular lookup would have been refused for 15 min because another request had crashed all its targets.

Cause: three crashes in succession without a response in between were taken as proof. When one request takes down all targets of a pool within half a second, a lookup that runs on all of them has no chance to succeed in between, and a host may see it in three crashes before it hears of the cause from another host.

Change: a request is not refused while another one was at all of its crashes, unless that holds for five crashes. For 2 s after the latest crash, the time to come back is the rest of these 2 s, and nothing is recorded.

Why it works: the cause is at every crash that it makes, so that its crashes contain those of whatever ran beside it.

--- a/packages/core/src/rattanpulley_core/_internal/suspects/shared.py
+++ b/packages/core/src/rattanpulley_core/_internal/suspects/shared.py
@@ -20,6 +20,12 @@
 CLEARED_TTL_S = 60.0
 # Events of a stream past the point of its crash that clear the request.
 CLEARED_AFTER_EVENTS = 30
+# Crashes from which a request is refused although another one was at all of
+# them too.
+AMBIGUOUS_CRASHES = 5
+# Reports of other hosts on a crash arrive within this time. A request that is
+# refused earlier may turn out to have run beside the cause.
+SETTLE_S = 2.0
 MAX_REPORTS = 4096
 
 
@@ -107,6 +113,8 @@
 
 # Fingerprint, target and boot id.
 _Key = tuple[str, str, str]
+# Target and boot id.
+_Crash = tuple[str, str]
 
 
 class SharedSuspects:
@@ -125,6 +133,9 @@
         self.log_id = log_id
         self._table = reports.SuspectTable(REFUSAL_CRASHES)
         self._rows_by_key: dict[_Key, _LogRow] = {}
+        self._crashes_by_fingerprint: dict[str, set[_Crash]] = {}
+        # Requests that count as refused in the table alone.
+        self._candidates: list[str] = []
         self._position = 0
 
     def __len__(self) -> int:
@@ -261,13 +272,45 @@
         return self._table.crash_count(fingerprint, now_s)
 
     def is_refused(self, fingerprint: str, now_s: float) -> bool:
-        """Returns whether the request must not run again for now."""
-        return self._table.is_refused(fingerprint, now_s)
+        """Returns whether the request must not run again for now.
+
+        A request that ran beside the cause at each of its crashes is refused
+        only if it cannot be told from the cause for long.
+        """
+        if not self._table.is_refused(fingerprint, now_s):
+            return False
+        crashes = self._crashes_by_fingerprint.get(fingerprint, set())
+        if len(crashes) >= AMBIGUOUS_CRASHES:
+            return not self._has_cause(fingerprint, crashes, strict=True)
+        return not self._has_cause(fingerprint, crashes, strict=False)
+
+    def _has_cause(
+        self, fingerprint: str, crashes: set[_Crash], strict: bool
+    ) -> bool:
+        """Returns whether another request was at all of the crashes.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            crashes: Its crashes that are not cleared.
+            strict: Whether the other one must also be at further crashes.
+        """
+        return any(
+            crashes < others if strict else crashes <= others
+            for other, others in self._crashes_by_fingerprint.items()
+            if other != fingerprint
+        )
 
     def refused_for_s(self, fingerprint: str, now_s: float) -> float:
-        """Returns for how long a request is still refused, 0 if it is not."""
+        """Returns for how long a request is still refused, 0 if it is not.
+
+        The time is short while reports of other hosts may still be on their
+        way.
+        """
         if not self.is_refused(fingerprint, now_s):
             return 0.0
+        unsettled_s = self._unsettled_s(fingerprint, now_s)
+        if unsettled_s > 0:
+            return unsettled_s
         expiries = sorted(
             row.expires_at_s
             for key, row in self._rows_by_key.items()
@@ -275,9 +318,30 @@
         )
         return max(0.0, expiries[-REFUSAL_CRASHES] - now_s)
 
-    def pop_newly_refused(self) -> list[str]:
-        """Returns and removes the fingerprints refused since the last call."""
-        return self._table.pop_newly_refused()
+    def _unsettled_s(self, fingerprint: str, now_s: float) -> float:
+        """Returns how long reports of the latest crash may still arrive."""
+        latest_s = max(
+            row.run.crashed_s
+            for key, row in self._rows_by_key.items()
+            if key[0] == fingerprint and not row.cleared
+        )
+        return latest_s + SETTLE_S - now_s
+
+    def pop_newly_refused(self, now_s: float) -> list[str]:
+        """Returns the requests that are refused for long from now on."""
+        self._candidates += self._table.pop_newly_refused()
+        due = [
+            fingerprint
+            for fingerprint in self._candidates
+            if self.refused_for_s(fingerprint, now_s) > SETTLE_S
+        ]
+        self._candidates = [
+            fingerprint
+            for fingerprint in self._candidates
+            if fingerprint not in due
+            and self._table.is_refused(fingerprint, now_s)
+        ]
+        return due
 
     def has_cleared(self, fingerprint: str, now_s: float) -> bool:
         """Returns whether all known crashes of a request were cleared."""
@@ -312,7 +376,7 @@
         self._table.expire(now_s)
         for key, row in list(self._rows_by_key.items()):
             if row.expires_at_s <= now_s:
-                del self._rows_by_key[key]
+                self._remove(key)
 
     def _accepts(self, report: SharedReport) -> bool:
         """Returns whether an unknown report is neither old nor cleared here."""
@@ -336,12 +400,15 @@
             return known
         if len(self._rows_by_key) >= MAX_REPORTS:
             oldest = next(iter(self._rows_by_key))
-            del self._rows_by_key[oldest]
+            self._remove(oldest)
             self._table.remove(*oldest)
         expires_at_s = run.crashed_s + SHARED_REPORT_TTL_S
         self._position += 1
         row = _LogRow(run, expires_at_s, self._position, is_own, is_upstream)
         self._rows_by_key[key] = row
+        fingerprint, target, boot_id = key
+        crashes = self._crashes_by_fingerprint.setdefault(fingerprint, set())
+        crashes.add((target, boot_id))
         self._table.apply_remote(*key, now_s, expires_at_s - now_s, run)
         return row
 
@@ -354,6 +421,18 @@
         row.is_upstream = is_upstream
         row.expires_at_s = min(row.expires_at_s, now_s + CLEARED_TTL_S)
         self._table.clear_report(*key)
+        self._forget_crash(key)
+
+    def _remove(self, key: _Key) -> None:
+        del self._rows_by_key[key]
+        self._forget_crash(key)
+
+    def _forget_crash(self, key: _Key) -> None:
+        fingerprint, target, boot_id = key
+        crashes = self._crashes_by_fingerprint.get(fingerprint, set())
+        crashes.discard((target, boot_id))
+        if not crashes:
+            self._crashes_by_fingerprint.pop(fingerprint, None)
 
     def _batch(self, rows: dict[_Key, _LogRow], now_s: float) -> ReportBatch:
         return ReportBatch(
--- a/packages/core/src/rattanpulley_core/suspects.py
+++ b/packages/core/src/rattanpulley_core/suspects.py
@@ -9,4 +9,5 @@
 ReportBatch = shared.ReportBatch
 SharedReport = shared.SharedReport
 SharedSuspects = shared.SharedSuspects
+SETTLE_S = shared.SETTLE_S
 SHARED_REPORT_TTL_S = shared.SHARED_REPORT_TTL_S
--- /dev/null
+++ b/packages/core/tests/suspects/test_shared_fleet.py
@@ -0,0 +1,235 @@
+"""Crash reports in whole fleets: one request that crashes its targets.
+
+Answers the pattern of a client that repeats such a request at any host, beside
+a popular lookup that runs on the same targets.
+"""
+
+import dataclasses
+import random
+
+import pytest
+
+from rattanpulley_core import suspects
+
+# The platform's bound: sends that begin this long after the third crash.
+CONTACT_S = 3.0
+MAX_LATE_RETRIES = 3
+LENGTH_S = 30.0
+STEP_S = 0.05
+RUN_S = 0.1
+TARGET_DOWN_S = 3.0
+# Ways of reports: passed on at once, and fetched with the target changes.
+SEND_PERIOD_S = 0.2
+LEADER_PERIOD_S = 0.5
+MEMBER_PERIOD_S = 0.7
+TRANSFER_ERROR_S = 0.005
+
+
+class Host:
+    """One entry host and the host that it queries."""
+
+    def __init__(self, name, queried, period_s, rng):
+        self.name = name
+        self.queried = queried
+        self.period_s = period_s
+        # Clocks of hosts differ.
+        self.offset_s = rng.uniform(0.0, 1e6)
+        self.next_send_s = rng.uniform(0.0, SEND_PERIOD_S)
+        self.next_fetch_s = rng.uniform(0.0, period_s)
+        self.restart(0)
+
+    def restart(self, incarnation):
+        self.known = suspects.SharedSuspects(f"{self.name}-{incarnation}")
+        self.seen = ("", 0)
+
+    def record(self, store, now_s):
+        """Writes newly refused requests to the store."""
+        own_s = now_s + self.offset_s
+        for fingerprint in self.known.pop_newly_refused(own_s):
+            if self.known.is_own(fingerprint):
+                found = self.known.reports_of(fingerprint, own_s)
+                store[fingerprint] = (now_s, found)
+
+    def read(self, store, now_s):
+        """Reads the refused requests, as a host does at its start."""
+        for recorded_s, found in store.values():
+            aged = [
+                dataclasses.replace(
+                    row, crashed_ago_s=row.crashed_ago_s + now_s - recorded_s
+                )
+                for row in found
+            ]
+            self.known.merge(aged, now_s + self.offset_s, 0.0, False)
+
+    def exchange(self, now_s):
+        if self.queried is None:
+            return
+        own_s = now_s + self.offset_s
+        their_s = now_s + self.queried.offset_s
+        if now_s >= self.next_send_s:
+            self.next_send_s = now_s + SEND_PERIOD_S
+            batch = self.known.missing_upstream(own_s)
+            self.queried.known.merge(
+                batch.reports, their_s, TRANSFER_ERROR_S, False
+            )
+            self.known.mark_upstream(batch)
+        if now_s >= self.next_fetch_s:
+            self.next_fetch_s = now_s + self.period_s
+            batch = self.queried.known.since(*self.seen, their_s)
+            if batch.log_id != self.seen[0]:
+                self.known.forget_upstream()
+            self.seen = (batch.log_id, batch.position)
+            self.known.merge(batch.reports, own_s, TRANSFER_ERROR_S, True)
+
+
+@dataclasses.dataclass
+class Run:
+    """A request on a target."""
+
+    fingerprint: str
+    host: Host
+    target: int
+    started_s: float
+    retries_left: int
+
+
+class Fleet:
+    """Hosts, targets and the two kinds of requests."""
+
+    def __init__(self, seed, domains, hosts_per_domain, targets):
+        self.rng = random.Random(seed)
+        self.now_s = 0.0
+        self.hosts = []
+        first = None
+        for domain in range(domains):
+            leader = Host(f"{domain}-0", first, LEADER_PERIOD_S, self.rng)
+            first = first or leader
+            self.hosts.append(leader)
+            self.hosts += [
+                Host(f"{domain}-{number}", leader, MEMBER_PERIOD_S, self.rng)
+                for number in range(1, hosts_per_domain)
+            ]
+        self.up_from_s = [0.0] * targets
+        self.boots = [0] * targets
+        self.runs = []
+        self.cause_sent_s = []
+        self.crashes_s = []
+        self.refused_popular = 0
+        self.store = {}
+
+    def send(self, fingerprint, host, retries_left=1):
+        own_s = self.now_s + host.offset_s
+        refused_for_s = host.known.refused_for_s(fingerprint, own_s)
+        if refused_for_s > 0:
+            is_long = refused_for_s > suspects.SETTLE_S
+            self.refused_popular += fingerprint == "popular" and is_long
+            return
+        up = [
+            target
+            for target, from_s in enumerate(self.up_from_s)
+            if from_s <= self.now_s
+        ]
+        if not up:
+            return
+        if fingerprint == "cause":
+            self.cause_sent_s.append(self.now_s)
+        target = self.rng.choice(up)
+        self.runs.append(
+            Run(fingerprint, host, target, self.now_s, retries_left)
+        )
+
+    def step(self, cause_rate, popular_rate):
+        self.now_s += STEP_S
+        for fingerprint, rate in (
+            ("cause", cause_rate),
+            ("popular", popular_rate),
+        ):
+            for _ in range(self._arrivals(rate)):
+                self.send(fingerprint, self.rng.choice(self.hosts))
+        for run in [r for r in self.runs if self._is_over(r)]:
+            if run in self.runs:
+                self._end(run)
+        for host in self.hosts:
+            host.exchange(self.now_s)
+            host.record(self.store, self.now_s)
+
+    def _arrivals(self, rate):
+        expected = rate * STEP_S
+        whole = int(expected)
+        return whole + (self.rng.random() < expected - whole)
+
+    def _is_over(self, run):
+        return self.now_s - run.started_s >= RUN_S
+
+    def _end(self, run):
+        if run.fingerprint == "cause":
+            self._crash(run.target)
+            return
+        self.runs.remove(run)
+        own_s = self.now_s + run.host.offset_s
+        run.host.known.record_success(run.fingerprint, own_s)
+
+    def _crash(self, target):
+        self.crashes_s.append(self.now_s)
+        boot = str(self.boots[target])
+        self.boots[target] += 1
+        self.up_from_s[target] = self.now_s + TARGET_DOWN_S
+        lost = [run for run in self.runs if run.target == target]
+        self.runs = [run for run in self.runs if run.target != target]
+        for run in lost:
+            run.host.known.record_crash(
+                run.fingerprint,
+                f"t{target}",
+                boot,
+                0,
+                self.now_s - run.started_s,
+                self.now_s + run.host.offset_s,
+            )
+        for run in lost:
+            if run.retries_left:
+                self.send(run.fingerprint, run.host, run.retries_left - 1)
+
+    def late_sends(self):
+        if len(self.crashes_s) < 3:
+            return []
+        after_s = self.crashes_s[2] + CONTACT_S
+        return [sent_s for sent_s in self.cause_sent_s if sent_s > after_s]
+
+
+SIZES = {
+    "8 hosts, 4 targets": (1, 8, 4),
+    "87 hosts, 40 targets": (4, 22, 40),
+    "297 hosts, 118 targets": (11, 27, 118),
+}
+
+
+@pytest.mark.parametrize("size", SIZES)
+@pytest.mark.parametrize("cause_rate", [0.6, 5.0])
+def test_cause_is_stopped_and_the_popular_request_is_served(size, cause_rate):
+    # Guards against a client that takes down a pool through many hosts, and
+    # against refusing what only runs beside its request.
+    for seed in range(4):
+        fleet = Fleet(seed, *SIZES[size])
+        while fleet.now_s < LENGTH_S:
+            fleet.step(cause_rate, popular_rate=40.0)
+        assert len(fleet.crashes_s) >= 3
+        assert len(fleet.late_sends()) <= MAX_LATE_RETRIES
+        assert fleet.refused_popular == 0
+
+
+def test_cause_stays_stopped_while_hosts_restart_in_turn():
+    # Guards against the loss of reports with the host that collects them.
+    for seed in range(10):
+        fleet = Fleet(seed, 1, 8, 4)
+        next_restart_s = 4.0
+        restarts = 0
+        while fleet.now_s < LENGTH_S:
+            fleet.step(cause_rate=2.0, popular_rate=20.0)
+            if fleet.now_s >= next_restart_s:
+                restarts += 1
+                host = fleet.hosts[restarts % 8]
+                host.restart(restarts)
+                host.read(fleet.store, fleet.now_s)
+                next_restart_s += 1.5
+        assert restarts > 8
+        assert len(fleet.late_sends()) <= MAX_LATE_RETRIES
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/suspect_sharing.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/suspect_sharing.py
@@ -74,7 +74,7 @@
     def _note_refused(self, now_s: float) -> None:
         """Logs newly refused requests; hosts that saw a crash record them."""
         known = self._context.suspects
-        for fingerprint in known.pop_newly_refused():
+        for fingerprint in known.pop_newly_refused(now_s):
             self._context.metrics.suspects.labels("newly_refused").inc()
             self._context.log.change(
                 "suspect.refused",
