Refuse heads that exceed the limit although they arrive at once

Callers saw: nothing; a client could send a head of up to 64 KB where the configuration allows 16 KB, and it was passed on to a target.

Cause: the limit was given to the parser, which applies it to heads that are not complete yet. One that is complete after the first read was never measured.

Change: the head is measured after it is parsed and refused with 431.

Why it works: the size counts the parts and the least that separates them, so that a head within the limit is never refused.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/client_connection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/client_connection.py
@@ -18,6 +18,10 @@
 # h11 applies the limit of the head to its buffer, which also holds bytes that
 # follow the head in the same read.
 HEAD_SLACK_BYTES = 1024
+# What a request line and a header line have besides their parts: spaces,
+# version, colon and line end.
+HEAD_LINE_BYTES = 12
+HEADER_LINE_BYTES = 4
 BODY_TIMEOUT_S = 10.0
 # A client that accepts no bytes for this long counts as disconnected.
 WRITE_TIMEOUT_S = 5.0
@@ -94,6 +98,7 @@
         while True:
             event = self._parse()
             if isinstance(event, h11.Request):
+                self._check_head_size(event)
                 return event
             if event is not h11.NEED_DATA:
                 raise ConnectionEndedError
@@ -102,6 +107,18 @@
                 until_s = clock.now_s() + self._limits.header_timeout_s
             self._receive(until_s, mid_request=self.busy)
 
+    def _check_head_size(self, head: h11.Request) -> None:
+        """Checks a head that arrived at once; h11 limits incomplete ones.
+
+        Raises:
+            wire.MalformedRequestError: The head exceeds the limit.
+        """
+        size = len(head.method) + len(head.target) + HEAD_LINE_BYTES
+        for name, value in head.headers:
+            size += len(name) + len(value) + HEADER_LINE_BYTES
+        if size > self._limits.max_header_bytes:
+            raise wire.MalformedRequestError(431, "head too long")
+
     def _read_body(self) -> bytes:
         self.busy = True
         parts: list[bytes] = []
