Separate the log of crash reports from the decisions on them

Change: `shared_reports.py` has the messages, `crash_log.py` the log, `shared.py` the decisions. No decision changes.

--- a/packages/core/src/rattanpulley_core/_internal/serving/peer_sync.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/peer_sync.py
@@ -12,7 +12,7 @@
 from rattanpulley_core._internal.serving import fleet
 from rattanpulley_core._internal.serving import sources
 from rattanpulley_core._internal.serving import target_registry
-from rattanpulley_core._internal.suspects import shared
+from rattanpulley_core._internal.suspects import shared_reports
 
 # Number of changes that are kept for hosts that query rarely. A crash of a
 # failure domain causes a few tens of changes.
@@ -82,7 +82,7 @@
 
     changes: sources.TargetChanges | None
     age_s: float
-    crashes: shared.ReportBatch | None = None
+    crashes: shared_reports.ReportBatch | None = None
 
 
 class ChangeLog:
--- a/packages/core/src/rattanpulley_core/_internal/serving/sources.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/sources.py
@@ -7,7 +7,7 @@
 from rattanpulley_core._internal.serving import fleet
 from rattanpulley_core._internal.serving import rollouts
 from rattanpulley_core._internal.serving import target_registry
-from rattanpulley_core._internal.suspects import shared
+from rattanpulley_core._internal.suspects import shared_reports
 
 
 class SourceError(Exception):
@@ -152,7 +152,7 @@
     def record_suspect(
         self,
         fingerprint: str,
-        found: tuple[shared.SharedReport, ...],
+        found: tuple[shared_reports.SharedReport, ...],
         timeout_s: float,
     ) -> None:
         """Replaces the reports of a refused request."""
@@ -160,7 +160,7 @@
     @abc.abstractmethod
     def read_suspects(
         self, timeout_s: float, may_be_old: bool
-    ) -> dict[str, tuple[shared.SharedReport, ...]]:
+    ) -> dict[str, tuple[shared_reports.SharedReport, ...]]:
         """Returns the reports of all recorded requests by fingerprint.
 
         Args:
--- a/packages/core/tests/suspects/test_shared.py
+++ b/packages/core/tests/suspects/test_shared.py
@@ -31,7 +31,7 @@
 
     def read(self, other):
         """Merges what another host, whose clock differs, has."""
-        batch = other.known.since(*self.seen, other.now_s)
+        batch = other.known.log.since(*self.seen, other.now_s)
         self.seen = (batch.log_id, batch.position)
         return self.known.merge(batch.reports, self.now_s, 0.01, True)
 
@@ -157,18 +157,18 @@
 def test_restarted_host_gets_all_reports_again(host):
     # Guards against a host whose restart makes all others forget.
     host.crash("t1", "cause")
-    batch = host.known.missing_upstream(host.now_s)
-    host.known.mark_upstream(batch)
-    assert not host.known.missing_upstream(host.now_s).reports
-    host.known.forget_upstream()
-    assert host.known.missing_upstream(host.now_s).reports == batch.reports
+    batch = host.known.log.missing_upstream(host.now_s)
+    host.known.log.mark_upstream(batch)
+    assert not host.known.log.missing_upstream(host.now_s).reports
+    host.known.log.forget_upstream()
+    assert host.known.log.missing_upstream(host.now_s).reports == batch.reports
 
 
 def test_clearance_is_passed_on_although_the_report_was(host):
     host.crash("t1", "beside")
-    host.known.mark_upstream(host.known.missing_upstream(host.now_s))
+    host.known.log.mark_upstream(host.known.log.missing_upstream(host.now_s))
     host.known.record_success("beside", host.now_s)
-    [row] = host.known.missing_upstream(host.now_s).reports
+    [row] = host.known.log.missing_upstream(host.now_s).reports
     assert row.cleared
 
 
--- a/packages/core/tests/suspects/test_shared_fleet.py
+++ b/packages/core/tests/suspects/test_shared_fleet.py
@@ -47,7 +47,7 @@
         own_s = now_s + self.offset_s
         for fingerprint in self.known.pop_newly_refused(own_s):
             if self.known.is_own(fingerprint):
-                found = self.known.reports_of(fingerprint, own_s)
+                found = self.known.log.active_reports(fingerprint, own_s)
                 store[fingerprint] = (now_s, found)
 
     def read(self, store, now_s):
@@ -68,16 +68,16 @@
         their_s = now_s + self.queried.offset_s
         if now_s >= self.next_send_s:
             self.next_send_s = now_s + SEND_PERIOD_S
-            batch = self.known.missing_upstream(own_s)
+            batch = self.known.log.missing_upstream(own_s)
             self.queried.known.merge(
                 batch.reports, their_s, TRANSFER_ERROR_S, False
             )
-            self.known.mark_upstream(batch)
+            self.known.log.mark_upstream(batch)
         if now_s >= self.next_fetch_s:
             self.next_fetch_s = now_s + self.period_s
-            batch = self.queried.known.since(*self.seen, their_s)
+            batch = self.queried.known.log.since(*self.seen, their_s)
             if batch.log_id != self.seen[0]:
-                self.known.forget_upstream()
+                self.known.log.forget_upstream()
             self.seen = (batch.log_id, batch.position)
             self.known.merge(batch.reports, own_s, TRANSFER_ERROR_S, True)
 
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/peer_reader.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/peer_reader.py
@@ -121,7 +121,7 @@
         if log_id != self._crash_log:
             self._crash_log = log_id
             self._crash_position = 0
-            self._context.suspects.forget_upstream()
+            self._context.suspects.log.forget_upstream()
 
     @property
     def queries_peers(self) -> bool:
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/state_exchange.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/state_exchange.py
@@ -99,7 +99,7 @@
             position = int(query.crash_position or 0)
         except ValueError:
             raise bottle.HTTPError(400) from None
-        batch = self._context.suspects.since(
+        batch = self._context.suspects.log.since(
             query.crash_log, position, clock.suspend_aware_now_s()
         )
         return _encode_batch(batch)
@@ -117,7 +117,7 @@
             error_s=REQUEST_TIMEOUT_S,
             is_upstream=False,
         )
-        return {"log": self._context.suspects.log_id}
+        return {"log": self._context.suspects.log.log_id}
 
 
 class PeerClient:
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/suspect_sharing.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/suspect_sharing.py
@@ -66,10 +66,10 @@
 
     def _send_reports(self, now_s: float) -> None:
         """Sends the reports that the queried host lacks."""
-        known = self._context.suspects
-        batch = known.missing_upstream(now_s)
+        log = self._context.suspects.log
+        batch = log.missing_upstream(now_s)
         if batch.reports and self._peers.send_crashes(batch):
-            known.mark_upstream(batch)
+            log.mark_upstream(batch)
 
     def _note_refused(self, now_s: float) -> None:
         """Logs newly refused requests; hosts that saw a crash record them."""
@@ -81,7 +81,8 @@
                 fingerprint=fingerprint,
                 refused_for_s=round(known.refused_for_s(fingerprint, now_s), 1),
                 targets=[
-                    row.target for row in known.reports_of(fingerprint, now_s)
+                    row.target
+                    for row in known.log.active_reports(fingerprint, now_s)
                 ],
             )
             if known.is_own(fingerprint):
@@ -92,7 +93,7 @@
         known = self._context.suspects
         try:
             if known.is_refused(fingerprint, now_s):
-                found = known.reports_of(fingerprint, now_s)
+                found = known.log.active_reports(fingerprint, now_s)
                 self._store.record_suspect(fingerprint, found, CALL_TIMEOUT_S)
                 self._count_call("ok")
         except serving.SourceError as error:
@@ -133,7 +134,7 @@
         ages_s = [row.crashed_ago_s for row in found]
         if min(ages_s, default=float("inf")) >= suspects.SHARED_REPORT_TTL_S:
             return True
-        return self._context.suspects.has_cleared(fingerprint, now_s)
+        return self._context.suspects.has_cleared(fingerprint)
 
     def _count_call(self, result: str) -> None:
         self._context.metrics.store_calls.labels("suspects", result).inc()
--- a/packages/daemon/tests/relay/test_peer_reader.py
+++ b/packages/daemon/tests/relay/test_peer_reader.py
@@ -135,7 +135,7 @@
     _crash(leader, "t1", now_s - 3.0)
     _crash(follower, "t2", now_s - 2.0)
     assert follower.peers.fetch_target_changes(10) is not None
-    batch = follower.suspects.missing_upstream(now_s)
+    batch = follower.suspects.log.missing_upstream(now_s)
     assert [row.target for row in batch.reports] == ["t2"]
     assert follower.peers.send_crashes(batch)
     for context in (leader, follower):
@@ -146,13 +146,13 @@
     # Guards against reports that are lost with the host that collected them.
     now_s = clock.suspend_aware_now_s()
     _crash(follower, "t1", now_s)
-    batch = follower.suspects.missing_upstream(now_s)
+    batch = follower.suspects.log.missing_upstream(now_s)
     follower.peers.send_crashes(batch)
-    follower.suspects.mark_upstream(batch)
-    assert not follower.suspects.missing_upstream(now_s).reports
+    follower.suspects.log.mark_upstream(batch)
+    assert not follower.suspects.log.missing_upstream(now_s).reports
     leader.suspects = suspects.SharedSuspects("log of the next process")
     follower.peers.fetch_target_changes(10)
-    assert follower.suspects.missing_upstream(now_s).reports
+    assert follower.suspects.log.missing_upstream(now_s).reports
 
 
 @pytest.mark.parametrize(
