Tolerate the usual transfer time of crash reports, not the longest one

Reports that are passed on were taken to be up to 0.25 s (the timeout of the call) older than stated, so that copies of a popular request on targets lost within that time could count in succession. The size of a head counted a space after each colon, which need not be there. A number beyond all bounds in a report raised an error that was not caught.

Why it works: a transfer that takes longer makes a crash look later, which counts one crash less, never one too many.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/client_connection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/client_connection.py
@@ -18,10 +18,10 @@
 # h11 applies the limit of the head to its buffer, which also holds bytes that
 # follow the head in the same read.
 HEAD_SLACK_BYTES = 1024
-# What a request line and a header line have besides their parts: spaces,
-# version, colon and line end.
+# What a request line and a header line have at least besides their parts:
+# spaces and version, or a colon, and the line end.
 HEAD_LINE_BYTES = 12
-HEADER_LINE_BYTES = 4
+HEADER_LINE_BYTES = 3
 BODY_TIMEOUT_S = 10.0
 # A client that accepts no bytes for this long counts as disconnected.
 WRITE_TIMEOUT_S = 5.0
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/peer_reader.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/peer_reader.py
@@ -95,7 +95,7 @@
     def _fetch_targets(
         self, entry: serving.HostEntry, position: int
     ) -> serving.TargetsReport:
-        """Returns another host's changes after it added its crash reports."""
+        """Returns another host's changes; adds the crash reports with them."""
         sent_at_s = clock.suspend_aware_now_s()
         report = self._client.fetch_targets(
             entry, position, self._crash_log, self._crash_position
@@ -176,7 +176,7 @@
         return None
 
     def _pass_over(self, entry: serving.HostEntry, reason: str) -> None:
-        """Queries a host that did not respond not again for a while."""
+        """Skips a host without a usable response for a while."""
         self._context.metrics.peer_calls.labels("failed").inc()
         self._selector.mark_unresponsive(entry.name, clock.now_s())
         self._context.log.change(
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/state_exchange.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/state_exchange.py
@@ -31,8 +31,11 @@
 HTTP_NOT_FOUND = 404
 
 
-# Errors of a document that lacks fields or has other types.
-_UNREADABLE = (KeyError, TypeError, ValueError)
+# Time that reports need to another host. A slower transfer makes a crash look
+# later, so that the next one may count as simultaneous.
+TRANSFER_ERROR_S = 0.05
+# Errors of a document that lacks fields or has other types or numbers.
+_UNREADABLE = (KeyError, TypeError, ValueError, OverflowError)
 
 
 class PeerReportError(Exception):
@@ -114,7 +117,7 @@
         self._context.suspects.merge(
             batch.reports,
             clock.suspend_aware_now_s(),
-            error_s=REQUEST_TIMEOUT_S,
+            error_s=TRANSFER_ERROR_S,
             is_upstream=False,
         )
         return {"log": self._context.suspects.log.log_id}
