Log the shared parts of a prompt with the progress of its attempts

Callers saw: streams answered 502 for minutes, and nobody could say which of their prompts did it.

Cause: attempt.ended and request.ended named account, route and fingerprint, but neither the parts of a prompt nor how far the attempt was when it failed.

Change: both lines have parts, the ids of all parts but the last; attempt.ended has answered and events. No decision uses them.

Why it works: a part that crashes engines is in the answered attempt of every crash and in no request that ended well; a load that crashes them is not.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
@@ -1,5 +1,6 @@
 """Tracks the attempts of one request and decides on retries."""
 
+import dataclasses
 import random
 
 from rattanpulley_core import serving
@@ -11,6 +12,21 @@
 from rattanpulleyd._internal.relay import target_health
 
 
+@dataclasses.dataclass(slots=True)
+class AttemptProgress:
+    """How far one attempt has come.
+
+    Attributes:
+        sent_at_s: When the attempt started.
+        answered_at_s: When the head of the response arrived, or None.
+        events: Number of events that arrived; 0 for a plain request.
+    """
+
+    sent_at_s: float
+    answered_at_s: float | None = None
+    events: int = 0
+
+
 class RequestAttempts:
     """The attempts of one request to a plain or stream route.
 
@@ -77,16 +93,16 @@
         self,
         entry: serving.TargetEntry,
         error: target_connection.AttemptError,
-        sent_at_s: float,
-        events: int = 0,
+        progress: AttemptProgress,
+        last_event_id: int = 0,
     ) -> None:
         """Records a failed attempt.
 
         Args:
             entry: The target.
             error: How the attempt failed.
-            sent_at_s: When the attempt started.
-            events: Id of the last event of the stream, or 0.
+            progress: How far the attempt has come.
+            last_event_id: Id of the last event of the stream, or 0.
         """
         if error.kind in serving.BAD_VERSION_FAILURES:
             self._observe(entry, True, None)
@@ -95,12 +111,17 @@
         if error.kind in serving.FAILURES_BEFORE_SENDING:
             self._connect_failures += 1
         target_health.record_failure(
-            self._context, self._admission, entry, error
+            self._context,
+            self._admission,
+            entry,
+            error,
+            answered=progress.answered_at_s is not None,
+            events=progress.events,
         )
         if error.kind is serving.FailureKind.CONNECTION_LOST:
-            ran_s = clock.now_s() - sent_at_s
+            ran_s = clock.now_s() - progress.sent_at_s
             request_crashes.record_crash(
-                self._context, self._admission, entry, events, ran_s
+                self._context, self._admission, entry, last_event_id, ran_s
             )
 
     def record_success(self, entry: serving.TargetEntry, took_s: float) -> None:
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/client_connection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/client_connection.py
@@ -27,6 +27,8 @@
 WRITE_TIMEOUT_S = 5.0
 USER_TIMEOUT_MS = 5000
 DEFAULT_TIME_LEFT_S = 30.0
+# Bounds the log lines of a request; prompts have a few parts.
+MAX_SHARED_PARTS = 16
 
 
 class ConnectionEndedError(Exception):
@@ -202,6 +204,9 @@
             prompt_tokens=_prompt_tokens(
                 wire.single_header_value(headers, names.token_counts)
             ),
+            shared_parts=_shared_parts(
+                wire.single_header_value(headers, names.prompt_parts)
+            ),
             headers=wire.forwarded_headers(headers, names.set_by_relay),
             body=body,
             received_at_s=received_at_s,
@@ -341,3 +346,14 @@
     """Returns the first of two comma-separated counts, or 0."""
     first = (text or "").partition(",")[0].strip()
     return wire.parse_unsigned_int(first) or 0
+
+
+def _shared_parts(text: str | None) -> tuple[str, ...]:
+    """Returns the ids of a list of ID:TOKENS entries, but for the last one.
+
+    Entries beyond `MAX_SHARED_PARTS` and repeated ones are left out.
+    """
+    entries = (text or "").split(",")[:-1]
+    ids = (entry.partition(":")[0].strip().lower() for entry in entries)
+    by_id = dict.fromkeys(part for part in ids if part)
+    return tuple(by_id)[:MAX_SHARED_PARTS]
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/gateway.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/gateway.py
@@ -254,6 +254,7 @@
             kind=kind,
             account=admission.account,
             fingerprint=admission.fingerprint,
+            parts=admission.request.shared_parts,
             status=status,
             reason=reason,
             targets=targets,
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
@@ -64,11 +64,11 @@
                 return self._give_up("no target is ready")
             if self._attempts.is_refused():
                 return self._give_up(request_crashes.REFUSAL_REASON)
-            sent_at_s = clock.now_s()
+            progress = attempts_lib.AttemptProgress(clock.now_s())
             try:
-                return self._attempt(entry, sent_at_s)
+                return self._attempt(entry, progress)
             except target_connection.AttemptError as error:
-                self._attempts.record(entry, error, sent_at_s)
+                self._attempts.record(entry, error, progress)
                 if error.kind is serving.FailureKind.WRONG_TARGET:
                     target_health.remove_replaced_target(
                         self._context, entry, error.reported_id
@@ -92,7 +92,9 @@
             target_connection.pause(NO_TARGET_POLL_S)
 
     def _attempt(
-        self, entry: serving.TargetEntry, sent_at_s: float
+        self,
+        entry: serving.TargetEntry,
+        progress: attempts_lib.AttemptProgress,
     ) -> responses.Response:
         """Sends the request to a target and returns the response."""
         request = self._admission.request
@@ -112,7 +114,7 @@
                 request.body,
                 max(0.001, self._attempts.deadline_s() - clock.now_s()),
             )
-            return self._read_response(entry, connection, sent_at_s)
+            return self._read_response(entry, connection, progress)
         finally:
             load.in_flight -= 1
             connection.close()
@@ -121,10 +123,12 @@
         self,
         entry: serving.TargetEntry,
         connection: target_connection.TargetConnection,
-        sent_at_s: float,
+        progress: attempts_lib.AttemptProgress,
     ) -> responses.Response:
         """Reads, validates and returns a complete response."""
+        sent_at_s = progress.sent_at_s
         head = self._wait(connection.read_head, sent_at_s)
+        progress.answered_at_s = clock.now_s()
         responses.check_response_head(
             head, self._admission.request, self._context.names
         )
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
@@ -99,13 +99,13 @@
                 return self._give_up("no target is ready")
             if self._attempts.is_refused():
                 return self._give_up(request_crashes.REFUSAL_REASON)
-            sent_at_s = clock.now_s()
+            progress = attempts_lib.AttemptProgress(clock.now_s())
             try:
-                self._attempt(plan)
+                self._attempt(plan, progress)
                 return None
             except target_connection.AttemptError as error:
-                events = self._events.last_id or 0
-                self._attempts.record(plan.entry, error, sent_at_s, events)
+                last_id = self._events.last_id or 0
+                self._attempts.record(plan.entry, error, progress, last_id)
                 if error.reported_id:
                     target_health.adopt_restarted_target(
                         self._context, plan.entry, error.reported_id
@@ -149,7 +149,9 @@
             holder = self._engine_selector.choose_holder(pool, entry)
         return _AttemptPlan(entry, copy_reference, holder)
 
-    def _attempt(self, plan: _AttemptPlan) -> None:
+    def _attempt(
+        self, plan: _AttemptPlan, progress: attempts_lib.AttemptProgress
+    ) -> None:
         """Sends the request to a target and forwards its events."""
         request = self._admission.request
         entry = plan.entry
@@ -177,7 +179,7 @@
                 SEND_TIMEOUT_S,
             )
             self._count_resume(plan)
-            self._relay(plan, connection, prefill)
+            self._relay(plan, connection, prefill, progress)
         finally:
             connection.close()
             load.in_flight -= 1
@@ -213,6 +215,7 @@
         plan: _AttemptPlan,
         connection: target_connection.TargetConnection,
         prefill: prefill_counter.PrefillCounter,
+        progress: attempts_lib.AttemptProgress,
     ) -> None:
         """Validates the response head and forwards the stream to its end."""
         monitor = stream_monitor.StreamMonitor(
@@ -226,9 +229,12 @@
         maintainer = self._make_maintainer(plan)
         try:
             head = monitor.wait(connection.read_head)
+            progress.answered_at_s = clock.now_s()
             self._check(head, connection, plan.entry, monitor)
             maintainer.start()
-            self._forward_events(plan, connection, prefill, monitor, head)
+            self._forward_events(
+                plan, connection, prefill, monitor, head, progress
+            )
         finally:
             maintainer.stop()
             if monitor.run_started:
@@ -256,6 +262,7 @@
         prefill: prefill_counter.PrefillCounter,
         monitor: stream_monitor.StreamMonitor,
         head: target_connection.ResponseHead,
+        progress: attempts_lib.AttemptProgress,
     ) -> None:
         """Forwards the events of one attempt until the body is complete."""
         frames = event_frames.EventParser()
@@ -276,6 +283,7 @@
                 if not monitor.run_started:
                     self._record_prefill(plan, monitor)
                 monitor.record_events(count)
+                progress.events += count
                 prefill.end()
             if passed:
                 self._forward(head, passed)
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/target_health.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/target_health.py
@@ -22,8 +22,19 @@
     admission: context_lib.Admission,
     entry: serving.TargetEntry,
     error: target_connection.AttemptError,
+    answered: bool,
+    events: int,
 ) -> None:
-    """Counts and logs a failed attempt and blocks the target if at fault."""
+    """Counts and logs a failed attempt and blocks the target if at fault.
+
+    Args:
+        context: State of the process.
+        admission: The request.
+        entry: The target.
+        error: How the attempt failed.
+        answered: Whether the head of the response arrived.
+        events: Number of events that arrived.
+    """
     now_s = clock.now_s()
     rule = serving.RULE_BY_FAILURE[error.kind]
     context.metrics.attempts.labels(error.kind.value).inc()
@@ -38,6 +49,9 @@
         domain=entry.domain,
         ending=error.kind.value,
         reason=str(error),
+        answered=answered,
+        events=events,
+        parts=admission.request.shared_parts,
         age_s=round(now_s - admission.request.received_at_s, 3),
     )
 
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/wire.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/wire.py
@@ -45,6 +45,7 @@
         continue_from: Reference of the memory copy that a run continues from.
         target_id: Id that a target reports for itself.
         token_counts: Tokens of the prompt and maximum tokens of the response.
+        prompt_parts: Ids and tokens of the parts of the prompt, in order.
         set_by_relay: Headers that only the relay may set.
     """
 
@@ -62,6 +63,7 @@
     continue_from: bytes
     target_id: bytes
     token_counts: bytes
+    prompt_parts: bytes
     set_by_relay: frozenset[bytes]
 
 
@@ -79,6 +81,8 @@
         last_event_id: Id of the last event of the stream that the client has,
             or None.
         prompt_tokens: Tokens of the prompt, or 0 if not given.
+        shared_parts: Ids of the parts of the prompt that other requests may
+            share, in order; the last part of a prompt is its own.
         headers: Headers to forward, with their original spelling.
         body: The body.
         received_at_s: When the head was complete, on the monotonic clock.
@@ -92,6 +96,7 @@
     time_left_s: float
     last_event_id: int | None
     prompt_tokens: int
+    shared_parts: tuple[str, ...]
     headers: Headers
     body: bytes
     received_at_s: float
