Refuse prompts with a part that has crashed five targets, at every host

Cause: crashes counted by the whole content of a request.

Change: crashes at which an answer had just begun count by the parts of its prompt too, over all hosts, on the way of the reports on requests. A part with five losses is refused with 503 and the rest of 15 min, in the store as well. An answer that goes on after the first of these crashes clears its parts at all hosts. A part that all prompts share is not blamed for the losses of one that few have; two parts that cannot be told apart are refused together only. Prompts that wait for their engine are withdrawn once they are refused. The reports of both kinds share one base (known_crashes.py) and one exchange.

Drives of 8 and 87 hosts: at most 3 late sends, no sound prompt refused, also where engines are lost each 0.4 s under a part that all prompts have.

Why it works: the part is in each of these crashes and in no answer that goes on, whatever the content and the host; what it shares with sound prompts is cleared by them.

--- a/packages/core/src/rattanpulley_core/_internal/serving/failure_kinds.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/failure_kinds.py
@@ -24,6 +24,8 @@
         FAILED: The target answered with an error.
         TIMED_OUT: The time limit of the request expired.
         QUEUED: The attempt was given up while its prompt was queued.
+        WITHDRAWN: The attempt was given up because its prompt is refused by
+            now.
     """
 
     NOT_CONNECTED = "not_connected"
@@ -36,6 +38,7 @@
     FAILED = "failed"
     TIMED_OUT = "timed_out"
     QUEUED = "queued"
+    WITHDRAWN = "withdrawn"
 
 
 class Executed(enum.Enum):
@@ -100,6 +103,7 @@
     # The prompt was queued behind others; whether its prefill started is not
     # known.
     FailureKind.QUEUED: FailureRule(Executed.UNKNOWN, True, False, 504),
+    FailureKind.WITHDRAWN: FailureRule(Executed.UNKNOWN, True, False, 502),
 }
 
 
--- a/packages/core/src/rattanpulley_core/_internal/serving/peer_sync.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/peer_sync.py
@@ -76,13 +76,13 @@
             not reached it. A watch of the store returns at the first change,
             so the host has not seen any in the meantime.
         age_s: Seconds since the call that confirmed the newest change was sent.
-        crashes: Crash reports that the host has and this one may lack, or None
-            if it sent none.
+        crashes: Crash reports that the host has and this one may lack, a batch
+            for each kind that it sent.
     """
 
     changes: sources.TargetChanges | None
     age_s: float
-    crashes: shared_reports.ReportBatch | None = None
+    crashes: tuple[shared_reports.ReportBatch, ...] = ()
 
 
 class ChangeLog:
--- a/packages/core/src/rattanpulley_core/_internal/suspects/crash_log.py
+++ b/packages/core/src/rattanpulley_core/_internal/suspects/crash_log.py
@@ -25,6 +25,7 @@
         expires_at_s: When the report expires.
         is_own: Whether this host saw the crash.
         is_upstream: Whether the upstream host has the report.
+        companions: Fingerprints of all subjects of the run that crashed.
         cleared: Whether the request has since run without a crash.
         position: Position in the log, renewed when the report is cleared.
     """
@@ -33,6 +34,7 @@
     expires_at_s: float
     is_own: bool
     is_upstream: bool
+    companions: tuple[str, ...] = ()
     cleared: bool = False
     position: int = 0
 
@@ -42,15 +44,18 @@
 
     Attributes:
         log_id: Identifies the log; a host that restarts has a new one.
+        kind: What the reports are about.
     """
 
-    def __init__(self, log_id: str) -> None:
+    def __init__(self, log_id: str, kind: shared_reports.SuspectKind) -> None:
         """Creates an empty log.
 
         Args:
             log_id: Unique for each process.
+            kind: What the reports are about.
         """
         self.log_id = log_id
+        self.kind = kind
         self._rows_by_key: dict[ReportKey, LogRow] = {}
         self._active_by_fingerprint: dict[str, dict[Crash, LogRow]] = {}
         self._position = 0
@@ -58,6 +63,11 @@
     def __len__(self) -> int:
         return len(self._rows_by_key)
 
+    @property
+    def position(self) -> int:
+        """Position of the newest report."""
+        return self._position
+
     def find(self, key: ReportKey) -> LogRow | None:
         """Returns a report, or None."""
         return self._rows_by_key.get(key)
@@ -166,6 +176,7 @@
                 for key, row in self._rows_by_key.items()
                 if includes(row)
             ),
+            self.kind,
         )
 
     def _move_to_end(self, row: LogRow) -> None:
@@ -192,4 +203,5 @@
         ran_s=run.crashed_s - run.started_s,
         error_s=run.clock_error_s,
         cleared=row.cleared,
+        companions=row.companions,
     )
--- a/packages/core/src/rattanpulley_core/_internal/suspects/shared.py
+++ b/packages/core/src/rattanpulley_core/_internal/suspects/shared.py
@@ -7,6 +7,7 @@
 from collections.abc import Set as AbstractSet
 
 from rattanpulley_core._internal.suspects import crash_log
+from rattanpulley_core._internal.suspects import known_crashes
 from rattanpulley_core._internal.suspects import reports
 from rattanpulley_core._internal.suspects import shared_reports
 
@@ -16,24 +17,14 @@
 # Crashes from which a request is refused although another one was at all of
 # them too.
 AMBIGUOUS_CRASHES = 5
-# How long a crash counts; a request that was refused may run again afterwards.
-SHARED_REPORT_TTL_S = 900.0
-# Reports of other hosts on a crash arrive within this time. A request that is
-# refused earlier may turn out to have run beside the cause.
-SETTLE_S = 2.0
-# Hosts that were cut off learn of a clearance within this time.
-CLEARED_TTL_S = 60.0
 # Events of a stream past the point of its crash that clear the request.
 CLEARED_AFTER_EVENTS = 30
-MAX_REPORTS = 4096
 
 
-class SharedSuspects:
-    """Requests that crash targets, as known to one entry host.
+class SharedSuspects(known_crashes.KnownCrashes):
+    """Requests that crash targets, as known to one entry host."""
 
-    Attributes:
-        log: The reports, for the exchange with other hosts.
-    """
+    kind = shared_reports.SuspectKind.REQUEST
 
     def __init__(self, log_id: str) -> None:
         """Creates an instance without reports.
@@ -41,14 +32,11 @@
         Args:
             log_id: Unique for each process.
         """
-        self.log = crash_log.CrashLog(log_id)
+        super().__init__(log_id)
         self._table = reports.SuspectTable(REFUSAL_CRASHES)
         # Requests with enough crashes that are not yet refused for long.
         self._candidates: list[str] = []
 
-    def __len__(self) -> int:
-        return len(self.log)
-
     def record_crash(
         self,
         fingerprint: str,
@@ -68,13 +56,8 @@
             ran_s: Seconds since the request was sent to the target.
             now_s: Current time.
         """
-        key = (fingerprint, target, boot_id)
-        known = self.log.find(key)
-        if known is not None:
-            known.is_own = True
-            return
         run = reports.CrashedRun(now_s - ran_s, now_s, events)
-        self._add(key, run, now_s, is_own=True, is_upstream=False)
+        self._record_own((fingerprint, target, boot_id), run, now_s)
 
     def record_events(
         self, fingerprint: str, events: int, now_s: float
@@ -105,45 +88,6 @@
             self._clear((fingerprint, *crash), now_s, is_upstream=False)
         return bool(crashes)
 
-    def merge(
-        self,
-        received: Iterable[shared_reports.SharedReport],
-        now_s: float,
-        error_s: float,
-        is_upstream: bool,
-    ) -> int:
-        """Adds reports of another host or of the store.
-
-        Args:
-            received: The reports.
-            now_s: Current time.
-            error_s: Largest error that the transfer adds to their ages.
-            is_upstream: Whether they come from the host that this one queries.
-
-        Returns:
-            Number of reports that were new or newly cleared.
-        """
-        changed = 0
-        for report in received:
-            row = self.log.find(report.key)
-            if row is None:
-                if not self._accepts(report):
-                    continue
-                run = _run_of(report, now_s, error_s)
-                row = self._add(
-                    report.key,
-                    run,
-                    now_s,
-                    is_own=False,
-                    is_upstream=is_upstream,
-                )
-                changed += not report.cleared
-            row.is_upstream = row.is_upstream or is_upstream
-            if report.cleared and not row.cleared:
-                self._clear(report.key, now_s, is_upstream)
-                changed += 1
-        return changed
-
     def crash_count(self, fingerprint: str, now_s: float) -> int:
         """Returns the number of crashes in succession."""
         return self._table.crash_count(fingerprint, now_s)
@@ -179,8 +123,8 @@
             return 0.0
         rows = self.log.active(fingerprint).values()
         latest_s = max(row.run.crashed_s for row in rows)
-        if now_s < latest_s + SETTLE_S:
-            return latest_s + SETTLE_S - now_s
+        if now_s < latest_s + known_crashes.SETTLE_S:
+            return latest_s + known_crashes.SETTLE_S - now_s
         expiries = sorted(row.expires_at_s for row in rows)
         return max(0.0, expiries[-REFUSAL_CRASHES] - now_s)
 
@@ -190,7 +134,7 @@
         due = [
             fingerprint
             for fingerprint in self._candidates
-            if self.refused_for_s(fingerprint, now_s) > SETTLE_S
+            if self.refused_for_s(fingerprint, now_s) > known_crashes.SETTLE_S
         ]
         self._candidates = [
             fingerprint
@@ -200,24 +144,16 @@
         ]
         return due
 
-    def has_cleared(self, fingerprint: str) -> bool:
-        """Returns whether all known crashes of a request were cleared."""
-        return self.log.knows(fingerprint) and not self.log.active(fingerprint)
-
-    def is_own(self, fingerprint: str) -> bool:
-        """Returns whether this host saw a crash that counts."""
-        return any(row.is_own for row in self.log.active(fingerprint).values())
-
     def expire(self, now_s: float) -> None:
         """Removes reports that have expired."""
         self._table.expire(now_s)
-        self.log.expire(now_s)
+        super().expire(now_s)
 
     def _accepts(self, report: shared_reports.SharedReport) -> bool:
         """Returns whether an unknown report is neither old nor cleared here."""
-        if report.crashed_ago_s >= SHARED_REPORT_TTL_S:
-            return False
-        return not self._table.is_cleared(*report.key)
+        return super()._accepts(report) and not self._table.is_cleared(
+            *report.key
+        )
 
     def _add(
         self,
@@ -226,33 +162,18 @@
         now_s: float,
         is_own: bool,
         is_upstream: bool,
+        companions: tuple[str, ...],
     ) -> crash_log.LogRow:
-        """Adds a report, in place of the oldest one if there are too many."""
-        if len(self.log) >= MAX_REPORTS:
-            oldest = self.log.oldest()
-            self.log.remove(oldest)
-            self._table.remove(*oldest)
-        expires_at_s = run.crashed_s + SHARED_REPORT_TTL_S
-        row = crash_log.LogRow(run, expires_at_s, is_own, is_upstream)
-        self.log.add(key, row)
-        self._table.apply_remote(*key, now_s, expires_at_s - now_s, run)
+        row = super()._add(key, run, now_s, is_own, is_upstream, companions)
+        self._table.apply_remote(*key, now_s, row.expires_at_s - now_s, run)
         return row
 
+    def _remove(self, key: crash_log.ReportKey) -> None:
+        super()._remove(key)
+        self._table.remove(*key)
+
     def _clear(
         self, key: crash_log.ReportKey, now_s: float, is_upstream: bool
     ) -> None:
-        self.log.clear(key, now_s + CLEARED_TTL_S, is_upstream)
+        super()._clear(key, now_s, is_upstream)
         self._table.clear_report(*key)
-
-
-def _run_of(
-    report: shared_reports.SharedReport, now_s: float, error_s: float
-) -> reports.CrashedRun:
-    """Returns the run of a received report in this host's time."""
-    crashed_s = now_s - report.crashed_ago_s
-    return reports.CrashedRun(
-        crashed_s - report.ran_s,
-        crashed_s,
-        report.events,
-        report.error_s + error_s,
-    )
--- a/packages/core/src/rattanpulley_core/_internal/suspects/shared_reports.py
+++ b/packages/core/src/rattanpulley_core/_internal/suspects/shared_reports.py
@@ -4,9 +4,22 @@
 """
 
 import dataclasses
+import enum
 from typing import Any
 
 
+class SuspectKind(enum.Enum):
+    """What a crash report is about.
+
+    Attributes:
+        REQUEST: A request, known by its whole content.
+        PART: A part of prompts, in whatever request.
+    """
+
+    REQUEST = "request"
+    PART = "part"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SharedReport:
     """One crash of a target under a request, as hosts exchange it.
@@ -20,6 +33,8 @@
         ran_s: Seconds for which the target had the request.
         error_s: Largest error of `crashed_ago_s`.
         cleared: Whether the request has since run without a crash.
+        companions: Fingerprints of all parts of the prompt that was running;
+            empty in reports on requests.
     """
 
     fingerprint: str
@@ -30,6 +45,7 @@
     ran_s: float
     error_s: float = 0.0
     cleared: bool = False
+    companions: tuple[str, ...] = ()
 
     @property
     def key(self) -> tuple[str, str, str]:
@@ -43,9 +59,17 @@
         Raises:
             TypeError, ValueError: The row is not a report.
         """
-        fingerprint, target, boot_id, events, ago_s, ran_s, error_s, cleared = (
-            row
-        )
+        (
+            fingerprint,
+            target,
+            boot_id,
+            events,
+            ago_s,
+            ran_s,
+            error_s,
+            cleared,
+            *more,
+        ) = row
         return cls(
             str(fingerprint),
             str(target),
@@ -55,8 +79,14 @@
             max(0.0, float(ran_s)),
             max(0.0, float(error_s)),
             bool(cleared),
+            tuple(map(str, more[0])) if more else (),
         )
 
+    def row(self) -> list[Any]:
+        """Returns the fields in order; hosts of earlier versions take eight."""
+        fields = list(dataclasses.astuple(self))
+        return fields if self.companions else fields[:-1]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReportBatch:
@@ -66,8 +96,10 @@
         log_id: Identifies the log; a host that restarts has a new one.
         position: Position of the newest report.
         reports: The reports.
+        kind: What the reports are about.
     """
 
     log_id: str
     position: int
     reports: tuple[SharedReport, ...]
+    kind: SuspectKind = SuspectKind.REQUEST
--- /dev/null
+++ b/packages/core/tests/suspects/test_parts_fleet.py
@@ -0,0 +1,226 @@
+"""Parts of prompts that crash engines, in whole fleets.
+
+Answers the pattern of ever new prompts with one part, at any host, beside
+sound prompts of the same account, and that of engines which are lost under
+sound prompts with a popular part.
+"""
+
+import dataclasses
+import random
+
+import exchanging_hosts
+import pytest
+
+from rattanpulley_core import suspects
+
+# The platform's bounds: sends that begin this long after the fifth crash.
+CONTACT_S = 3.0
+CRASHES = 5
+MAX_LATE_SENDS = 3
+LENGTH_S = 40.0
+STEP_S = 0.05
+PREFILL_RANGE_S = (0.9, 1.7)
+CRASH_AFTER_S = 0.1
+EVENT_S = 0.04
+ANSWER_S = 5.0
+ENGINE_DOWN_S = 3.0
+RETRIES = 3
+COMMON, CAUSE = "common", "cause"
+
+
+@dataclasses.dataclass
+class Run:
+    """A prompt on an engine."""
+
+    parts: tuple[str, ...]
+    host: exchanging_hosts.Host
+    engine: int
+    sent_s: float
+    begins_s: float
+    retries_left: int
+
+    def events(self, now_s):
+        return int((now_s - self.begins_s) / EVENT_S)
+
+
+class Fleet:
+    """Hosts, engines and prompts; engine number modulo domains is its domain.
+
+    Attributes:
+        cause_sent_s: When prompts with the part that crashes were sent.
+        cause_crashes_s: When engines crashed under it.
+        refused: Refused prompts without that part.
+        began: Answers that began to prompts without it.
+    """
+
+    def __init__(self, seed, domains, hosts_per_domain, engines):
+        self.rng = random.Random(seed)
+        self.now_s = 0.0
+        self.domains = domains
+        self.hosts = exchanging_hosts.make_hosts(
+            domains, hosts_per_domain, self.rng, suspects.PartSuspects
+        )
+        self.up_from_s = [0.0] * engines
+        self.boots = [0] * engines
+        self.runs = []
+        self.cause_sent_s = []
+        self.cause_crashes_s = []
+        self.refused = 0
+        self.began = 0
+        self.store = {}
+
+    def send(self, parts, host=None, retries_left=RETRIES):
+        host = host or self.rng.choice(self.hosts)
+        own_s = self.now_s + host.offset_s
+        if host.known.prompt_refused_for_s(parts, own_s) > 0:
+            self.refused += CAUSE not in parts
+            return
+        up = [e for e, up_s in enumerate(self.up_from_s) if up_s <= self.now_s]
+        if not up:
+            return
+        if CAUSE in parts:
+            self.cause_sent_s.append(self.now_s)
+        begins_s = self.now_s + self.rng.uniform(*PREFILL_RANGE_S)
+        engine = self.rng.choice(up)
+        self.runs.append(
+            Run(parts, host, engine, self.now_s, begins_s, retries_left)
+        )
+
+    def arrive(self, parts, rate):
+        """Sends prompts at a rate per second."""
+        if self.rng.random() < rate * STEP_S:
+            self.send(parts)
+
+    def step(self):
+        self.now_s += STEP_S
+        for run in list(self.runs):
+            if run in self.runs and run.begins_s <= self.now_s:
+                self._continue(run)
+        for host in self.hosts:
+            host.exchange(self.now_s)
+            host.record(self.store, self.now_s)
+
+    def _continue(self, run):
+        if CAUSE in run.parts:
+            if self.now_s >= run.begins_s + CRASH_AFTER_S:
+                self.cause_crashes_s.append(self.now_s)
+                self.lose([run.engine])
+            return
+        self.began += self.now_s - run.begins_s < STEP_S
+        offset_s = run.host.offset_s
+        is_complete = self.now_s >= run.begins_s + ANSWER_S
+        run.host.known.record_answer(
+            run.parts,
+            run.begins_s + offset_s,
+            None if is_complete else run.events(self.now_s),
+            self.now_s + offset_s,
+        )
+        if is_complete:
+            self.runs.remove(run)
+
+    def lose(self, engines):
+        """Ends engines; what ran there is sent again."""
+        lost = [run for run in self.runs if run.engine in engines]
+        self.runs = [run for run in self.runs if run.engine not in engines]
+        for run in lost:
+            if run.begins_s > self.now_s:
+                continue
+            run.host.known.record_crash(
+                run.parts,
+                f"e{run.engine}",
+                str(self.boots[run.engine]),
+                run.events(self.now_s),
+                self.now_s - run.sent_s,
+                self.now_s + run.host.offset_s,
+            )
+        for engine in engines:
+            self.boots[engine] += 1
+            self.up_from_s[engine] = self.now_s + ENGINE_DOWN_S
+        for run in lost:
+            if run.retries_left:
+                self.send(run.parts, run.host, run.retries_left - 1)
+
+    def late_sends(self):
+        after_s = self.cause_crashes_s[CRASHES - 1] + CONTACT_S
+        return [sent_s for sent_s in self.cause_sent_s if sent_s > after_s]
+
+
+SIZES = {
+    "8 hosts, 12 engines": (4, 2, 12),
+    "87 hosts, 57 engines": (4, 22, 57),
+}
+PROMPTS = {
+    "part first": (CAUSE, COMMON),
+    "part second": (COMMON, CAUSE),
+    "part alone": (CAUSE,),
+}
+
+
+@pytest.mark.parametrize("size", SIZES)
+@pytest.mark.parametrize("prompt", PROMPTS)
+@pytest.mark.parametrize("rate", [0.7, 2.5])
+def test_part_is_stopped_and_its_neighbours_are_served(size, prompt, rate):
+    # Guards against a part that takes down a pool through ever new prompts, and
+    # against refusing the other parts of these prompts.
+    for seed in range(3):
+        fleet = Fleet(seed, *SIZES[size])
+        while fleet.now_s < LENGTH_S:
+            fleet.arrive(PROMPTS[prompt], rate)
+            fleet.arrive((COMMON,), 2.0)
+            fleet.arrive((f"rare {fleet.now_s:.0f}",), 1.0)
+            fleet.step()
+        assert len(fleet.cause_crashes_s) >= CRASHES
+        assert len(fleet.late_sends()) <= MAX_LATE_SENDS
+        assert fleet.refused == 0
+
+
+def test_part_stays_stopped_while_all_hosts_restart():
+    # Guards against the loss of what is refused when all hosts are killed.
+    fleet = Fleet(1, *SIZES["8 hosts, 12 engines"])
+    restarted = False
+    while fleet.now_s < LENGTH_S:
+        fleet.arrive((COMMON, CAUSE), 1.5)
+        fleet.arrive((COMMON,), 2.0)
+        fleet.step()
+        if fleet.now_s >= LENGTH_S / 2 and not restarted:
+            restarted = True
+            for number, host in enumerate(fleet.hosts):
+                host.restart(number + 1)
+                host.read(fleet.store, fleet.now_s)
+    assert len(fleet.late_sends()) <= MAX_LATE_SENDS
+    assert fleet.refused == 0
+
+
+# Engines that are lost at once, and the time between two losses.
+LOSSES = {
+    "one each 0.4 s": (1, 0.4),
+    "two each second": (2, 1.0),
+    "most of a domain each 3 s": (None, 3.0),
+}
+
+
+@pytest.mark.parametrize("losses", LOSSES)
+@pytest.mark.parametrize("size", SIZES)
+@pytest.mark.parametrize("rate", [0.5, 4.0])
+def test_losses_under_a_popular_part_refuse_nobody(losses, size, rate):
+    # Guards against blaming what all prompts share for the end of engines.
+    count, period_s = LOSSES[losses]
+    for seed in range(3):
+        fleet = Fleet(seed, *SIZES[size])
+        next_loss_s = 3.0
+        while fleet.now_s < LENGTH_S:
+            fleet.arrive((COMMON, "second"), rate)
+            fleet.arrive((COMMON, f"rare {fleet.now_s:.0f}"), rate)
+            fleet.step()
+            if fleet.now_s >= next_loss_s:
+                next_loss_s += period_s
+                engines = range(len(fleet.up_from_s))
+                up = [e for e in engines if fleet.up_from_s[e] <= fleet.now_s]
+                domain = fleet.rng.randrange(fleet.domains)
+                of_domain = [e for e in up if e % fleet.domains == domain]
+                chosen = of_domain if count is None else up
+                size_lost = count or round(0.9 * len(chosen))
+                lost = fleet.rng.sample(chosen, min(size_lost, len(chosen)))
+                fleet.lose(lost)
+        assert fleet.began > 0
+        assert fleet.refused == 0
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
@@ -1,9 +1,9 @@
 """Tracks the attempts of one request and decides on retries."""
 
-import dataclasses
 import random
 
 from rattanpulley_core import serving
+from rattanpulleyd._internal.relay import attempt_progress
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import context as context_lib
 from rattanpulleyd._internal.relay import request_crashes
@@ -12,21 +12,6 @@
 from rattanpulleyd._internal.relay import target_health
 
 
-@dataclasses.dataclass(slots=True)
-class AttemptProgress:
-    """How far one attempt has come.
-
-    Attributes:
-        sent_at_s: When the attempt started.
-        answered_at_s: When the head of the response arrived, or None.
-        events: Number of events that arrived; 0 for a plain request.
-    """
-
-    sent_at_s: float
-    answered_at_s: float | None = None
-    events: int = 0
-
-
 class RequestAttempts:
     """The attempts of one request to a plain or stream route.
 
@@ -93,7 +78,7 @@
         self,
         entry: serving.TargetEntry,
         error: target_connection.AttemptError,
-        progress: AttemptProgress,
+        progress: attempt_progress.AttemptProgress,
         last_event_id: int = 0,
     ) -> None:
         """Records a failed attempt.
@@ -119,9 +104,8 @@
             events=progress.events,
         )
         if error.kind is serving.FailureKind.CONNECTION_LOST:
-            ran_s = clock.now_s() - progress.sent_at_s
             request_crashes.record_crash(
-                self._context, self._admission, entry, last_event_id, ran_s
+                self._context, self._admission, entry, last_event_id, progress
             )
 
     def record_success(self, entry: serving.TargetEntry, took_s: float) -> None:
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/client_connection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/client_connection.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 import contextlib
+import re
 import socket as socket_lib
 
 import gevent
@@ -29,6 +30,7 @@
 DEFAULT_TIME_LEFT_S = 30.0
 # Bounds the log lines of a request; prompts have a few parts.
 MAX_SHARED_PARTS = 16
+_PART_ID = re.compile(r"[0-9a-f]{1,64}")
 
 
 class ConnectionEndedError(Exception):
@@ -351,9 +353,10 @@
 def _shared_parts(text: str | None) -> tuple[str, ...]:
     """Returns the ids of a list of ID:TOKENS entries, but for the last one.
 
-    Entries beyond `MAX_SHARED_PARTS` and repeated ones are left out.
+    Ids that are not hexadecimal, repeated ones and those beyond
+    `MAX_SHARED_PARTS` are left out.
     """
     entries = (text or "").split(",")[:-1]
     ids = (entry.partition(":")[0].strip().lower() for entry in entries)
-    by_id = dict.fromkeys(part for part in ids if part)
+    by_id = dict.fromkeys(part for part in ids if _PART_ID.fullmatch(part))
     return tuple(by_id)[:MAX_SHARED_PARTS]
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/context.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/context.py
@@ -44,6 +44,7 @@
         retry_budget: Limits retries for each pool.
         trials: Running rollout trials, and the status of all versions.
         suspects: Requests that crash targets.
+        part_suspects: Parts of prompts that crash targets.
         fleet: The hosts of the deployment.
         names: Header names of the deployment.
         prober: Checks whether an unresponsive target is alive.
@@ -61,6 +62,7 @@
     retry_budget: serving.PoolRetryBudget
     trials: serving.TrialTable
     suspects: suspects_lib.SharedSuspects
+    part_suspects: suspects_lib.PartSuspects
     fleet: serving.Fleet
     names: wire.HeaderNames
     prober: target_prober.TargetProber
@@ -87,6 +89,14 @@
     pool: str
     fingerprint: str
 
+    @property
+    def part_keys(self) -> tuple[str, ...]:
+        """Fingerprints of the shared parts of the prompt, in order."""
+        return tuple(
+            suspects_lib.part_key(self.pool, part)
+            for part in self.request.shared_parts
+        )
+
     def deadline_s(self, cached_config: serving.CachedConfig) -> float:
         """Returns when the timeout of the client or of the route expires.
 
@@ -102,6 +112,15 @@
         return self.request.received_at_s + wait_s
 
 
+def known_crashes(
+    context: RelayContext, kind: suspects_lib.SuspectKind
+) -> suspects_lib.KnownCrashes:
+    """Returns the crash reports of one kind."""
+    if kind is suspects_lib.SuspectKind.PART:
+        return context.part_suspects
+    return context.suspects
+
+
 def outgoing_headers(
     context: RelayContext,
     admission: Admission,
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/peer_reader.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/peer_reader.py
@@ -35,9 +35,10 @@
         self._selector = serving.PeerSelector(context.fleet, own)
         self._client = state_exchange.PeerClient()
         self._digest = state_exchange.ConfigDigest()
-        # Log of crash reports that was read last, and the position in it.
-        self._crash_log = ""
-        self._crash_position = 0
+        self._read_by_kind = {
+            kind: state_exchange.LogPosition()
+            for kind in suspects_lib.SuspectKind
+        }
 
     def periods(self) -> serving.SharingPeriods:
         """Returns the times of this host's refreshes."""
@@ -97,31 +98,32 @@
     ) -> serving.TargetsReport:
         """Returns another host's changes; adds the crash reports with them."""
         sent_at_s = clock.suspend_aware_now_s()
-        report = self._client.fetch_targets(
-            entry, position, self._crash_log, self._crash_position
-        )
-        if report.crashes is not None:
-            self._add_crashes(report.crashes, sent_at_s)
+        report = self._client.fetch_targets(entry, position, self._read_by_kind)
+        for batch in report.crashes:
+            self._add_crashes(batch, sent_at_s)
         return report
 
     def _add_crashes(
         self, batch: suspects_lib.ReportBatch, sent_at_s: float
     ) -> None:
         """Adds crash reports of the host that this one queries."""
-        self._follow_log(batch.log_id)
+        self._follow_log(batch.kind, batch.log_id)
         now_s = clock.suspend_aware_now_s()
-        added = self._context.suspects.merge(
+        known = context_lib.known_crashes(self._context, batch.kind)
+        added = known.merge(
             batch.reports, now_s, now_s - sent_at_s, is_upstream=True
         )
-        self._crash_position = batch.position
+        self._read_by_kind[batch.kind] = state_exchange.LogPosition(
+            batch.log_id, batch.position
+        )
         self._context.metrics.suspects.labels("received").inc(added)
 
-    def _follow_log(self, log_id: str) -> None:
+    def _follow_log(self, kind: suspects_lib.SuspectKind, log_id: str) -> None:
         """Starts anew when another host, or a restarted one, is queried."""
-        if log_id != self._crash_log:
-            self._crash_log = log_id
-            self._crash_position = 0
-            self._context.suspects.log.forget_upstream()
+        if log_id != self._read_by_kind[kind].log_id:
+            self._read_by_kind[kind] = state_exchange.LogPosition(log_id)
+            known = context_lib.known_crashes(self._context, kind)
+            known.log.forget_upstream()
 
     @property
     def queries_peers(self) -> bool:
@@ -137,10 +139,12 @@
         for entry in self._entries(any_host=False):
             try:
                 log_id = self._client.send_crashes(entry, batch)
+            except state_exchange.UnknownPathError:
+                continue
             except state_exchange.PeerReportError as error:
                 self._pass_over(entry, str(error))
                 continue
-            self._follow_log(log_id)
+            self._follow_log(batch.kind, log_id)
             return True
         return False
 
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
@@ -9,6 +9,7 @@
 
 from rattanpulley_core import results
 from rattanpulley_core import serving
+from rattanpulleyd._internal.relay import attempt_progress
 from rattanpulleyd._internal.relay import attempts as attempts_lib
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import context as context_lib
@@ -59,12 +60,12 @@
     def run(self) -> responses.Response:
         """Returns the response for the client."""
         while True:
+            if self._attempts.is_refused():
+                return self._give_up(request_crashes.REFUSAL_REASON)
             entry = self._next_target()
             if entry is None:
                 return self._give_up("no target is ready")
-            if self._attempts.is_refused():
-                return self._give_up(request_crashes.REFUSAL_REASON)
-            progress = attempts_lib.AttemptProgress(clock.now_s())
+            progress = attempt_progress.AttemptProgress(clock.now_s())
             try:
                 return self._attempt(entry, progress)
             except target_connection.AttemptError as error:
@@ -94,7 +95,7 @@
     def _attempt(
         self,
         entry: serving.TargetEntry,
-        progress: attempts_lib.AttemptProgress,
+        progress: attempt_progress.AttemptProgress,
     ) -> responses.Response:
         """Sends the request to a target and returns the response."""
         request = self._admission.request
@@ -123,7 +124,7 @@
         self,
         entry: serving.TargetEntry,
         connection: target_connection.TargetConnection,
-        progress: attempts_lib.AttemptProgress,
+        progress: attempt_progress.AttemptProgress,
     ) -> responses.Response:
         """Reads, validates and returns a complete response."""
         sent_at_s = progress.sent_at_s
@@ -152,6 +153,9 @@
         self._context.loads.record_success(entry.target_id, now_s)
         self._attempts.record_success(entry, now_s - sent_at_s)
         request_crashes.record_progress(self._context, self._admission)
+        request_crashes.record_answer(
+            self._context, self._admission, progress, is_complete=True
+        )
         return response
 
     def _read_body(
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
@@ -1,5 +1,6 @@
 """Builds the relay of one entry host and runs it until SIGTERM or SIGINT."""
 
+import abc
 from collections.abc import Callable
 import dataclasses
 import random
@@ -40,11 +41,16 @@
 class Store(
     serving.ServingSource,
     serving.RolloutStore,
-    serving.SuspectStore,
     serving.HostDirectory,
 ):
     """Interface for all calls to the platform's store."""
 
+    @abc.abstractmethod
+    def suspect_records(
+        self, kind: suspects.SuspectKind
+    ) -> serving.SuspectStore:
+        """Returns the records of what is refused because it crashes targets."""
+
 
 class RelayProgram:
     """The relay process of one entry host."""
@@ -119,15 +125,18 @@
         name = self._settings.name
         rollouts = rollout_watch.RolloutWatch(self._context, self._store, name)
         membership = fleet_refresh.FleetRefresh(self._context, self._store, own)
-        sharing = suspect_sharing.SuspectSharing(
-            self._context, self._store, peers
-        )
+        sharings = [
+            suspect_sharing.SuspectSharing(
+                self._context, self._store.suspect_records(kind), peers, kind
+            )
+            for kind in suspects.SuspectKind
+        ]
         for run in (
             config.run_forever,
             targets.run_forever,
             rollouts.run_forever,
             membership.run_forever,
-            sharing.run_forever,
+            *(sharing.run_forever for sharing in sharings),
             self._watch_loop_gaps,
             self._watch_settings,
         ):
@@ -227,6 +236,7 @@
             gate, bounds.exposed_share, bounds.exposed_slack, rng
         ),
         suspects=suspects.SharedSuspects(uuid.uuid4().hex),
+        part_suspects=suspects.PartSuspects(uuid.uuid4().hex),
         fleet=fleet,
         names=names,
         prober=target_prober.TargetProber(report_reader, metrics),
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/request_crashes.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/request_crashes.py
@@ -1,6 +1,8 @@
-"""Recognises requests under which targets crash, and refuses their retries."""
+"""Recognises requests and parts of prompts under which targets crash."""
 
 from rattanpulley_core import serving
+from rattanpulley_core import suspects
+from rattanpulleyd._internal.relay import attempt_progress
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import context as context_lib
 from rattanpulleyd._internal.relay import target_connection
@@ -12,8 +14,10 @@
     context: context_lib.RelayContext, admission: context_lib.Admission
 ) -> float:
     """Returns for how long a request must not run, 0 if it may."""
-    return context.suspects.refused_for_s(
-        admission.fingerprint, clock.suspend_aware_now_s()
+    now_s = clock.suspend_aware_now_s()
+    return max(
+        context.suspects.refused_for_s(admission.fingerprint, now_s),
+        context.part_suspects.prompt_refused_for_s(admission.part_keys, now_s),
     )
 
 
@@ -21,8 +25,8 @@
     context: context_lib.RelayContext,
     admission: context_lib.Admission,
     entry: serving.TargetEntry,
-    events: int,
-    ran_s: float,
+    last_event_id: int,
+    progress: attempt_progress.AttemptProgress,
 ) -> None:
     """Records a crash if the target has ended under a request.
 
@@ -30,21 +34,28 @@
         context: State of the process.
         admission: The request, whose connection to the target was lost.
         entry: The target.
-        events: Id of the last event of the stream, or 0.
-        ran_s: Seconds since the request was sent to the target.
+        last_event_id: Id of the last event of the stream, or 0.
+        progress: How far the attempt has come.
     """
     if _stops_as_planned(context, entry) or not _has_crashed(entry):
         return
     now_s = clock.suspend_aware_now_s()
+    ran_s = clock.now_s() - progress.sent_at_s
     fingerprint = admission.fingerprint
+    boot_id = str(entry.started_ms)
     context.suspects.record_crash(
-        fingerprint,
-        entry.target_id,
-        str(entry.started_ms),
-        events,
-        ran_s,
-        now_s,
+        fingerprint, entry.target_id, boot_id, last_event_id, ran_s, now_s
     )
+    # A prompt that still waited for its answer has not ended the target.
+    if progress.answered_at_s is not None:
+        context.part_suspects.record_crash(
+            admission.part_keys,
+            entry.target_id,
+            boot_id,
+            progress.events,
+            ran_s,
+            now_s,
+        )
     context.metrics.suspects.labels("crash").inc()
     context.log.change(
         "suspect.crash",
@@ -53,6 +64,10 @@
         target=entry.target_id,
         ran_s=round(ran_s, 3),
         crashes=context.suspects.crash_count(fingerprint, now_s),
+        part_losses={
+            part: context.part_suspects.losses(part)
+            for part in admission.part_keys
+        },
     )
 
 
@@ -87,6 +102,43 @@
         )
 
 
+def record_answer(
+    context: context_lib.RelayContext,
+    admission: context_lib.Admission,
+    progress: attempt_progress.AttemptProgress,
+    is_complete: bool = False,
+) -> None:
+    """Clears the parts of a prompt whose answer goes on without a crash.
+
+    Args:
+        context: State of the process.
+        admission: The request.
+        progress: How far the attempt has come.
+        is_complete: Whether the answer is complete.
+    """
+    known = context.part_suspects
+    is_beginning = progress.events < suspects.BEGINNING_EVENTS
+    if is_beginning and not is_complete and not len(known):
+        return
+    if progress.is_sound or progress.answered_at_s is None:
+        return
+    progress.is_sound = is_complete or not is_beginning
+    now_s = clock.suspend_aware_now_s()
+    cleared = known.record_answer(
+        admission.part_keys,
+        now_s - (clock.now_s() - progress.answered_at_s),
+        None if is_complete else progress.events,
+        now_s,
+    )
+    if cleared:
+        context.metrics.suspects.labels("cleared").inc(len(cleared))
+        context.log.change(
+            "suspect.cleared",
+            request=admission.request.request_id,
+            parts=cleared,
+        )
+
+
 def _stops_as_planned(
     context: context_lib.RelayContext, entry: serving.TargetEntry
 ) -> bool:
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/state_exchange.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/state_exchange.py
@@ -5,7 +5,9 @@
 the store read that it is based on.
 """
 
+from collections.abc import Mapping
 import dataclasses
+import functools
 import hashlib
 import json
 from typing import Any
@@ -23,6 +25,7 @@
 CONFIG_PATH = "/beliefs/config"
 TARGETS_PATH = "/beliefs/targets"
 CRASHES_PATH = "/beliefs/crashes"
+PART_CRASHES_PATH = "/beliefs/part_crashes"
 # Hosts of one failure domain respond within a few milliseconds.
 REQUEST_TIMEOUT_S = 0.25
 # Several times the changes that a host keeps for others.
@@ -38,10 +41,54 @@
 _UNREADABLE = (KeyError, TypeError, ValueError, OverflowError)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ReportChannel:
+    """Names under which hosts exchange crash reports of one kind.
+
+    Attributes:
+        path: Where reports are sent to.
+        field: Field of the reports in a response with target changes.
+        log_parameter: Parameter of such a query that names the log read last.
+        position_parameter: Parameter with the position in that log.
+    """
+
+    path: str
+    field: str
+    log_parameter: str
+    position_parameter: str
+
+
+_CHANNEL_BY_KIND = {
+    suspects.SuspectKind.REQUEST: _ReportChannel(
+        CRASHES_PATH, "crashes", "crash_log", "crash_position"
+    ),
+    suspects.SuspectKind.PART: _ReportChannel(
+        PART_CRASHES_PATH, "part_crashes", "part_log", "part_position"
+    ),
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogPosition:
+    """How far the log of another host was read.
+
+    Attributes:
+        log_id: Id of the log; empty before the first one.
+        position: Position of the newest report that was read.
+    """
+
+    log_id: str = ""
+    position: int = 0
+
+
 class PeerReportError(Exception):
     """A host did not respond, or has no report for the request."""
 
 
+class UnknownPathError(PeerReportError):
+    """A host of an earlier version does not take reports of this kind."""
+
+
 class StateEndpoints:
     """HTTP endpoints for other hosts."""
 
@@ -59,7 +106,12 @@
         app = bottle.Bottle()
         app.route(CONFIG_PATH, callback=self._config)
         app.route(TARGETS_PATH, callback=self._targets)
-        app.route(CRASHES_PATH, method="POST", callback=self._add_crashes)
+        for kind, channel in _CHANNEL_BY_KIND.items():
+            app.route(
+                channel.path,
+                method="POST",
+                callback=functools.partial(self._add_crashes, kind),
+            )
         return app
 
     def _config(self) -> Any:
@@ -83,7 +135,7 @@
         crashes = self._crashes()
         known = shared.log.position
         if known is not None and known < position:
-            return {"behind": True, "age_s": age_s, "crashes": crashes}
+            return {"behind": True, "age_s": age_s, **crashes}
         changes = shared.log.since(position)
         if changes is None:
             raise bottle.HTTPError(HTTP_NOT_FOUND)
@@ -92,35 +144,40 @@
             "changed": [dataclasses.astuple(row) for row in changes.changed],
             "removed": changes.removed_ids,
             "age_s": age_s,
-            "crashes": crashes,
+            **crashes,
         }
 
     def _crashes(self) -> dict[str, Any]:
         """Returns the crash reports that the requesting host lacks."""
         query = bottle.request.query
-        try:
-            position = int(query.crash_position or 0)
-        except ValueError:
-            raise bottle.HTTPError(400) from None
-        batch = self._context.suspects.log.since(
-            query.crash_log, position, clock.suspend_aware_now_s()
-        )
-        return _encode_batch(batch)
-
-    def _add_crashes(self) -> Any:
+        now_s = clock.suspend_aware_now_s()
+        found: dict[str, Any] = {}
+        for kind, channel in _CHANNEL_BY_KIND.items():
+            try:
+                position = int(query.get(channel.position_parameter) or 0)
+            except ValueError:
+                raise bottle.HTTPError(400) from None
+            log_id = query.get(channel.log_parameter) or ""
+            log = context_lib.known_crashes(self._context, kind).log
+            batch = log.since(log_id, position, now_s)
+            found[channel.field] = _encode_batch(batch)
+        return found
+
+    def _add_crashes(self, kind: suspects.SuspectKind) -> Any:
         """Adds the crash reports of another host."""
         body = bottle.request.body.read(MAX_RESPONSE_BYTES)
         try:
-            batch = _decode_batch(json.loads(body))
+            batch = _decode_batch(json.loads(body), kind)
         except _UNREADABLE:
             raise bottle.HTTPError(400) from None
-        self._context.suspects.merge(
+        known = context_lib.known_crashes(self._context, kind)
+        known.merge(
             batch.reports,
             clock.suspend_aware_now_s(),
             error_s=TRANSFER_ERROR_S,
             is_upstream=False,
         )
-        return {"log": self._context.suspects.log.log_id}
+        return {"log": known.log.log_id}
 
 
 class PeerClient:
@@ -149,35 +206,34 @@
         self,
         entry: serving.HostEntry,
         position: int,
-        crash_log: str,
-        crash_position: int,
+        read_by_kind: Mapping[suspects.SuspectKind, LogPosition],
     ) -> serving.TargetsReport:
         """Returns the target changes after a position from another host.
 
         Args:
             entry: The other host.
             position: Store position of the last change that is known.
-            crash_log: Log of crash reports that was read last.
-            crash_position: Position in that log.
+            read_by_kind: How far that host's crash reports were read.
 
         Raises:
             PeerReportError: The host did not respond or does not have all
                 changes.
         """
-        query = parse.urlencode(
-            {
-                "position": position,
-                "crash_log": crash_log,
-                "crash_position": crash_position,
-            }
-        )
+        parameters: dict[str, Any] = {"position": position}
+        for kind, read in read_by_kind.items():
+            channel = _CHANNEL_BY_KIND[kind]
+            parameters[channel.log_parameter] = read.log_id
+            parameters[channel.position_parameter] = read.position
+        query = parse.urlencode(parameters)
         document = self._call(entry, "GET", f"{TARGETS_PATH}?{query}")
         try:
             age_s = float(document["age_s"])
-            crashes = None
-            # Hosts of earlier versions send no crash reports.
-            if "crashes" in document:
-                crashes = _decode_batch(document["crashes"])
+            # Hosts of earlier versions send fewer kinds of reports.
+            crashes = tuple(
+                _decode_batch(document[channel.field], kind)
+                for kind, channel in _CHANNEL_BY_KIND.items()
+                if channel.field in document
+            )
             if document.get("behind"):
                 return serving.TargetsReport(None, age_s, crashes)
             changes = serving.TargetChanges(
@@ -200,7 +256,8 @@
         Raises:
             PeerReportError: The host did not respond.
         """
-        document = self._call(entry, "POST", CRASHES_PATH, _encode_batch(batch))
+        path = _CHANNEL_BY_KIND[batch.kind].path
+        document = self._call(entry, "POST", path, _encode_batch(batch))
         log_id = document.get("log")
         if not isinstance(log_id, str):
             raise PeerReportError("the response names no log")
@@ -233,6 +290,8 @@
                 MAX_RESPONSE_BYTES,
                 clock.now_s() + REQUEST_TIMEOUT_S,
             )
+            if response.status == HTTP_NOT_FOUND:
+                raise UnknownPathError(f"no {path}")
             if response.status != HTTP_OK:
                 raise PeerReportError(f"status {response.status}")
             document = json.loads(body)
@@ -253,16 +312,19 @@
     return {
         "log": batch.log_id,
         "position": batch.position,
-        "reports": [dataclasses.astuple(row) for row in batch.reports],
+        "reports": [row.row() for row in batch.reports],
     }
 
 
-def _decode_batch(document: dict[str, Any]) -> suspects.ReportBatch:
+def _decode_batch(
+    document: dict[str, Any], kind: suspects.SuspectKind
+) -> suspects.ReportBatch:
     """Returns the batch in a JSON object; raises one of `_UNREADABLE`."""
     return suspects.ReportBatch(
         str(document["log"]),
         int(document["position"]),
         tuple(suspects.SharedReport.parse(row) for row in document["reports"]),
+        kind,
     )
 
 
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_monitor.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_monitor.py
@@ -9,6 +9,7 @@
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import context as context_lib
 from rattanpulleyd._internal.relay import engine_selection
+from rattanpulleyd._internal.relay import request_crashes
 from rattanpulleyd._internal.relay import stall_detector
 from rattanpulleyd._internal.relay import target_connection
 
@@ -95,6 +96,7 @@
                     serving.FailureKind.TIMED_OUT,
                     "the time of the request is over",
                 )
+            self._withdraw_if_refused()
             if (
                 now_s - max(until_s, wait_started_s)
                 > stall_detector.HOST_STALL_S
@@ -103,6 +105,19 @@
             elif now_s >= detector.check_at_s:
                 self._check_target(now_s)
 
+    def _withdraw_if_refused(self) -> None:
+        """Gives up a prompt that would crash the target once it begins.
+
+        Raises:
+            target_connection.AttemptError: The prompt is refused by now.
+        """
+        if self.run_started or not self._admission.route.resumable:
+            return
+        if self._attempts.is_refused():
+            raise target_connection.AttemptError(
+                serving.FailureKind.WITHDRAWN, request_crashes.REFUSAL_REASON
+            )
+
     def record_events(self, count: int) -> None:
         """Records that complete events arrived."""
         self.run_started = True
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from rattanpulley_core import serving
+from rattanpulleyd._internal.relay import attempt_progress
 from rattanpulleyd._internal.relay import attempts as attempts_lib
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import context as context_lib
@@ -94,12 +95,12 @@
             ClientDisconnectedError: The client disconnected.
         """
         while True:
+            if self._attempts.is_refused():
+                return self._give_up(request_crashes.REFUSAL_REASON)
             plan = self._next_plan()
             if plan is None:
                 return self._give_up("no target is ready")
-            if self._attempts.is_refused():
-                return self._give_up(request_crashes.REFUSAL_REASON)
-            progress = attempts_lib.AttemptProgress(clock.now_s())
+            progress = attempt_progress.AttemptProgress(clock.now_s())
             try:
                 self._attempt(plan, progress)
                 return None
@@ -150,7 +151,7 @@
         return _AttemptPlan(entry, copy_reference, holder)
 
     def _attempt(
-        self, plan: _AttemptPlan, progress: attempts_lib.AttemptProgress
+        self, plan: _AttemptPlan, progress: attempt_progress.AttemptProgress
     ) -> None:
         """Sends the request to a target and forwards its events."""
         request = self._admission.request
@@ -215,7 +216,7 @@
         plan: _AttemptPlan,
         connection: target_connection.TargetConnection,
         prefill: prefill_counter.PrefillCounter,
-        progress: attempts_lib.AttemptProgress,
+        progress: attempt_progress.AttemptProgress,
     ) -> None:
         """Validates the response head and forwards the stream to its end."""
         monitor = stream_monitor.StreamMonitor(
@@ -262,7 +263,7 @@
         prefill: prefill_counter.PrefillCounter,
         monitor: stream_monitor.StreamMonitor,
         head: target_connection.ResponseHead,
-        progress: attempts_lib.AttemptProgress,
+        progress: attempt_progress.AttemptProgress,
     ) -> None:
         """Forwards the events of one attempt until the body is complete."""
         frames = event_frames.EventParser()
@@ -290,6 +291,9 @@
                 request_crashes.record_progress(
                     self._context, self._admission, self._events.last_id
                 )
+                request_crashes.record_answer(
+                    self._context, self._admission, progress
+                )
         if frames.incomplete or self._events.last_id is None:
             raise target_connection.AttemptError(
                 serving.FailureKind.CONNECTION_LOST,
@@ -299,6 +303,9 @@
         self._channel.finish()
         self._context.loads.record_success(plan.entry.target_id, clock.now_s())
         request_crashes.record_progress(self._context, self._admission)
+        request_crashes.record_answer(
+            self._context, self._admission, progress, is_complete=True
+        )
 
     def _record_prefill(
         self, plan: _AttemptPlan, monitor: stream_monitor.StreamMonitor
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/suspect_sharing.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/suspect_sharing.py
@@ -1,8 +1,8 @@
-"""Shares requests that crash targets with other hosts and with the store.
+"""Shares what crashes targets with other hosts and with the store.
 
 Reports reach the other hosts with the answers to their queries of target
 changes. This module passes reports on to the host that this one queries, and
-keeps refused requests in the store for hosts that start later or that reach no
+keeps what is refused in the store for hosts that start later or that reach no
 other host.
 """
 
@@ -23,22 +23,25 @@
 
 
 class SuspectSharing:
-    """Passes crash reports on and records refused requests."""
+    """Passes crash reports of one kind on and records what is refused."""
 
     def __init__(
         self,
         context: context_lib.RelayContext,
         store: serving.SuspectStore,
         peers: peer_reader.PeerReader,
+        kind: suspects.SuspectKind = suspects.SuspectKind.REQUEST,
     ) -> None:
         """Creates the sharing without any call.
 
         Args:
             context: State of the process.
-            store: Keeps refused requests.
+            store: Keeps what is refused.
             peers: The hosts that this one queries.
+            kind: What the reports are about.
         """
         self._context = context
+        self._known = context_lib.known_crashes(context, kind)
         self._store = store
         self._peers = peers
         self._unrecorded: list[str] = []
@@ -55,8 +58,8 @@
     def step(self) -> None:
         """Makes the calls that are due."""
         now_s = clock.suspend_aware_now_s()
-        if len(self._context.suspects):
-            self._context.suspects.expire(now_s)
+        if len(self._known):
+            self._known.expire(now_s)
             self._send_reports(now_s)
             self._note_refused(now_s)
         if self._unrecorded and now_s >= self._next_write_s:
@@ -66,18 +69,19 @@
 
     def _send_reports(self, now_s: float) -> None:
         """Sends the reports that the queried host lacks."""
-        log = self._context.suspects.log
+        log = self._known.log
         batch = log.missing_upstream(now_s)
         if batch.reports and self._peers.send_crashes(batch):
             log.mark_upstream(batch)
 
     def _note_refused(self, now_s: float) -> None:
-        """Logs newly refused requests; hosts that saw a crash record them."""
-        known = self._context.suspects
+        """Logs what is newly refused; hosts that saw a crash record it."""
+        known = self._known
         for fingerprint in known.pop_newly_refused(now_s):
             self._context.metrics.suspects.labels("newly_refused").inc()
             self._context.log.change(
                 "suspect.refused",
+                kind=known.kind.value,
                 fingerprint=fingerprint,
                 refused_for_s=round(known.refused_for_s(fingerprint, now_s), 1),
                 targets=[
@@ -89,10 +93,10 @@
                 self._unrecorded.append(fingerprint)
 
     def _record(self, fingerprint: str, now_s: float) -> None:
-        """Records a refused request, unless it was cleared meanwhile."""
-        known = self._context.suspects
+        """Records what is refused, unless it was cleared meanwhile."""
+        known = self._known
         try:
-            if known.is_refused(fingerprint, now_s):
+            if known.refused_for_s(fingerprint, now_s):
                 found = known.log.active_reports(fingerprint, now_s)
                 self._store.record_suspect(fingerprint, found, CALL_TIMEOUT_S)
                 self._count_call("ok")
@@ -106,8 +110,8 @@
         return not self._was_read or not self._peers.queries_peers
 
     def _read(self, now_s: float) -> None:
-        """Reads the refused requests that are recorded."""
-        known = self._context.suspects
+        """Reads what is recorded as refused."""
+        known = self._known
         self._next_read_s = now_s + READ_PERIOD_S
         try:
             found_by_fingerprint = self._store.read_suspects(
@@ -130,11 +134,11 @@
         found: tuple[suspects.SharedReport, ...],
         now_s: float,
     ) -> bool:
-        """Returns whether a record has expired or its request is cleared."""
+        """Returns whether a record has expired or was cleared."""
         ages_s = [row.crashed_ago_s for row in found]
         if min(ages_s, default=float("inf")) >= suspects.SHARED_REPORT_TTL_S:
             return True
-        return self._context.suspects.has_cleared(fingerprint)
+        return self._known.has_cleared(fingerprint)
 
     def _count_call(self, result: str) -> None:
         self._context.metrics.store_calls.labels("suspects", result).inc()
--- a/packages/daemon/tests/relay/relay_builders.py
+++ b/packages/daemon/tests/relay/relay_builders.py
@@ -28,6 +28,7 @@
     return types.SimpleNamespace(
         cached_config=serving.CachedConfig(5.0),
         suspects=suspects.SharedSuspects(f"log of {name}"),
+        part_suspects=suspects.PartSuspects(f"log of parts of {name}"),
         fleet=serving.Fleet(name),
         shared_targets=context_lib.SharedTargets(serving.ChangeLog()),
         metrics=relay_metrics.RelayMetrics(),
