Take the refusal of another request for no promise on this one

Callers saw (other operators): 'not run, try again' for a request that a replica had run or was running, or that request run at a second replica.

Cause: the relay read 421 and the header that says 'not executed' before it compared the echoed id, so that the refusal of an earlier request, written again, ended this one as not run.

Change: a head that echoes another id is corrupt, whatever it says; a refusal without an id holds as before.

Why it works: replicas echo the id in all their responses, so that a refusal with another one cannot be about this request.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/responses.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/responses.py
@@ -76,6 +76,12 @@
         target_connection.AttemptError: It belongs to another request, or
             reports that the request did not run.
     """
+    echoed = wire.header_values(head.headers, names.request_id)
+    # Before all else: the refusal of another request says nothing of this one.
+    if echoed not in ([], [request.request_id]):
+        raise target_connection.AttemptError(
+            serving.FailureKind.CORRUPT, f"the answer is to {echoed}"
+        )
     if head.status == 421:
         raise target_connection.AttemptError(
             serving.FailureKind.WRONG_TARGET,
@@ -87,10 +93,9 @@
             serving.FailureKind.REFUSED,
             f"the target refused with {head.status}",
         )
-    echoed = wire.header_values(head.headers, names.request_id)
-    if echoed != [request.request_id]:
+    if not echoed:
         raise target_connection.AttemptError(
-            serving.FailureKind.CORRUPT, f"the answer is to {echoed or 'no id'}"
+            serving.FailureKind.CORRUPT, "the answer is to no id"
         )
     if wire.header_values(head.headers, b"content-encoding"):
         raise target_connection.AttemptError(
