Take an unframed stream that ends before its first event for a lost one

Callers saw: a stream that ended as complete although its rest was missing.

Cause: an answer without a length or chunks ends with its connection. A stream that had begun went on at an engine which was lost after the head; with the events of the engine before, the empty rest counted as the whole one.

Evidence: engines of the stand-in that end an unframed stream within an event and each further one after its head: 200 and a body framed as whole, with 4 of 12 events.

Change: without a length or chunks, an attempt that brought no event is lost.

Why it works: a client that has all events and comes again gets an empty body, which only its framing tells from a lost one; a framed one is taken as before.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
@@ -294,11 +294,7 @@
                 request_crashes.record_answer(
                     self._context, self._admission, progress
                 )
-        if frames.incomplete or self._events.last_id is None:
-            raise target_connection.AttemptError(
-                serving.FailureKind.CONNECTION_LOST,
-                "the stream ended within an event",
-            )
+        self._check_end(frames, head, progress)
         self._send_head(head)
         self._channel.finish()
         self._context.loads.record_success(plan.entry.target_id, clock.now_s())
@@ -307,6 +303,25 @@
             self._context, self._admission, progress, is_complete=True
         )
 
+    def _check_end(
+        self,
+        frames: event_frames.EventParser,
+        head: target_connection.ResponseHead,
+        progress: attempt_progress.AttemptProgress,
+    ) -> None:
+        """Checks that a body that has ended is a complete stream."""
+        if frames.incomplete or self._events.last_id is None:
+            raise target_connection.AttemptError(
+                serving.FailureKind.CONNECTION_LOST,
+                "the stream ended within an event",
+            )
+        if not progress.events and not head.frames_body:
+            # Only a framed body shows that nothing is left to send.
+            raise target_connection.AttemptError(
+                serving.FailureKind.CONNECTION_LOST,
+                "the connection ended before the first event",
+            )
+
     def _record_prefill(
         self, plan: _AttemptPlan, monitor: stream_monitor.StreamMonitor
     ) -> None:
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/target_connection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/target_connection.py
@@ -21,6 +21,7 @@
 CONNECT_TIMEOUT_S = 0.12
 READ_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 64 * 1024
+_FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 # Responses to calls of the relay itself, such as reports.
 MAX_CALL_RESPONSE_BYTES = 1024 * 1024
 # The kernel closes a connection whose data stays unacknowledged this long.
@@ -64,6 +65,15 @@
         """Returns the value of a header, or None unless it occurs once."""
         return wire.single_header_value(self.headers, name)
 
+    @property
+    def frames_body(self) -> bool:
+        """Whether the body has a length or chunks.
+
+        Another body ends with its connection, also if that is lost.
+        """
+        names = {name.lower() for name, _ in self.headers}
+        return not names.isdisjoint(_FRAMING_HEADERS)
+
 
 class TargetConnection:
     """A connection that carries one request.
