--- a/packages/daemon/src/rattanpulleyd/_internal/relay/gateway.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/gateway.py
@@ -170,6 +170,7 @@
             "request.refused",
             request=admission.request.request_id,
             fingerprint=admission.fingerprint,
+            parts=admission.request.shared_parts,
             account=admission.account,
             reason="crashes_targets",
             status=503,
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/status_report.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/status_report.py
@@ -51,6 +51,7 @@
             "targets": self._targets(),
             "hosts": context.fleet.hosts,
             "crash_reports": len(context.suspects),
+            "part_crash_reports": len(context.part_suspects),
             "moves": [
                 self._trial_status(trial) for trial in context.trials.trials
             ],
--- /dev/null
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_plan.py
@@ -0,0 +1,131 @@
+"""Plans the attempts of a stream: its next target and its memory copies."""
+
+import dataclasses
+
+from rattanpulley_core import serving
+from rattanpulleyd._internal.relay import attempts as attempts_lib
+from rattanpulleyd._internal.relay import clock
+from rattanpulleyd._internal.relay import context as context_lib
+from rattanpulleyd._internal.relay import engine_selection
+from rattanpulleyd._internal.relay import memory_copies
+from rattanpulleyd._internal.relay import stream_monitor
+from rattanpulleyd._internal.relay import target_connection
+from rattanpulleyd._internal.relay import wire
+
+# How long a stream waits for a target before it is refused, and how long one
+# that has started waits.
+NO_TARGET_WAIT_S = 0.5
+NO_TARGET_WAIT_STARTED_S = 2.0
+NO_TARGET_POLL_S = 0.02
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptPlan:
+    """The target and the memory copies of the next attempt.
+
+    Attributes:
+        entry: The target.
+        copy_reference: Memory copy to continue from, or None.
+        copy_holder: Target that will store a memory copy, or None.
+    """
+
+    entry: serving.TargetEntry
+    copy_reference: str | None
+    copy_holder: serving.TargetEntry | None
+
+
+class StreamPlanner:
+    """Chooses the targets of one stream.
+
+    Attributes:
+        copy: Memory copy that the last attempt has left, or None.
+    """
+
+    def __init__(
+        self,
+        context: context_lib.RelayContext,
+        admission: context_lib.Admission,
+        attempts: attempts_lib.RequestAttempts,
+        queue_transfer: stream_monitor.QueueTransfer,
+    ) -> None:
+        """Creates a planner that knows no memory copy.
+
+        Args:
+            context: State of the process.
+            admission: The request.
+            attempts: Attempts of the request.
+            queue_transfer: Shared by all attempts of the request.
+        """
+        self._context = context
+        self._admission = admission
+        self._attempts = attempts
+        self._queue_transfer = queue_transfer
+        self._engine_selector = engine_selection.EngineSelector(context)
+        self.copy: memory_copies.MemoryCopy | None = None
+
+    def next_plan(self, started: bool) -> AttemptPlan | None:
+        """Returns the next attempt, or None if none is possible in time.
+
+        Args:
+            started: Whether the client has a part of the stream.
+        """
+        idle, self._queue_transfer.engine = self._queue_transfer.engine, None
+        if idle is not None:
+            return self._make_plan(idle, None)
+        copy, self.copy = self.copy, None
+        if (
+            copy is not None
+            and self._attempts.last in serving.FAILURES_AFTER_START
+        ):
+            return self._make_plan(copy.holder, copy.reference)
+        wait_s = NO_TARGET_WAIT_STARTED_S if started else NO_TARGET_WAIT_S
+        until_s = min(clock.now_s() + wait_s, self._attempts.deadline_s())
+        while True:
+            entry = self._engine_selector.choose(
+                stream_monitor.prefill_query(self._admission, self._attempts),
+                self._admission.request.request_id,
+            )
+            if entry is not None:
+                return self._make_plan(entry, None)
+            if clock.now_s() >= until_s:
+                return None
+            target_connection.pause(NO_TARGET_POLL_S)
+
+    def _make_plan(
+        self, entry: serving.TargetEntry, copy_reference: str | None
+    ) -> AttemptPlan:
+        holder = None
+        pool = self._admission.pool
+        config = self._context.cached_config.config
+        row = config.pools_by_name.get(pool) if config is not None else None
+        copies = row is not None and row.copies_memory
+        if copies and self._admission.route.resumable:
+            holder = self._engine_selector.choose_holder(pool, entry)
+        return AttemptPlan(entry, copy_reference, holder)
+
+
+def attempt_headers(
+    names: wire.HeaderNames,
+    plan: AttemptPlan,
+    last_id: int | None,
+    weights: str | None,
+) -> wire.Headers:
+    """Returns the headers that only one attempt has.
+
+    Args:
+        names: Header names of the deployment.
+        plan: The attempt.
+        last_id: Id of the last event that the client has, or None.
+        weights: Weights that made the first part of the answer, or None.
+    """
+    extra: list[tuple[bytes, bytes]] = []
+    if last_id is not None or plan.copy_reference is not None:
+        extra.append((b"Last-Event-Id", b"%d" % (last_id or 0)))
+    if weights is not None:
+        extra.append((names.expected_weights, weights.encode()))
+    if plan.copy_holder is not None:
+        holder = plan.copy_holder.address.encode()
+        extra.append((names.copy_memory_to, holder))
+    if plan.copy_reference is not None:
+        extra.append((names.continue_from, plan.copy_reference.encode()))
+    return tuple(extra)
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
@@ -5,50 +5,28 @@
 memory if there is one, which avoids another prefill, otherwise on any other.
 """
 
-import dataclasses
-
 from rattanpulley_core import serving
 from rattanpulleyd._internal.relay import attempt_progress
 from rattanpulleyd._internal.relay import attempts as attempts_lib
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import context as context_lib
-from rattanpulleyd._internal.relay import engine_selection
 from rattanpulleyd._internal.relay import event_frames
 from rattanpulleyd._internal.relay import memory_copies
 from rattanpulleyd._internal.relay import prefill_counter
 from rattanpulleyd._internal.relay import request_crashes
 from rattanpulleyd._internal.relay import responses
 from rattanpulleyd._internal.relay import stream_channel
+from rattanpulleyd._internal.relay import stream_head
 from rattanpulleyd._internal.relay import stream_monitor
+from rattanpulleyd._internal.relay import stream_plan
 from rattanpulleyd._internal.relay import target_connection
 from rattanpulleyd._internal.relay import target_health
 from rattanpulleyd._internal.relay import wire
 
 SEND_TIMEOUT_S = 1.0
 MAX_CONNECT_FAILURES = 12
-# How long a stream waits for a target before it is refused, and how long one
-# that has started waits.
-NO_TARGET_WAIT_S = 0.5
-NO_TARGET_WAIT_STARTED_S = 2.0
-NO_TARGET_POLL_S = 0.02
 # Engines are unavailable for a second or more after a crash.
 RETRY_AFTER_RANGE_S = (0.8, 1.8)
-MAX_FAILED_RESPONSE_BYTES = 1024 * 1024
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _AttemptPlan:
-    """The target and the memory copies of the next attempt.
-
-    Attributes:
-        entry: The target.
-        copy_reference: Memory copy to continue from, or None.
-        copy_holder: Target that will store a memory copy, or None.
-    """
-
-    entry: serving.TargetEntry
-    copy_reference: str | None
-    copy_holder: serving.TargetEntry | None
 
 
 class StreamRelay:
@@ -75,10 +53,11 @@
             admission.request.last_event_id
         )
         self._copy_calls = copy_calls
-        self._engine_selector = engine_selection.EngineSelector(context)
-        self._copy: memory_copies.MemoryCopy | None = None
         self._weights: str | None = None
         self._queue_transfer = stream_monitor.QueueTransfer()
+        self._planner = stream_plan.StreamPlanner(
+            context, admission, self._attempts, self._queue_transfer
+        )
         self._started = False
         self.report = stream_channel.StreamReport()
 
@@ -97,7 +76,7 @@
         while True:
             if self._attempts.is_refused():
                 return self._give_up(request_crashes.REFUSAL_REASON)
-            plan = self._next_plan()
+            plan = self._planner.next_plan(self._started)
             if plan is None:
                 return self._give_up("no target is ready")
             progress = attempt_progress.AttemptProgress(clock.now_s())
@@ -114,44 +93,10 @@
                 if not self._attempts.can_retry():
                     return self._give_up(str(error))
 
-    def _next_plan(self) -> _AttemptPlan | None:
-        """Returns the next attempt, or None if none is possible in time."""
-        idle, self._queue_transfer.engine = self._queue_transfer.engine, None
-        if idle is not None:
-            return self._make_plan(idle, None)
-        copy, self._copy = self._copy, None
-        if (
-            copy is not None
-            and self._attempts.last in serving.FAILURES_AFTER_START
-        ):
-            return self._make_plan(copy.holder, copy.reference)
-        wait_s = NO_TARGET_WAIT_STARTED_S if self._started else NO_TARGET_WAIT_S
-        until_s = min(clock.now_s() + wait_s, self._attempts.deadline_s())
-        while True:
-            entry = self._engine_selector.choose(
-                stream_monitor.prefill_query(self._admission, self._attempts),
-                self._admission.request.request_id,
-            )
-            if entry is not None:
-                return self._make_plan(entry, None)
-            if clock.now_s() >= until_s:
-                return None
-            target_connection.pause(NO_TARGET_POLL_S)
-
-    def _make_plan(
-        self, entry: serving.TargetEntry, copy_reference: str | None
-    ) -> _AttemptPlan:
-        holder = None
-        pool = self._admission.pool
-        config = self._context.cached_config.config
-        row = config.pools_by_name.get(pool) if config is not None else None
-        copies = row is not None and row.copies_memory
-        if copies and self._admission.route.resumable:
-            holder = self._engine_selector.choose_holder(pool, entry)
-        return _AttemptPlan(entry, copy_reference, holder)
-
     def _attempt(
-        self, plan: _AttemptPlan, progress: attempt_progress.AttemptProgress
+        self,
+        plan: stream_plan.AttemptPlan,
+        progress: attempt_progress.AttemptProgress,
     ) -> None:
         """Sends the request to a target and forwards its events."""
         request = self._admission.request
@@ -174,7 +119,12 @@
                     self._context,
                     self._admission,
                     entry,
-                    self._extra_headers(plan),
+                    stream_plan.attempt_headers(
+                        self._context.names,
+                        plan,
+                        self._events.last_id,
+                        self._weights,
+                    ),
                 ),
                 request.body,
                 SEND_TIMEOUT_S,
@@ -187,23 +137,7 @@
             copies.copies -= 1
             prefill.end()
 
-    def _extra_headers(self, plan: _AttemptPlan) -> wire.Headers:
-        """Returns the headers that only this attempt has."""
-        names = self._context.names
-        extra: list[tuple[bytes, bytes]] = []
-        if self._events.last_id is not None or plan.copy_reference is not None:
-            last_id = self._events.last_id or 0
-            extra.append((b"Last-Event-Id", b"%d" % last_id))
-        if self._weights is not None:
-            extra.append((names.expected_weights, self._weights.encode()))
-        if plan.copy_holder is not None:
-            holder = plan.copy_holder.address.encode()
-            extra.append((names.copy_memory_to, holder))
-        if plan.copy_reference is not None:
-            extra.append((names.continue_from, plan.copy_reference.encode()))
-        return tuple(extra)
-
-    def _count_resume(self, plan: _AttemptPlan) -> None:
+    def _count_resume(self, plan: stream_plan.AttemptPlan) -> None:
         if self._attempts.sent == 0:
             return
         self.report.resumes += 1
@@ -213,7 +147,7 @@
 
     def _relay(
         self,
-        plan: _AttemptPlan,
+        plan: stream_plan.AttemptPlan,
         connection: target_connection.TargetConnection,
         prefill: prefill_counter.PrefillCounter,
         progress: attempt_progress.AttemptProgress,
@@ -229,9 +163,10 @@
         )
         maintainer = self._make_maintainer(plan)
         try:
-            head = monitor.wait(connection.read_head)
-            progress.answered_at_s = clock.now_s()
-            self._check(head, connection, plan.entry, monitor)
+            head = stream_head.StreamHeadReader(
+                self._context, self._attempts, plan.entry, monitor
+            ).read(self._admission.request, connection, progress)
+            self._keep_weights(head)
             maintainer.start()
             self._forward_events(
                 plan, connection, prefill, monitor, head, progress
@@ -239,11 +174,11 @@
         finally:
             maintainer.stop()
             if monitor.run_started:
-                self._copy = maintainer.usable_copy()
+                self._planner.copy = maintainer.usable_copy()
         maintainer.release()
 
     def _make_maintainer(
-        self, plan: _AttemptPlan
+        self, plan: stream_plan.AttemptPlan
     ) -> memory_copies.CopyMaintainer:
         """Returns the maintainer of the memory copy of one attempt."""
         copy = None
@@ -258,7 +193,7 @@
 
     def _forward_events(
         self,
-        plan: _AttemptPlan,
+        plan: stream_plan.AttemptPlan,
         connection: target_connection.TargetConnection,
         prefill: prefill_counter.PrefillCounter,
         monitor: stream_monitor.StreamMonitor,
@@ -323,7 +258,9 @@
             )
 
     def _record_prefill(
-        self, plan: _AttemptPlan, monitor: stream_monitor.StreamMonitor
+        self,
+        plan: stream_plan.AttemptPlan,
+        monitor: stream_monitor.StreamMonitor,
     ) -> None:
         """Records the prefill time of an attempt without a memory copy."""
         if plan.copy_reference is None:
@@ -335,30 +272,8 @@
                 took_s,
             )
 
-    def _check(
-        self,
-        head: target_connection.ResponseHead,
-        connection: target_connection.TargetConnection,
-        entry: serving.TargetEntry,
-        monitor: stream_monitor.StreamMonitor,
-    ) -> None:
-        """Checks that the head starts the stream of this request."""
-        responses.check_response_head(
-            head, self._admission.request, self._context.names
-        )
-        target_health.record_load(self._context, entry, head)
-        if head.status != 200:
-            self._keep_failed_response(head, connection, entry, monitor)
-            raise target_connection.AttemptError(
-                serving.FailureKind.FAILED, f"the target answered {head.status}"
-            )
-        content_type = (
-            wire.single_header_value(head.headers, b"content-type") or ""
-        )
-        if not content_type.startswith(wire.EVENT_STREAM.decode()):
-            raise target_connection.AttemptError(
-                serving.FailureKind.CORRUPT, f"the answer is {content_type!r}"
-            )
+    def _keep_weights(self, head: target_connection.ResponseHead) -> None:
+        """Notes the weights that made the first part of the answer."""
         weights = head.value(self._context.names.weights)
         if (
             self._weights is None
@@ -366,29 +281,6 @@
         ):
             self._weights = weights
 
-    def _keep_failed_response(
-        self,
-        head: target_connection.ResponseHead,
-        connection: target_connection.TargetConnection,
-        entry: serving.TargetEntry,
-        monitor: stream_monitor.StreamMonitor,
-    ) -> None:
-        """Stores a target's error response in case no other target succeeds."""
-        body = b""
-        while len(body) <= MAX_FAILED_RESPONSE_BYTES:
-            part = monitor.wait(connection.read_data)
-            if part is None:
-                headers = wire.forwarded_headers(head.headers, frozenset())
-                self._attempts.failed_response = responses.Response(
-                    head.status,
-                    headers,
-                    body,
-                    responses.TARGET_ERROR,
-                    f"response of {entry.target_id}",
-                )
-                return
-            body += part
-
     def _forward(
         self, head: target_connection.ResponseHead, data: bytes
     ) -> None:
