--- /dev/null
+++ b/packages/core/tests/suspects/test_parts.py
@@ -0,0 +1,146 @@
+"""Parts of prompts that crash targets, at one host."""
+
+import pytest
+
+from rattanpulley_core import suspects
+
+SETTLED_S = suspects.SETTLE_S + 0.1
+CAUSE, COMMON = "pool.aa", "pool.bb"
+
+
+@pytest.fixture
+def known():
+    return suspects.PartSuspects("log")
+
+
+def crash(known, parts, targets, at_s=0.0, period_s=1.0, events=1):
+    """Records crashes under prompts; returns when all have settled."""
+    for target in targets:
+        known.record_crash(parts, target, "boot", events, 0.5, at_s)
+        at_s += period_s
+    return at_s + SETTLED_S
+
+
+def is_refused(known, parts, now_s):
+    return known.prompt_refused_for_s(parts, now_s) > 0
+
+
+def test_part_is_refused_after_five_losses(known):
+    # Guards against a part that crashes targets with ever new prompts.
+    now_s = crash(known, (CAUSE,), "abcd")
+    assert not is_refused(known, (CAUSE,), now_s)
+    now_s = crash(known, (CAUSE,), "e", now_s)
+    assert is_refused(known, (CAUSE, "pool.cc"), now_s)
+    assert known.pop_newly_refused(now_s) == [CAUSE]
+    assert known.pop_newly_refused(now_s) == []
+    assert not is_refused(known, (COMMON,), now_s)
+    assert not is_refused(known, (), now_s)
+
+
+def test_refusal_waits_for_reports_that_clear(known):
+    # Guards against refusing a popular part before other hosts have spoken.
+    crash(known, (CAUSE,), "abcde")
+    assert not is_refused(known, (CAUSE,), 4.0 + suspects.SETTLE_S - 0.1)
+    assert is_refused(known, (CAUSE,), 4.0 + suspects.SETTLE_S + 0.1)
+
+
+def test_part_may_run_again_when_its_crashes_are_old(known):
+    # Guards against a refusal that never ends.
+    now_s = crash(known, (CAUSE,), "abcde")
+    left_s = known.prompt_refused_for_s((CAUSE,), now_s)
+    assert left_s == suspects.SHARED_REPORT_TTL_S - now_s
+    assert not is_refused(known, (CAUSE,), now_s + left_s)
+
+
+def test_targets_that_are_lost_at_once_count_once(known):
+    # Guards against blaming a part for the loss of a failure domain.
+    now_s = crash(known, (CAUSE,), "abcdefgh", period_s=0.02)
+    assert not is_refused(known, (CAUSE,), now_s)
+
+
+def test_retries_that_crash_at_once_count_each(known):
+    # Guards against a prompt that ends all targets within one instant.
+    for number in range(5):
+        known.record_crash((CAUSE,), f"t{number}", "b", 1, 0.01, number * 0.02)
+    assert is_refused(known, (CAUSE,), 1.0 + suspects.SETTLE_S)
+
+
+def test_answers_beyond_their_beginning_are_no_evidence(known):
+    # Guards against blaming prompts that were only running at a loss.
+    now_s = crash(known, (CAUSE,), "abcde", events=suspects.BEGINNING_EVENTS)
+    assert not len(known)
+    assert not is_refused(known, (CAUSE,), now_s)
+
+
+@pytest.mark.parametrize("events", [suspects.BEGINNING_EVENTS, None])
+def test_answer_that_began_after_a_crash_clears_its_parts(known, events):
+    # Guards against a popular part that is blamed for the losses of others.
+    now_s = crash(known, (CAUSE,), "abcd")
+    assert known.record_answer((CAUSE,), 0.5, events, now_s) == [CAUSE]
+    now_s = crash(known, (CAUSE,), "e", now_s)
+    assert not is_refused(known, (CAUSE,), now_s)
+
+
+def test_answer_that_began_before_all_crashes_clears_nothing(known):
+    # Guards against a part that was sound until its first crash.
+    now_s = crash(known, (CAUSE,), "abcde")
+    assert known.record_answer((CAUSE,), -0.5, None, now_s) == []
+    assert is_refused(known, (CAUSE,), now_s)
+
+
+def test_answer_that_is_beginning_clears_nothing(known):
+    # Guards against the events that a part allows before it crashes.
+    now_s = crash(known, (CAUSE,), "abcde", events=4)
+    assert known.record_answer((CAUSE,), 3.5, 5, now_s) == []
+    assert is_refused(known, (CAUSE,), now_s)
+
+
+def test_reports_of_a_part_that_is_known_to_be_sound_are_cleared(known):
+    # Guards against a host that keeps to itself what speaks for a part.
+    other = suspects.PartSuspects("other")
+    now_s = crash(other, (CAUSE,), "abcde")
+    known.record_answer((CAUSE,), 1.5, None, now_s)
+    batch = other.log.since("", 0, now_s)
+    known.merge(batch.reports, now_s, 0.0, is_upstream=True)
+    assert not is_refused(known, (CAUSE,), now_s)
+    cleared = known.log.missing_upstream(now_s).reports
+    assert [row.cleared for row in cleared] == [True] * 5
+
+
+def test_parts_that_cannot_be_told_apart_are_refused_together(known):
+    # Guards against refusing the sound part of prompts that crash targets.
+    now_s = crash(known, (COMMON, CAUSE), "abcde")
+    assert is_refused(known, (COMMON, CAUSE), now_s)
+    assert not is_refused(known, (COMMON,), now_s)
+    assert not is_refused(known, (CAUSE,), now_s)
+
+
+def test_wider_part_needs_losses_of_its_own(known):
+    # Guards against blaming what all prompts share for a part that few have.
+    now_s = crash(known, (COMMON, CAUSE), "abcde")
+    now_s = crash(known, (COMMON,), "fg", now_s)
+    assert not is_refused(known, (COMMON,), now_s)
+    now_s = crash(known, (COMMON,), "h", now_s)
+    assert is_refused(known, (COMMON,), now_s)
+
+
+def test_part_is_told_from_one_that_was_cleared(known):
+    # Guards against prompts with the part and others in place of the sound one.
+    now_s = crash(known, (COMMON, CAUSE), "abcde")
+    known.record_answer((COMMON,), 2.5, None, now_s)
+    assert is_refused(known, (CAUSE,), now_s)
+    assert not is_refused(known, (COMMON,), now_s)
+
+
+def test_prompts_beside_the_cause_are_not_refused(known):
+    # Guards against what only began on the same targets.
+    now_s = crash(known, (CAUSE,), "abcdef")
+    crash(known, (COMMON,), "abcde")
+    assert is_refused(known, (CAUSE,), now_s)
+    assert not is_refused(known, (COMMON,), now_s)
+
+
+def test_pools_do_not_share_their_parts():
+    # Guards against refusing at one service what crashes another.
+    keys = {suspects.part_key(pool, "aa") for pool in ("p", "q")}
+    assert len(keys) == 2
--- a/packages/daemon/tests/relay/test_peer_reader.py
+++ b/packages/daemon/tests/relay/test_peer_reader.py
@@ -1,5 +1,6 @@
 """Tests of reading state from other hosts."""
 
+import dataclasses
 import threading
 from wsgiref import simple_server
 
@@ -142,6 +143,42 @@
         assert context.suspects.crash_count("cause", now_s) == 2
 
 
+def _part_crash(context, target: str, at_s: float) -> None:
+    context.part_suspects.record_crash(
+        ("pool.aa", "pool.bb"), target, "boot", 1, 0.1, at_s
+    )
+
+
+def test_part_crash_reports_pass_in_both_directions(leader, follower):
+    # Guards against a part that each host has to see crash on its own.
+    now_s = clock.suspend_aware_now_s()
+    _part_crash(leader, "t1", now_s - 3.0)
+    _part_crash(follower, "t2", now_s - 2.0)
+    assert follower.peers.fetch_target_changes(10) is not None
+    batch = follower.part_suspects.log.missing_upstream(now_s)
+    assert {row.target for row in batch.reports} == {"t2"}
+    assert batch.reports[0].companions == ("pool.aa", "pool.bb")
+    assert follower.peers.send_crashes(batch)
+    for context in (leader, follower):
+        assert context.part_suspects.losses("pool.aa") == 2
+        assert len(context.suspects) == 0
+
+
+def test_host_without_reports_on_parts_is_not_passed_over(
+    leader, follower, monkeypatch
+):
+    # Guards against hosts that leave each other alone while versions mix.
+    now_s = clock.suspend_aware_now_s()
+    _part_crash(follower, "t1", now_s)
+    batch = follower.part_suspects.log.missing_upstream(now_s)
+    channels = state_exchange._CHANNEL_BY_KIND
+    kind = suspects.SuspectKind.PART
+    unknown = dataclasses.replace(channels[kind], path="/beliefs/unknown")
+    monkeypatch.setitem(channels, kind, unknown)
+    assert not follower.peers.send_crashes(batch)
+    assert follower.peers.fetch_target_changes(10) is not None
+
+
 def test_restarted_leader_gets_all_crash_reports_again(leader, follower):
     # Guards against reports that are lost with the host that collected them.
     now_s = clock.suspend_aware_now_s()
@@ -161,12 +198,16 @@
         b"",
         b"[]",
         b'{"log":"x","position":1,"reports":[[1,2]]}',
+        b'{"log":"x","position":1,"reports":[["f","t","1",1,1,1,1,0,1]]}',
         b'{"log":"x","position":1e999,"reports":[]}',
     ],
 )
-def test_malformed_crash_reports_change_nothing(leader, body):
+@pytest.mark.parametrize(
+    "path", [state_exchange.CRASHES_PATH, state_exchange.PART_CRASHES_PATH]
+)
+def test_malformed_crash_reports_change_nothing(leader, body, path):
     # Guards against one malformed message that stops the exchange.
     http = urllib3.HTTPConnectionPool(leader.entry.address)
-    path = state_exchange.CRASHES_PATH
     assert http.request("POST", path, body=body).status == 400
     assert len(leader.suspects) == 0
+    assert len(leader.part_suspects) == 0
