Let an answer clear its part however late it passes the crashes

Callers would have seen: a sound prompt refused with the popular part that it shares, where engines were lost late in the beginning of its answers.

Cause: an answer was recorded once, at its tenth event. A part whose crashes came at five to nine events is passed at eleven to fifteen, so that this answer never cleared it.

Evidence: found by reading the change; the new test fails on the code before (the loss is still counted after 16 events).

Change: an answer counts as sound from 16 events on, past whatever counts as a beginning; before that it is looked at with each of its events.

Why it works: each crash that counts came before the tenth event, and six more clear it.

--- a/packages/core/src/rattanpulley_core/_internal/suspects/parts.py
+++ b/packages/core/src/rattanpulley_core/_internal/suspects/parts.py
@@ -17,6 +17,8 @@
 BEGINNING_EVENTS = 10
 # Events past the latest crash of a part that clear it.
 CLEARED_AFTER_EVENTS = 6
+# An answer with this many events has passed whatever counts as a beginning.
+SOUND_EVENTS = BEGINNING_EVENTS + CLEARED_AFTER_EVENTS
 # Causes are found again at most this often.
 EVALUATION_PERIOD_S = 0.1
 MAX_REMEMBERED_PARTS = 8192
@@ -95,7 +97,7 @@
         Returns:
             The parts that were suspects and are cleared.
         """
-        if events is None or events >= BEGINNING_EVENTS:
+        if events is None or events >= SOUND_EVENTS:
             for part in parts:
                 self._remember(part, began_s)
         return [
--- a/packages/core/src/rattanpulley_core/suspects.py
+++ b/packages/core/src/rattanpulley_core/suspects.py
@@ -16,6 +16,7 @@
 KnownCrashes = known_crashes.KnownCrashes
 PartSuspects = parts.PartSuspects
 part_key = parts.part_key
+SOUND_EVENTS = parts.SOUND_EVENTS
 SharedSuspects = shared.SharedSuspects
 SETTLE_S = known_crashes.SETTLE_S
 SHARED_REPORT_TTL_S = known_crashes.SHARED_REPORT_TTL_S
--- a/packages/core/tests/suspects/test_parts.py
+++ b/packages/core/tests/suspects/test_parts.py
@@ -72,7 +72,7 @@
     assert not is_refused(known, (CAUSE,), now_s)
 
 
-@pytest.mark.parametrize("events", [suspects.BEGINNING_EVENTS, None])
+@pytest.mark.parametrize("events", [7, None])
 def test_answer_that_began_after_a_crash_clears_its_parts(known, events):
     # Guards against a popular part that is blamed for the losses of others.
     now_s = crash(known, (CAUSE,), "abcd")
@@ -81,6 +81,15 @@
     assert not is_refused(known, (CAUSE,), now_s)
 
 
+def test_sound_answer_clears_the_latest_beginning(known):
+    # Guards against an answer that counts before it has passed the crashes.
+    events = suspects.BEGINNING_EVENTS - 1
+    now_s = crash(known, (CAUSE,), "abcd", events=events)
+    assert known.record_answer((CAUSE,), 0.5, events + 1, now_s) == []
+    sound = suspects.SOUND_EVENTS
+    assert known.record_answer((CAUSE,), 0.5, sound, now_s) == [CAUSE]
+
+
 def test_answer_that_began_before_all_crashes_clears_nothing(known):
     # Guards against a part that was sound until its first crash.
     now_s = crash(known, (CAUSE,), "abcde")
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/attempt_progress.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/attempt_progress.py
@@ -11,7 +11,7 @@
         sent_at_s: When the attempt started.
         answered_at_s: When the head of the response arrived, or None.
         events: Number of events that arrived; 0 for a plain request.
-        is_sound: Whether the answer was recorded as past its beginning.
+        is_sound: Whether the answer was recorded as sound.
     """
 
     sent_at_s: float
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/request_crashes.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/request_crashes.py
@@ -117,12 +117,12 @@
         is_complete: Whether the answer is complete.
     """
     known = context.part_suspects
-    is_beginning = progress.events < suspects.BEGINNING_EVENTS
-    if is_beginning and not is_complete and not len(known):
+    is_sound = is_complete or progress.events >= suspects.SOUND_EVENTS
+    if not is_sound and not len(known):
         return
     if progress.is_sound or progress.answered_at_s is None:
         return
-    progress.is_sound = is_complete or not is_beginning
+    progress.is_sound = is_sound
     now_s = clock.suspend_aware_now_s()
     cleared = known.record_answer(
         admission.part_keys,
