--- a/packages/daemon/src/rattanpulleyd/_internal/relay/peer_reader.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/peer_reader.py
@@ -139,7 +139,9 @@
         for entry in self._entries(any_host=False):
             try:
                 log_id = self._client.send_crashes(entry, batch)
-            except state_exchange.UnknownPathError:
+            except state_exchange.ReportNotFoundError:
+                # An earlier version takes no reports of this kind; what else it
+                # shares stays useful.
                 continue
             except state_exchange.PeerReportError as error:
                 self._pass_over(entry, str(error))
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/responses.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/responses.py
@@ -77,7 +77,7 @@
             reports that the request did not run.
     """
     echoed = wire.header_values(head.headers, names.request_id)
-    # Before all else: the refusal of another request says nothing of this one.
+    # Compared first: the refusal of another request promises nothing here.
     if echoed not in ([], [request.request_id]):
         raise target_connection.AttemptError(
             serving.FailureKind.CORRUPT, f"the answer is to {echoed}"
@@ -95,7 +95,7 @@
         )
     if not echoed:
         raise target_connection.AttemptError(
-            serving.FailureKind.CORRUPT, "the answer is to no id"
+            serving.FailureKind.CORRUPT, "the answer names no request"
         )
     if wire.header_values(head.headers, b"content-encoding"):
         raise target_connection.AttemptError(
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/state_exchange.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/state_exchange.py
@@ -85,8 +85,8 @@
     """A host did not respond, or has no report for the request."""
 
 
-class UnknownPathError(PeerReportError):
-    """A host of an earlier version does not take reports of this kind."""
+class ReportNotFoundError(PeerReportError):
+    """The host has no such report, or no such path in an earlier version."""
 
 
 class StateEndpoints:
@@ -291,7 +291,7 @@
                 clock.now_s() + REQUEST_TIMEOUT_S,
             )
             if response.status == HTTP_NOT_FOUND:
-                raise UnknownPathError(f"no {path}")
+                raise ReportNotFoundError(f"{path} is not found")
             if response.status != HTTP_OK:
                 raise PeerReportError(f"status {response.status}")
             document = json.loads(body)
