Log why a request got no further attempt, and whether other targets answered

A stream that is cut logs how its last attempt ended. Whether it ran out of attempts, of retry budget, of time or of targets, and whether one target was silent at that moment or all were, could not be told from the log; neither could the configuration in force at the end of a request. These decide between the hypotheses on the requests that ended without an answer.

attempt.ended gains attempts and probes (targets that answered, or did not, in the last second); request.ended gains attempts, not_retried and config_version. No decision changes.

--- a/packages/core/src/rattanpulley_core/_internal/serving/failure_kinds.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/failure_kinds.py
@@ -41,6 +41,24 @@
     WITHDRAWN = "withdrawn"
 
 
+class RetryDenial(enum.Enum):
+    """Why a request is not sent to a further target.
+
+    Attributes:
+        TIME: The time limit of the request has expired.
+        CONNECT_FAILURES: Too many connections have failed.
+        ATTEMPTS: The route allows no further attempt.
+        MAY_HAVE_RUN: The request may have run and is not idempotent.
+        RETRY_BUDGET: The retry budget of the pool is exhausted.
+    """
+
+    TIME = "time"
+    CONNECT_FAILURES = "connect_failures"
+    ATTEMPTS = "attempts"
+    MAY_HAVE_RUN = "may_have_run"
+    RETRY_BUDGET = "retry_budget"
+
+
 class Executed(enum.Enum):
     """Whether the target started to process the request."""
 
@@ -138,9 +156,15 @@
 
     def may_send(self) -> bool:
         """Returns whether the request may be sent to one more target."""
+        return self.send_denial() is None
+
+    def send_denial(self) -> RetryDenial | None:
+        """Returns why the request may not be sent to one more target."""
         if self.sent >= self.max_attempts:
-            return False
-        return self.idempotent or self.executed is Executed.NO
+            return RetryDenial.ATTEMPTS
+        if self.idempotent or self.executed is Executed.NO:
+            return None
+        return RetryDenial.MAY_HAVE_RUN
 
     def final_status(self, failure: FailureKind | None) -> int:
         """Returns the HTTP status for a request that is not retried further.
--- a/packages/core/src/rattanpulley_core/serving.py
+++ b/packages/core/src/rattanpulley_core/serving.py
@@ -36,6 +36,7 @@
 FAILURES_AFTER_START = failure_kinds.FAILURES_AFTER_START
 FAILURES_BEFORE_SENDING = failure_kinds.FAILURES_BEFORE_SENDING
 BAD_VERSION_FAILURES = failure_kinds.BAD_VERSION_FAILURES
+RetryDenial = failure_kinds.RetryDenial
 RULE_BY_FAILURE = failure_kinds.RULE_BY_FAILURE
 request_fingerprint = fingerprints.request_fingerprint
 Fleet = fleet.Fleet
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
@@ -19,6 +19,8 @@
         last: Failure kind of the last attempt, or None before the first.
         failed_response: Error response of a target; it is forwarded to the
             client when no other target responds.
+        denial: Why the last failed attempt was not followed by another one,
+            or None.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         )
         self.last: serving.FailureKind | None = None
         self.failed_response: responses.Response | None = None
+        self.denial: serving.RetryDenial | None = None
 
     @property
     def tried_ids(self) -> tuple[str, ...]:
@@ -102,6 +105,7 @@
             error,
             answered=progress.answered_at_s is not None,
             events=progress.events,
+            attempts=self._tracker.sent,
         )
         if error.kind is serving.FailureKind.CONNECTION_LOST:
             request_crashes.record_crash(
@@ -143,15 +147,30 @@
 
     def can_retry(self) -> bool:
         """Returns whether the request may be retried at another target."""
-        if clock.now_s() >= self.deadline_s():
-            return False
+        self.denial = self._retry_denial()
+        return self.denial is None
+
+    def _retry_denial(self) -> serving.RetryDenial | None:
+        now_s = clock.now_s()
+        if now_s >= self.deadline_s():
+            return serving.RetryDenial.TIME
         if self._connect_failures >= self._max_connect_failures:
-            return False
-        if not self._tracker.may_send():
-            return False
-        if self.last in serving.FAILURES_BEFORE_SENDING:
-            return True
-        return self._window.try_acquire(clock.now_s())
+            return serving.RetryDenial.CONNECT_FAILURES
+        denial = self._tracker.send_denial()
+        if denial is not None or self.last in serving.FAILURES_BEFORE_SENDING:
+            return denial
+        if self._window.try_acquire(now_s):
+            return None
+        return serving.RetryDenial.RETRY_BUDGET
+
+    def log_fields(self) -> dict[str, object]:
+        """Returns what the log tells about the end of the request."""
+        config = self._context.cached_config.config
+        return {
+            "attempts": self._tracker.sent,
+            "not_retried": self.denial.value if self.denial else None,
+            "config_version": config.version if config else None,
+        }
 
     def final_response(
         self,
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/gateway.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/gateway.py
@@ -197,7 +197,11 @@
             raise
         connection.send_response(response, closes=False)
         self._record_end(
-            admission, response.status, response.reason, relay.targets
+            admission,
+            response.status,
+            response.reason,
+            relay.targets,
+            **relay.attempts.log_fields(),
         )
 
     def _serve_stream(
@@ -230,6 +234,7 @@
                 from_copy=report.resumes_from_copy,
                 first_event_s=report.first_event_s,
                 longest_pause_s=round(report.longest_pause_s, 3),
+                **relay.attempts.log_fields(),
             )
 
     def _record_end(
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
@@ -42,6 +42,7 @@
     """Relays one request of a safe or unsafe route.
 
     Attributes:
+        attempts: The attempts so far.
         targets: Ids of the targets of all attempts, in order.
     """
 
@@ -52,7 +53,7 @@
     ) -> None:
         self._context = context
         self._admission = admission
-        self._attempts = attempts_lib.RequestAttempts(
+        self.attempts = attempts_lib.RequestAttempts(
             context, admission, MAX_CONNECT_FAILURES
         )
         self.targets: list[str] = []
@@ -60,7 +61,7 @@
     def run(self) -> responses.Response:
         """Returns the response for the client."""
         while True:
-            if self._attempts.is_refused():
+            if self.attempts.is_refused():
                 return self._give_up(request_crashes.REFUSAL_REASON)
             entry = self._next_target()
             if entry is None:
@@ -69,20 +70,20 @@
             try:
                 return self._attempt(entry, progress)
             except target_connection.AttemptError as error:
-                self._attempts.record(entry, error, progress)
+                self.attempts.record(entry, error, progress)
                 if error.kind is serving.FailureKind.WRONG_TARGET:
                     target_health.remove_replaced_target(
                         self._context, entry, error.reported_id
                     )
-                if not self._attempts.can_retry():
+                if not self.attempts.can_retry():
                     return self._give_up(str(error))
 
     def _next_target(self) -> serving.TargetEntry | None:
         """Returns a target, or None if there is none after a short wait."""
         query = serving.PlacementQuery(
             self._admission.pool,
-            frozenset(self._attempts.tried_ids),
-            prefers_canary=self._attempts.prefers_canary,
+            frozenset(self.attempts.tried_ids),
+            prefers_canary=self.attempts.prefers_canary,
         )
         wait_s = self._admission.route.objective_s * NO_TARGET_WAIT_FRACTION
         until_s = clock.now_s() + wait_s
@@ -113,7 +114,7 @@
                 request.target,
                 headers,
                 request.body,
-                max(0.001, self._attempts.deadline_s() - clock.now_s()),
+                max(0.001, self.attempts.deadline_s() - clock.now_s()),
             )
             return self._read_response(entry, connection, progress)
         finally:
@@ -145,13 +146,13 @@
             f"response of {entry.target_id}",
         )
         if head.status >= 500:
-            self._attempts.failed_response = response
+            self.attempts.failed_response = response
             raise target_connection.AttemptError(
                 serving.FailureKind.FAILED, f"the target answered {head.status}"
             )
         now_s = clock.now_s()
         self._context.loads.record_success(entry.target_id, now_s)
-        self._attempts.record_success(entry, now_s - sent_at_s)
+        self.attempts.record_success(entry, now_s - sent_at_s)
         request_crashes.record_progress(self._context, self._admission)
         request_crashes.record_answer(
             self._context, self._admission, progress, is_complete=True
@@ -180,7 +181,7 @@
         """Reads until bytes arrive or the time limit of the attempt expires."""
         while True:
             until_s = min(
-                self._attempts.deadline_s(), self._attempt_deadline_s(sent_at_s)
+                self.attempts.deadline_s(), self._attempt_deadline_s(sent_at_s)
             )
             step_s = min(until_s, clock.now_s() + MAX_READ_WAIT_S)
             try:
@@ -188,7 +189,7 @@
             except target_connection.ReadWaitExpired:
                 if clock.now_s() < until_s:
                     continue
-            if until_s >= self._attempts.deadline_s():
+            if until_s >= self.attempts.deadline_s():
                 raise target_connection.AttemptError(
                     serving.FailureKind.TIMED_OUT, "no answer in time"
                 )
@@ -203,13 +204,13 @@
             return float("inf")
         share = (
             LAST_ATTEMPT_LIMIT_FACTOR
-            if self._attempts.is_last
+            if self.attempts.is_last
             else ATTEMPT_LIMIT_FACTOR
         )
         return sent_at_s + self._admission.route.objective_s * share
 
     def _give_up(self, reason: str) -> responses.Response:
         """Returns the final response to a request that no target completed."""
-        return self._attempts.final_response(
+        return self.attempts.final_response(
             reason, RETRY_AFTER_RANGE_S, self._context.rng
         )
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
@@ -33,6 +33,7 @@
     """Relays one request of a stream route.
 
     Attributes:
+        attempts: The attempts so far.
         report: Progress of the stream, for the log.
     """
 
@@ -46,7 +47,7 @@
         self._context = context
         self._admission = admission
         self._channel = channel
-        self._attempts = attempts_lib.RequestAttempts(
+        self.attempts = attempts_lib.RequestAttempts(
             context, admission, MAX_CONNECT_FAILURES
         )
         self._events = event_frames.EventSequence(
@@ -56,7 +57,7 @@
         self._weights: str | None = None
         self._queue_transfer = stream_monitor.QueueTransfer()
         self._planner = stream_plan.StreamPlanner(
-            context, admission, self._attempts, self._queue_transfer
+            context, admission, self.attempts, self._queue_transfer
         )
         self._started = False
         self.report = stream_channel.StreamReport()
@@ -74,7 +75,7 @@
             ClientDisconnectedError: The client disconnected.
         """
         while True:
-            if self._attempts.is_refused():
+            if self.attempts.is_refused():
                 return self._give_up(request_crashes.REFUSAL_REASON)
             plan = self._planner.next_plan(self._started)
             if plan is None:
@@ -85,12 +86,12 @@
                 return None
             except target_connection.AttemptError as error:
                 last_id = self._events.last_id or 0
-                self._attempts.record(plan.entry, error, progress, last_id)
+                self.attempts.record(plan.entry, error, progress, last_id)
                 if error.reported_id:
                     target_health.adopt_restarted_target(
                         self._context, plan.entry, error.reported_id
                     )
-                if not self._attempts.can_retry():
+                if not self.attempts.can_retry():
                     return self._give_up(str(error))
 
     def _attempt(
@@ -138,7 +139,7 @@
             prefill.end()
 
     def _count_resume(self, plan: stream_plan.AttemptPlan) -> None:
-        if self._attempts.sent == 0:
+        if self.attempts.sent == 0:
             return
         self.report.resumes += 1
         self.report.resumes_from_copy += plan.copy_reference is not None
@@ -156,7 +157,7 @@
         monitor = stream_monitor.StreamMonitor(
             self._context,
             self._admission,
-            self._attempts,
+            self.attempts,
             plan.entry,
             plan.copy_holder is not None,
             self._queue_transfer,
@@ -164,7 +165,7 @@
         maintainer = self._make_maintainer(plan)
         try:
             head = stream_head.StreamHeadReader(
-                self._context, self._attempts, plan.entry, monitor
+                self._context, self.attempts, plan.entry, monitor
             ).read(self._admission.request, connection, progress)
             self._keep_weights(head)
             maintainer.start()
@@ -265,7 +266,7 @@
         """Records the prefill time of an attempt without a memory copy."""
         if plan.copy_reference is None:
             took_s = clock.now_s() - monitor.detector.idle_since_s
-            self._attempts.record_success(plan.entry, took_s)
+            self.attempts.record_success(plan.entry, took_s)
             self._context.prefill_estimator.record(
                 self._admission.pool,
                 self._admission.request.prompt_tokens,
@@ -307,6 +308,6 @@
         """Returns the final response, or aborts a stream that had started."""
         if self._started:
             raise stream_channel.StreamAbortedError(reason)
-        return self._attempts.final_response(
+        return self.attempts.final_response(
             reason, RETRY_AFTER_RANGE_S, self._context.rng
         )
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/target_health.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/target_health.py
@@ -24,6 +24,7 @@
     error: target_connection.AttemptError,
     answered: bool,
     events: int,
+    attempts: int,
 ) -> None:
     """Counts and logs a failed attempt and blocks the target if at fault.
 
@@ -34,6 +35,7 @@
         error: How the attempt failed.
         answered: Whether the head of the response arrived.
         events: Number of events that arrived.
+        attempts: Attempts of the request that may have reached a target.
     """
     now_s = clock.now_s()
     rule = serving.RULE_BY_FAILURE[error.kind]
@@ -51,6 +53,8 @@
         reason=str(error),
         answered=answered,
         events=events,
+        attempts=attempts,
+        probes=context.prober.recent_counts(),
         parts=admission.request.shared_parts,
         age_s=round(now_s - admission.request.received_at_s, 3),
     )
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/target_prober.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/target_prober.py
@@ -12,6 +12,7 @@
 PROBE_TIMEOUT_S = 0.08
 # All streams that probe a target within this time share one result.
 MAX_RESULT_AGE_S = 0.08
+RECENT_RESULT_S = 1.0
 
 
 class TargetProber:
@@ -65,6 +66,21 @@
         self._metrics.probes.labels("alive" if report else "silent").inc()
         return report
 
+    def recent_counts(self) -> dict[str, int]:
+        """Returns how many targets answered their last probe, for the log.
+
+        Only probes of the last `RECENT_RESULT_S` count, so that the numbers
+        tell whether one target is silent or many are.
+        """
+        since_s = clock.now_s() - RECENT_RESULT_S
+        recent = [
+            report is not None
+            for at_s, report in self._results_by_id.values()
+            if at_s >= since_s
+        ]
+        answered = sum(recent)
+        return {"answered": answered, "silent": len(recent) - answered}
+
     def forget(self, target_id: str) -> None:
         """Drops the result of a target that was removed."""
         self._results_by_id.pop(target_id, None)
