Keep a stream at a silent target unless another one can take over

Callers saw streams cut, or prompts answered 504, while their targets still worked on them: silent for a second, as sound targets may be, and going on.

Cause: silence was handled like the loss of the target. A stream left after 0.19 s without an answer to a probe, at the price of an attempt, without asking whether any other target answered, whether an attempt was left after this one, or whether the retry budget allowed it; the fifth departure ended the stream, and so did the last attempt itself.

Now a stream leaves a silent target only if attempts are left by a small table (the second departure keeps one for a target that is really lost, the third waits longer than sound targets are silent), if the holder of its copy or another engine answers a probe at that moment, and if the retry budget for the next attempt is reserved first. The engine that answered is the next target. Moving from a prefill queue to an idle engine obeys the same limits. What is known to be lost (another incarnation, a lapsed entry, a run that two reports lack) is left as before. A copy at a silent holder is not used while others answer. A stream that stays logs attempt.waits.

--- a/packages/core/src/rattanpulley_core/serving.py
+++ b/packages/core/src/rattanpulley_core/serving.py
@@ -13,6 +13,7 @@
 from rattanpulley_core._internal.serving import rollout_trial
 from rattanpulley_core._internal.serving import rollouts
 from rattanpulley_core._internal.serving import shutdown
+from rattanpulley_core._internal.serving import silence
 from rattanpulley_core._internal.serving import sources
 from rattanpulley_core._internal.serving import target_registry
 from rattanpulley_core._internal.serving import trial_table
@@ -76,6 +77,7 @@
 TargetEntry = target_registry.TargetEntry
 TargetRegistry = target_registry.TargetRegistry
 accepts_while_stopping = shutdown.accepts_request
+SilenceDepartures = silence.SilenceDepartures
 RolloutStore = sources.RolloutStore
 SuspectStore = sources.SuspectStore
 HostDirectory = sources.HostDirectory
--- /dev/null
+++ b/packages/core/tests/serving/test_silence.py
@@ -0,0 +1,48 @@
+"""Departures from silent targets."""
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from rattanpulley_core import serving
+
+MAX_SOUND_SILENCE_S = 1.5
+
+
+# A request spent its last attempt on a target that was silent but sound.
+@hypothesis.given(
+    max_attempts=st.integers(1, 8),
+    silences_s=st.lists(st.floats(0.0, 60.0), max_size=20),
+)
+def test_silence_never_leaves_a_request_without_an_attempt(
+    max_attempts: int, silences_s: list[float]
+) -> None:
+    """Whatever the silences, the current attempt or a later one remains."""
+    departures = serving.SilenceDepartures()
+    left = max_attempts - 1
+    for silent_s in silences_s:
+        if departures.may_leave(silent_s, left):
+            departures.record()
+            left -= 1
+    assert left >= 0
+
+
+# Silences of sound targets used up what a crash would have needed.
+@pytest.mark.parametrize("max_attempts", [4, 5, 8])
+def test_silences_of_a_second_keep_an_attempt_for_a_loss(
+    max_attempts: int,
+) -> None:
+    """Any number of such silences leaves an attempt after the current one."""
+    departures = serving.SilenceDepartures()
+    left = max_attempts - 1
+    for _ in range(50):
+        if departures.may_leave(MAX_SOUND_SILENCE_S, left):
+            departures.record()
+            left -= 1
+    assert left >= 1
+    assert left == max_attempts - 3
+
+
+def test_first_departure_is_immediate() -> None:
+    """A target that is really lost is left within the longest pause."""
+    assert serving.SilenceDepartures().may_leave(0.1, 1)
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
@@ -52,6 +52,7 @@
         self.last: serving.FailureKind | None = None
         self.failed_response: responses.Response | None = None
         self.denial: serving.RetryDenial | None = None
+        self._has_reserved_retry = False
 
     @property
     def tried_ids(self) -> tuple[str, ...]:
@@ -71,7 +72,12 @@
     @property
     def is_last(self) -> bool:
         """Whether the current attempt is the last that the route allows."""
-        return self._tracker.sent + 1 >= self._tracker.max_attempts
+        return self.left_after_current <= 0
+
+    @property
+    def left_after_current(self) -> int:
+        """Number of attempts that remain after the current one."""
+        return self._tracker.max_attempts - self._tracker.sent - 1
 
     def deadline_s(self) -> float:
         """Returns when the timeout of the client or of the route expires."""
@@ -159,10 +165,24 @@
         denial = self._tracker.send_denial()
         if denial is not None or self.last in serving.FAILURES_BEFORE_SENDING:
             return denial
-        if self._window.try_acquire(now_s):
+        if self.reserve_retry():
+            self._has_reserved_retry = False
             return None
         return serving.RetryDenial.RETRY_BUDGET
 
+    def reserve_retry(self) -> bool:
+        """Reserves retry budget for the next attempt, unless that is done.
+
+        An attempt that is given up although it may still succeed needs the
+        budget for the next one first.
+
+        Returns:
+            Whether the retry budget allows another attempt.
+        """
+        if not self._has_reserved_retry:
+            self._has_reserved_retry = self._window.try_acquire(clock.now_s())
+        return self._has_reserved_retry
+
     def log_fields(self) -> dict[str, object]:
         """Returns what the log tells about the end of the request."""
         config = self._context.cached_config.config
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/engine_selection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/engine_selection.py
@@ -20,6 +20,8 @@
 MAX_HOLDER_PROBES = 3
 MAX_HOLDER_REPORT_AGE_S = 0.5
 
+ReportedTarget = tuple[serving.TargetEntry, serving.TargetReport]
+
 
 class EngineSelector:
     """Selects engines, and holders of memory copies, by their reports."""
@@ -63,12 +65,37 @@
         self, query: serving.PlacementQuery
     ) -> serving.TargetEntry | None:
         """Returns an engine without prompts in prefill or queue, or None."""
-        placement = self._context.placement
-        entries = placement.shortlist(query, MAX_PROBED_TARGETS, clock.now_s())
-        idle = [row for row in self._reports(entries) if row[1].prompts == 0]
-        if not idle:
+        reported = self._shortlist_reports(query)
+        return self._choose_after_loss(
+            [row for row in reported if row[1].prompts == 0]
+        )
+
+    def answering_engine(
+        self, query: serving.PlacementQuery
+    ) -> serving.TargetEntry | None:
+        """Returns an engine that answers a probe, or None."""
+        return self._choose_after_loss(self._shortlist_reports(query))
+
+    def answers(self, entry: serving.TargetEntry) -> bool:
+        """Returns whether a target answers a probe."""
+        return self._probe(entry, MAX_REPORT_AGE_S) is not None
+
+    def _shortlist_reports(
+        self, query: serving.PlacementQuery
+    ) -> list[ReportedTarget]:
+        entries = self._context.placement.shortlist(
+            query, MAX_PROBED_TARGETS, clock.now_s()
+        )
+        return self._reports(entries)
+
+    def _choose_after_loss(
+        self, reported: list[ReportedTarget]
+    ) -> serving.TargetEntry | None:
+        if not reported:
             return None
-        return placement.choose_by_reports(idle, clock.now_s(), after_loss=True)
+        return self._context.placement.choose_by_reports(
+            reported, clock.now_s(), after_loss=True
+        )
 
     def choose_holder(
         self, pool: str, runs_on: serving.TargetEntry
@@ -90,7 +117,7 @@
 
     def _reports(
         self, entries: list[serving.TargetEntry]
-    ) -> list[tuple[serving.TargetEntry, serving.TargetReport]]:
+    ) -> list[ReportedTarget]:
         """Probes all entries concurrently; returns those that responded."""
         greenlets = {
             entry.target_id: gevent.spawn(self._probe, entry, MAX_REPORT_AGE_S)
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_monitor.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_monitor.py
@@ -1,7 +1,6 @@
 """Waits for the bytes of a stream and probes its target when it stalls."""
 
 from collections.abc import Callable
-import dataclasses
 from typing import TypeVar
 
 from rattanpulley_core import serving
@@ -9,8 +8,10 @@
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import context as context_lib
 from rattanpulleyd._internal.relay import engine_selection
+from rattanpulleyd._internal.relay import memory_copies
 from rattanpulleyd._internal.relay import request_crashes
 from rattanpulleyd._internal.relay import stall_detector
+from rattanpulleyd._internal.relay import stream_departures
 from rattanpulleyd._internal.relay import target_connection
 
 # A waiting stream applies a changed timeout within this time.
@@ -19,19 +20,6 @@
 _Part = TypeVar("_Part")
 
 
-@dataclasses.dataclass(slots=True)
-class QueueTransfer:
-    """The single move of a request from a prefill queue to an idle engine.
-
-    Attributes:
-        used: Whether the request has moved.
-        engine: Idle engine for the next attempt, or None.
-    """
-
-    used: bool = False
-    engine: serving.TargetEntry | None = None
-
-
 class StreamMonitor:
     """Monitors one attempt of a stream.
 
@@ -46,8 +34,9 @@
         admission: context_lib.Admission,
         attempts: attempts_lib.RequestAttempts,
         entry: serving.TargetEntry,
-        has_copy: bool,
-        queue_transfer: QueueTransfer,
+        usable_copy: Callable[[], memory_copies.MemoryCopy | None],
+        departures: stream_departures.StreamDepartures,
+        transfer: stream_departures.StreamTransfer,
     ) -> None:
         """Creates a monitor; the time without events counts from now.
 
@@ -56,19 +45,23 @@
             admission: The request.
             attempts: Attempts of the request.
             entry: Target of this attempt.
-            has_copy: Whether another target stores a copy of the run's memory.
-            queue_transfer: Shared by all attempts of the request.
+            usable_copy: Returns the copy of the run's memory, or None.
+            departures: Departures of the stream from silent targets.
+            transfer: Shared by all attempts of the request.
         """
         self._context = context
         self._admission = admission
         self._attempts = attempts
         self._entry = entry
-        self._queue_transfer = queue_transfer
+        self._usable_copy = usable_copy
+        self._departures = departures
+        self._transfer = transfer
+        self._logged_stay = False
         self.run_started = False
         self.detector = stall_detector.StallDetector(
             admission.route.longest_pause_s,
             admission.route.objective_s,
-            has_copy,
+            usable_copy() is not None,
             clock.now_s(),
         )
 
@@ -121,20 +114,37 @@
     def record_events(self, count: int) -> None:
         """Records that complete events arrived."""
         self.run_started = True
+        self._logged_stay = False
         self.detector.record_events(count, clock.now_s())
 
     def _check_target(self, now_s: float) -> None:
-        """Probes an unresponsive target and raises if the run is lost."""
+        """Probes an unresponsive target; raises if the stream leaves it.
+
+        Raises:
+            target_connection.AttemptError: The run is lost, or the target is
+                silent and another one takes over.
+        """
+        detector = self.detector
+        if self._admission.route.resumable:
+            suspicion = self._suspicion(now_s)
+            if suspicion:
+                self._leave_if_possible(suspicion)
+        detector.schedule_next_check(clock.now_s())
+
+    def _suspicion(self, now_s: float) -> str:
+        """Returns why the target may be lost, or an empty string.
+
+        Raises:
+            target_connection.AttemptError: The run is lost, or it moves to an
+                idle engine.
+        """
         detector = self.detector
-        if not self._admission.route.resumable:
-            detector.schedule_next_check(now_s)
-            return
         if detector.started and detector.exceeds_limit(now_s):
             idle_s = now_s - detector.idle_since_s
-            raise _unresponsive(f"silent for {idle_s:.2f} s, probes answered")
+            return f"silent for {idle_s:.2f} s"
         report = self._context.prober.probe(self._entry)
         if report is None:
-            raise _unresponsive("silent, and a probe was not answered")
+            return "silent, and a probe was not answered"
         run_id = self._admission.request.request_id
         made = report.events_by_run.get(run_id, 0)
         if detector.events_were_lost(made):
@@ -143,7 +153,43 @@
         if detector.run_is_missing(report, run_id):
             raise _unresponsive("silent, and the run is not there")
         self._leave_queue(report)
-        detector.schedule_next_check(clock.now_s())
+        return ""
+
+    def _leave_if_possible(self, suspicion: str) -> None:
+        """Leaves a silent target unless that could end the stream.
+
+        Raises:
+            target_connection.AttemptError: The stream leaves the target.
+        """
+        silent_s = clock.now_s() - self.detector.idle_since_s
+        if self._is_unlisted():
+            raise _unresponsive(f"{suspicion}; the target has left")
+        stays_because = self._departures.prepare(
+            self._entry, silent_s, self._usable_copy()
+        )
+        if stays_because is None:
+            raise _unresponsive(suspicion)
+        if self._logged_stay:
+            return
+        self._logged_stay = True
+        self._context.log.failure(
+            "attempt.waits",
+            request=self._admission.request.request_id,
+            target=self._entry.target_id,
+            reason=suspicion,
+            stays_because=stays_because,
+            silent_s=round(silent_s, 3),
+            probes=self._context.prober.recent_counts(),
+        )
+
+    def _is_unlisted(self) -> bool:
+        """Returns whether the store has dropped or replaced the target.
+
+        A silent target whose entry has lapsed is lost: it would have renewed
+        the entry.
+        """
+        current = self._context.targets.entry(self._entry.target_id)
+        return current is None or current.started_ms != self._entry.started_ms
 
     def _leave_queue(self, report: serving.TargetReport) -> None:
         """Leaves an engine with other prompts in prefill if one is idle.
@@ -155,7 +201,9 @@
             target_connection.AttemptError: The request moves to an idle
                 engine.
         """
-        if self.detector.started or self._queue_transfer.used:
+        if self.detector.started or self._transfer.left_queue:
+            return
+        if self._attempts.is_last:
             return
         now_s = clock.now_s()
         request = self._admission.request
@@ -175,9 +223,9 @@
                 self._admission, self._attempts, self._entry.target_id
             )
         )
-        if engine is not None:
-            self._queue_transfer.used = True
-            self._queue_transfer.engine = engine
+        if engine is not None and self._attempts.reserve_retry():
+            self._transfer.left_queue = True
+            self._transfer.next_engine = engine
             raise target_connection.AttemptError(
                 serving.FailureKind.QUEUED,
                 f"{report.prompts} prompts are not read yet",
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_plan.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_plan.py
@@ -8,14 +8,14 @@
 from rattanpulleyd._internal.relay import context as context_lib
 from rattanpulleyd._internal.relay import engine_selection
 from rattanpulleyd._internal.relay import memory_copies
+from rattanpulleyd._internal.relay import stream_departures
 from rattanpulleyd._internal.relay import stream_monitor
 from rattanpulleyd._internal.relay import target_connection
 from rattanpulleyd._internal.relay import wire
 
-# How long a stream waits for a target before it is refused, and how long one
-# that has started waits.
+# How long a stream waits for a target before it is refused. One that has
+# started waits as long as its client.
 NO_TARGET_WAIT_S = 0.5
-NO_TARGET_WAIT_STARTED_S = 2.0
 NO_TARGET_POLL_S = 0.02
 
 
@@ -46,7 +46,7 @@
         context: context_lib.RelayContext,
         admission: context_lib.Admission,
         attempts: attempts_lib.RequestAttempts,
-        queue_transfer: stream_monitor.QueueTransfer,
+        transfer: stream_departures.StreamTransfer,
     ) -> None:
         """Creates a planner that knows no memory copy.
 
@@ -54,12 +54,12 @@
             context: State of the process.
             admission: The request.
             attempts: Attempts of the request.
-            queue_transfer: Shared by all attempts of the request.
+            transfer: Shared by all attempts of the request.
         """
         self._context = context
         self._admission = admission
         self._attempts = attempts
-        self._queue_transfer = queue_transfer
+        self._transfer = transfer
         self._engine_selector = engine_selection.EngineSelector(context)
         self.copy: memory_copies.MemoryCopy | None = None
 
@@ -69,21 +69,21 @@
         Args:
             started: Whether the client has a part of the stream.
         """
-        idle, self._queue_transfer.engine = self._queue_transfer.engine, None
-        if idle is not None:
-            return self._make_plan(idle, None)
+        chosen, self._transfer.next_engine = self._transfer.next_engine, None
+        if chosen is not None:
+            return self._make_plan(chosen, None)
         copy, self.copy = self.copy, None
         if (
             copy is not None
             and self._attempts.last in serving.FAILURES_AFTER_START
         ):
-            return self._make_plan(copy.holder, copy.reference)
-        wait_s = NO_TARGET_WAIT_STARTED_S if started else NO_TARGET_WAIT_S
-        until_s = min(clock.now_s() + wait_s, self._attempts.deadline_s())
+            return self._plan_from_copy(copy)
+        until_s = self._attempts.deadline_s()
+        if not started:
+            until_s = min(until_s, clock.now_s() + NO_TARGET_WAIT_S)
         while True:
             entry = self._engine_selector.choose(
-                stream_monitor.prefill_query(self._admission, self._attempts),
-                self._admission.request.request_id,
+                self._prefill_query(), self._admission.request.request_id
             )
             if entry is not None:
                 return self._make_plan(entry, None)
@@ -91,6 +91,22 @@
                 return None
             target_connection.pause(NO_TARGET_POLL_S)
 
+    def _plan_from_copy(self, copy: memory_copies.MemoryCopy) -> AttemptPlan:
+        """Continues from a copy unless its holder is silent and others answer.
+
+        A copy at a silent holder would use up an attempt.
+        """
+        if not self._engine_selector.answers(copy.holder):
+            engine = self._engine_selector.answering_engine(
+                self._prefill_query()
+            )
+            if engine is not None:
+                return self._make_plan(engine, None)
+        return self._make_plan(copy.holder, copy.reference)
+
+    def _prefill_query(self) -> serving.PlacementQuery:
+        return stream_monitor.prefill_query(self._admission, self._attempts)
+
     def _make_plan(
         self, entry: serving.TargetEntry, copy_reference: str | None
     ) -> AttemptPlan:
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
@@ -16,6 +16,7 @@
 from rattanpulleyd._internal.relay import request_crashes
 from rattanpulleyd._internal.relay import responses
 from rattanpulleyd._internal.relay import stream_channel
+from rattanpulleyd._internal.relay import stream_departures
 from rattanpulleyd._internal.relay import stream_head
 from rattanpulleyd._internal.relay import stream_monitor
 from rattanpulleyd._internal.relay import stream_plan
@@ -55,9 +56,12 @@
         )
         self._copy_calls = copy_calls
         self._weights: str | None = None
-        self._queue_transfer = stream_monitor.QueueTransfer()
+        self._transfer = stream_departures.StreamTransfer()
+        self._departures = stream_departures.StreamDepartures(
+            context, admission, self.attempts, self._transfer
+        )
         self._planner = stream_plan.StreamPlanner(
-            context, admission, self.attempts, self._queue_transfer
+            context, admission, self.attempts, self._transfer
         )
         self._started = False
         self.report = stream_channel.StreamReport()
@@ -154,15 +158,16 @@
         progress: attempt_progress.AttemptProgress,
     ) -> None:
         """Validates the response head and forwards the stream to its end."""
+        maintainer = self._make_maintainer(plan)
         monitor = stream_monitor.StreamMonitor(
             self._context,
             self._admission,
             self.attempts,
             plan.entry,
-            plan.copy_holder is not None,
-            self._queue_transfer,
+            maintainer.usable_copy,
+            self._departures,
+            self._transfer,
         )
-        maintainer = self._make_maintainer(plan)
         try:
             head = stream_head.StreamHeadReader(
                 self._context, self.attempts, plan.entry, monitor
