Count a silence of a target once against its version

All streams on a canary that is silent for a second left it as bad answers, and two bad answers of a new version that the old one does not have are enough to take it back.

All departures from one target within 2 s are one observation now. test_one_silence_under_many_requests_is_one_bad_answer fails before (the tests of the relay have no attempts.silences there; without the check it counts 5). Tests of relay and serving pass.

--- a/packages/core/src/rattanpulley_core/_internal/serving/silence.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/silence.py
@@ -7,6 +7,9 @@
 
 import dataclasses
 
+# Requests that leave one target within this time saw the same silence.
+SAME_SILENCE_S = 2.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DepartureRule:
@@ -53,3 +56,25 @@
     def record(self) -> None:
         """Records that the request leaves its target."""
         self._departures += 1
+
+
+class TargetSilences:
+    """When requests last left each target because it was silent."""
+
+    def __init__(self) -> None:
+        self._left_at_s_by_id: dict[str, float] = {}
+
+    def is_new(self, target_id: str, now_s: float) -> bool:
+        """Records a departure; returns whether it is the first of its silence.
+
+        All requests on a target see the same silence, which is one observation
+        of its version, not many.
+        """
+        self._left_at_s_by_id = {
+            known_id: at_s
+            for known_id, at_s in self._left_at_s_by_id.items()
+            if now_s - at_s < SAME_SILENCE_S
+        }
+        is_new = target_id not in self._left_at_s_by_id
+        self._left_at_s_by_id[target_id] = now_s
+        return is_new
--- a/packages/core/src/rattanpulley_core/serving.py
+++ b/packages/core/src/rattanpulley_core/serving.py
@@ -78,6 +78,7 @@
 TargetRegistry = target_registry.TargetRegistry
 accepts_while_stopping = shutdown.accepts_request
 SilenceDepartures = silence.SilenceDepartures
+TargetSilences = silence.TargetSilences
 RolloutStore = sources.RolloutStore
 SuspectStore = sources.SuspectStore
 HostDirectory = sources.HostDirectory
--- a/packages/core/tests/serving/test_silence.py
+++ b/packages/core/tests/serving/test_silence.py
@@ -46,3 +46,13 @@
 def test_first_departure_is_immediate() -> None:
     """A target that is really lost is left within the longest pause."""
     assert serving.SilenceDepartures().may_leave(0.1, 1)
+
+
+# A sound new version was rolled back for one silence under many requests.
+def test_one_silence_of_a_target_is_one_observation() -> None:
+    """Requests that leave a target together saw the same silence."""
+    silences = serving.TargetSilences()
+    seen = [silences.is_new("a", at_s) for at_s in (0.0, 0.1, 1.5, 3.0)]
+    assert seen == [True, False, False, False]
+    assert silences.is_new("a", 6.0)
+    assert silences.is_new("b", 6.0)
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
@@ -98,7 +98,7 @@
             progress: How far the attempt has come.
             last_event_id: Id of the last event of the stream, or 0.
         """
-        if error.kind in serving.BAD_VERSION_FAILURES:
+        if self._is_evidence(entry, error.kind):
             self._observe(entry, True, None)
         self.last = error.kind
         self._tracker.record(entry.target_id, error.kind)
@@ -127,6 +127,17 @@
         """
         self._observe(entry, False, took_s)
 
+    def _is_evidence(
+        self, entry: serving.TargetEntry, kind: serving.FailureKind
+    ) -> bool:
+        """Returns whether a failure is evidence against a version.
+
+        All requests on a silent target see the same silence.
+        """
+        if kind is serving.FailureKind.UNRESPONSIVE:
+            return self._context.silences.is_new(entry.target_id, clock.now_s())
+        return kind in serving.BAD_VERSION_FAILURES
+
     def _observe(
         self, entry: serving.TargetEntry, is_bad: bool, took_s: float | None
     ) -> None:
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/context.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/context.py
@@ -43,6 +43,7 @@
         prefill_estimator: Estimates how long engines take to prefill a prompt.
         retry_budget: Limits retries for each pool.
         trials: Running rollout trials, and the status of all versions.
+        silences: Targets that were left because they were silent.
         suspects: Requests that crash targets.
         part_suspects: Parts of prompts that crash targets.
         fleet: The hosts of the deployment.
@@ -61,6 +62,7 @@
     prefill_estimator: serving.PrefillEstimator
     retry_budget: serving.PoolRetryBudget
     trials: serving.TrialTable
+    silences: serving.TargetSilences
     suspects: suspects_lib.SharedSuspects
     part_suspects: suspects_lib.PartSuspects
     fleet: serving.Fleet
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
@@ -235,6 +235,7 @@
         trials=serving.TrialTable(
             gate, bounds.exposed_share, bounds.exposed_slack, rng
         ),
+        silences=serving.TargetSilences(),
         suspects=suspects.SharedSuspects(uuid.uuid4().hex),
         part_suspects=suspects.PartSuspects(uuid.uuid4().hex),
         fleet=fleet,
--- a/packages/daemon/tests/relay/relay_builders.py
+++ b/packages/daemon/tests/relay/relay_builders.py
@@ -27,6 +27,9 @@
 def make_context(name: str) -> types.SimpleNamespace:
     return types.SimpleNamespace(
         cached_config=serving.CachedConfig(5.0),
+        loads=serving.LoadTable(),
+        retry_budget=serving.PoolRetryBudget(10.0, 0.8, 150.0),
+        silences=serving.TargetSilences(),
         suspects=suspects.SharedSuspects(f"log of {name}"),
         part_suspects=suspects.PartSuspects(f"log of parts of {name}"),
         fleet=serving.Fleet(name),
--- /dev/null
+++ b/packages/daemon/tests/relay/test_attempts.py
@@ -0,0 +1,70 @@
+"""Attempts of one request and what they spend."""
+
+import types
+
+import pytest
+import relay_builders
+
+from rattanpulley_core import serving
+from rattanpulleyd._internal.relay import attempt_progress
+from rattanpulleyd._internal.relay import attempts as attempts_lib
+from rattanpulleyd._internal.relay import clock
+from rattanpulleyd._internal.relay import target_connection
+
+TARGET = relay_builders.target("t")
+
+
+@pytest.fixture
+def context():
+    context = relay_builders.make_context("a")
+    context.observed = []
+    context.trials = types.SimpleNamespace(
+        admit_request=lambda *_: False,
+        record_answer=lambda *row: context.observed.append(row),
+    )
+    context.prober = types.SimpleNamespace(recent_counts=dict)
+    return context
+
+
+def _attempts(context) -> attempts_lib.RequestAttempts:
+    """Returns the attempts of a new resumable stream."""
+    route = types.SimpleNamespace(idempotent=True, max_attempts=5, name="r")
+    request = types.SimpleNamespace(
+        request_id="id", shared_parts=(), received_at_s=clock.now_s()
+    )
+    admission = types.SimpleNamespace(
+        route=route,
+        request=request,
+        pool="pool",
+        fingerprint="f",
+        deadline_s=lambda _: clock.now_s() + 60.0,
+    )
+    return attempts_lib.RequestAttempts(context, admission, 12)
+
+
+def _record(attempts, kind: serving.FailureKind) -> None:
+    error = target_connection.AttemptError(kind, "reason")
+    progress = attempt_progress.AttemptProgress(clock.now_s())
+    attempts.record(TARGET, error, progress)
+
+
+# A sound new version was rolled back for one silence under many requests.
+def test_one_silence_under_many_requests_is_one_bad_answer(context):
+    for _ in range(5):
+        _record(_attempts(context), serving.FailureKind.UNRESPONSIVE)
+    assert len(context.observed) == 1
+    _record(_attempts(context), serving.FailureKind.FAILED)
+    assert len(context.observed) == 2
+
+
+# Budget that a departure had reserved was taken a second time.
+def test_reserved_retry_is_taken_once(context):
+    context.retry_budget = serving.PoolRetryBudget(10.0, 0.0, 1.0)
+    attempts = _attempts(context)
+    assert attempts.reserve_retry()
+    assert attempts.reserve_retry()
+    _record(attempts, serving.FailureKind.UNRESPONSIVE)
+    assert attempts.can_retry()
+    _record(attempts, serving.FailureKind.CORRUPT)
+    assert not attempts.can_retry()
+    assert attempts.denial is serving.RetryDenial.RETRY_BUDGET
