Let a stream that has begun wait for the engines of its pool

Callers saw streams cut within milliseconds when all engines of a pool were down for a second: each refused connection counted towards a limit of twelve, and nothing spaced them out.

A request without an answer yet is refused as before.

test_started_stream_waits_for_the_engines_of_its_pool fails before (stream cut after 4 events) and passes; the 22 tests of streams pass.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
@@ -19,6 +19,8 @@
         last: Failure kind of the last attempt, or None before the first.
         failed_response: Error response of a target; it is forwarded to the
             client when no other target responds.
+        answer_started: Whether the client has a part of the answer, so that
+            the request keeps trying to connect as long as its client waits.
         denial: Why the last failed attempt was not followed by another one,
             or None.
     """
@@ -51,6 +53,7 @@
         )
         self.last: serving.FailureKind | None = None
         self.failed_response: responses.Response | None = None
+        self.answer_started = False
         self.denial: serving.RetryDenial | None = None
         self._has_reserved_retry = False
 
@@ -74,6 +77,11 @@
         """Whether the current attempt is the last that the route allows."""
         return self.left_after_current <= 0
 
+    @property
+    def has_no_connection(self) -> bool:
+        """Whether as many connections have failed as a new request may try."""
+        return self._connect_failures >= self._max_connect_failures
+
     @property
     def left_after_current(self) -> int:
         """Number of attempts that remain after the current one."""
@@ -171,7 +179,7 @@
         now_s = clock.now_s()
         if now_s >= self.deadline_s():
             return serving.RetryDenial.TIME
-        if self._connect_failures >= self._max_connect_failures:
+        if self.has_no_connection and not self.answer_started:
             return serving.RetryDenial.CONNECT_FAILURES
         denial = self._tracker.send_denial()
         if denial is not None or self.last in serving.FAILURES_BEFORE_SENDING:
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
@@ -26,6 +26,8 @@
 
 SEND_TIMEOUT_S = 1.0
 MAX_CONNECT_FAILURES = 12
+# Pause before each further connection of a stream that has started.
+RECONNECT_PAUSE_S = 0.2
 # Engines are unavailable for a second or more after a crash.
 RETRY_AFTER_RANGE_S = (0.8, 1.8)
 
@@ -97,6 +99,8 @@
                     )
                 if not self.attempts.can_retry():
                     return self._give_up(str(error))
+                if self.attempts.has_no_connection:
+                    target_connection.pause(RECONNECT_PAUSE_S)
 
     def _attempt(
         self,
@@ -306,6 +310,7 @@
         """Sends the response head unless one was sent."""
         if not self._started:
             self._started = True
+            self.attempts.answer_started = True
             headers = wire.forwarded_headers(head.headers, frozenset())
             self._channel.start_stream(head.status, headers)
 
