Answer every request at the end of a stop's grace period

Another operator reported that requests taken late in a planned stop were cut with no answer at its end, among them requests that may not be repeated.

Cause: the time limit of a request did not know of the stop, so that its connection was closed under it. The end of the stop now is a time limit like the others: the target is told the shorter time, and the caller gets 504 in place of a cut connection. A stream that has begun can only be cut.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
@@ -89,7 +89,7 @@
 
     def deadline_s(self) -> float:
         """Returns when the timeout of the client or of the route expires."""
-        return self._admission.deadline_s(self._context.cached_config)
+        return self._admission.deadline_s(self._context)
 
     def record(
         self,
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/context.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/context.py
@@ -30,6 +30,18 @@
     confirmed_at_s: float = float("-inf")
 
 
+@dataclasses.dataclass(slots=True)
+class HostStop:
+    """When a stop of the host ends its requests.
+
+    Attributes:
+        deadline_s: When requests that still run get their final answer, on the
+            monotonic clock; infinite until the stop begins.
+    """
+
+    deadline_s: float = float("inf")
+
+
 @dataclasses.dataclass(frozen=True)
 class RelayContext:
     """Shared state and services of one process.
@@ -46,6 +58,7 @@
         silences: Targets that were left because they were silent.
         suspects: Requests that crash targets.
         part_suspects: Parts of prompts that crash targets.
+        host_stop: When a stop of the host ends its requests.
         fleet: The hosts of the deployment.
         names: Header names of the deployment.
         prober: Checks whether an unresponsive target is alive.
@@ -65,6 +78,7 @@
     silences: serving.TargetSilences
     suspects: suspects_lib.SharedSuspects
     part_suspects: suspects_lib.PartSuspects
+    host_stop: HostStop
     fleet: serving.Fleet
     names: wire.HeaderNames
     prober: target_prober.TargetProber
@@ -99,12 +113,18 @@
             for part in self.request.shared_parts
         )
 
-    def deadline_s(self, cached_config: serving.CachedConfig) -> float:
-        """Returns when the timeout of the client or of the route expires.
+    def deadline_s(self, context: RelayContext) -> float:
+        """Returns when the request gets its final answer at the latest.
 
-        The timeout of the current configuration applies, also to a request
-        that is already waiting.
+        The timeout of the client or of the route has expired by then, or the
+        host stops. The timeout of the current configuration applies, also to a
+        request that is already waiting.
         """
+        deadline_s = self.timeout_deadline_s(context.cached_config)
+        return min(deadline_s, context.host_stop.deadline_s)
+
+    def timeout_deadline_s(self, cached_config: serving.CachedConfig) -> float:
+        """Returns when the timeout of the client or of the route expires."""
         config = cached_config.config
         route = self.route
         if config is not None:
@@ -145,7 +165,7 @@
         for item in admission.request.headers
         if item[0].lower() not in replaced
     ]
-    left_s = admission.deadline_s(context.cached_config) - clock.now_s()
+    left_s = admission.deadline_s(context) - clock.now_s()
     kept.append((names.time_left_ms, b"%d" % max(1, int(left_s * 1000))))
     kept.append((names.expected_target, entry.target_id.encode()))
     if admission.account:
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/gateway.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/gateway.py
@@ -136,7 +136,8 @@
         now_s = clock.now_s()
         return serving.accepts_while_stopping(
             since_stop_s=now_s - shutdown.started_s,
-            longest_s=admission.deadline_s(self._context.cached_config) - now_s,
+            longest_s=admission.timeout_deadline_s(self._context.cached_config)
+            - now_s,
             left_s=shutdown.deadline_s - now_s,
         )
 
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/listener.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/listener.py
@@ -74,6 +74,7 @@
         started_s = clock.now_s()
         until_s = started_s + grace_s - GRACE_RESERVE_S
         self._shutdown = gateway.Shutdown(started_s, until_s)
+        self._context.host_stop.deadline_s = until_s
         gevent.sleep(min(BALANCER_REMOVAL_S, max(0.0, until_s - started_s)))
         self._close_idle()
         gevent.sleep(LATE_REQUEST_WAIT_S)
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
@@ -238,6 +238,7 @@
         silences=serving.TargetSilences(),
         suspects=suspects.SharedSuspects(uuid.uuid4().hex),
         part_suspects=suspects.PartSuspects(uuid.uuid4().hex),
+        host_stop=context_lib.HostStop(),
         fleet=fleet,
         names=names,
         prober=target_prober.TargetProber(report_reader, metrics),
--- a/packages/daemon/tests/relay/relay_builders.py
+++ b/packages/daemon/tests/relay/relay_builders.py
@@ -32,6 +32,7 @@
         silences=serving.TargetSilences(),
         suspects=suspects.SharedSuspects(f"log of {name}"),
         part_suspects=suspects.PartSuspects(f"log of parts of {name}"),
+        host_stop=context_lib.HostStop(),
         fleet=serving.Fleet(name),
         shared_targets=context_lib.SharedTargets(serving.ChangeLog()),
         metrics=relay_metrics.RelayMetrics(),
