Wait longer than a second for a target to read a prompt

A stream that may not be repeated was answered 502 although its target went on. Sending now has 3 s, like the kernel's limit for unacknowledged data, which still ends it for a target that is dark.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
@@ -24,7 +24,8 @@
 from rattanpulleyd._internal.relay import target_health
 from rattanpulleyd._internal.relay import wire
 
-SEND_TIMEOUT_S = 1.0
+# Sound targets may read nothing for a second or so.
+SEND_TIMEOUT_S = 3.0
 MAX_CONNECT_FAILURES = 12
 # Pause before each further connection of a stream that has started.
 RECONNECT_PAUSE_S = 0.2
