Leave a silent target of a lookup only with retry budget for another one

With the budget spent, callers got 504 while the target worked on their request.

test_lookup_without_retry_budget_keeps_its_target fails before (504) and passes.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
@@ -57,6 +57,7 @@
             context, admission, MAX_CONNECT_FAILURES
         )
         self.targets: list[str] = []
+        self._keeps_target = False
 
     def run(self) -> responses.Response:
         """Returns the response for the client."""
@@ -193,6 +194,8 @@
                 raise target_connection.AttemptError(
                     serving.FailureKind.TIMED_OUT, "no answer in time"
                 )
+            if not self._is_final_attempt() and not self._can_leave():
+                continue
             raise target_connection.AttemptError(
                 serving.FailureKind.UNRESPONSIVE,
                 "no answer within the patience",
@@ -204,11 +207,23 @@
             return float("inf")
         share = (
             LAST_ATTEMPT_LIMIT_FACTOR
-            if self.attempts.is_last
+            if self._is_final_attempt()
             else ATTEMPT_LIMIT_FACTOR
         )
         return sent_at_s + self._admission.route.objective_s * share
 
+    def _is_final_attempt(self) -> bool:
+        """Returns whether no other target can be tried after this one."""
+        return self.attempts.is_last or self._keeps_target
+
+    def _can_leave(self) -> bool:
+        """Returns whether a silent target may be left for another one.
+
+        Without retry budget, the request keeps its target.
+        """
+        self._keeps_target = not self.attempts.reserve_retry()
+        return not self._keeps_target
+
     def _give_up(self, reason: str) -> responses.Response:
         """Returns the final response to a request that no target completed."""
         return self.attempts.final_response(
