Count only failures in a row against the copies of a run's memory

A run gave up its copies after six failed calls over its whole length, so that the silences of sound targets (a call waits 0.5 s) added up on a long stream, whose next loss then read the prompt again. A call that succeeds clears the count. Found by reading; no test shows it yet.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/memory_copies.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/memory_copies.py
@@ -171,6 +171,7 @@
             self._failures += 1
             self._copy = None
         else:
+            self._failures = 0
             self._handle = handle
             reference = f"{self._runs_on.address}/{handle}"
             self._copy = MemoryCopy(holder, reference)
