Space the attempts of a stream that targets refuse, and return to tried ones

Refusals after the first one now are 0.2 s apart for a stream that has begun. When the last attempt that the route allows was refused, the stream returns to the targets that it has tried, the least often tried first, within its time and the retry budget: the route limits the targets of a request. A lapsed entry is evidence only after 4 s of silence; sound targets lapse after some missed heartbeats.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
@@ -11,6 +11,9 @@
 from rattanpulleyd._internal.relay import target_connection
 from rattanpulleyd._internal.relay import target_health
 
+# The first refusal may be that of one full target.
+REFUSALS_BEFORE_PAUSE = 2
+
 
 class RequestAttempts:
     """The attempts of one request to a plain or stream route.
@@ -20,7 +23,9 @@
         failed_response: Error response of a target; it is forwarded to the
             client when no other target responds.
         answer_started: Whether the client has a part of the answer, so that
-            the request keeps trying to connect as long as its client waits.
+            the request keeps trying as long as its client waits.
+        returns_to_tried: Whether the next attempt goes to a target that was
+            tried before, since the route allows no further target.
         denial: Why the last failed attempt was not followed by another one,
             or None.
     """
@@ -54,6 +59,8 @@
         self.last: serving.FailureKind | None = None
         self.failed_response: responses.Response | None = None
         self.answer_started = False
+        self.returns_to_tried = False
+        self._refusals_in_a_row = 0
         self.denial: serving.RetryDenial | None = None
         self._has_reserved_retry = False
 
@@ -82,6 +89,14 @@
         """Whether as many connections have failed as a new request may try."""
         return self._connect_failures >= self._max_connect_failures
 
+    @property
+    def needs_pause(self) -> bool:
+        """Whether a further attempt at once would probably fail as well."""
+        return (
+            self.has_no_connection
+            or self._refusals_in_a_row >= REFUSALS_BEFORE_PAUSE
+        )
+
     @property
     def left_after_current(self) -> int:
         """Number of attempts that remain after the current one."""
@@ -109,6 +124,10 @@
         if self._is_evidence(entry, error.kind):
             self._observe(entry, True, None)
         self.last = error.kind
+        if error.kind is serving.FailureKind.REFUSED:
+            self._refusals_in_a_row += 1
+        else:
+            self._refusals_in_a_row = 0
         self._tracker.record(entry.target_id, error.kind)
         if error.kind in serving.FAILURES_BEFORE_SENDING:
             self._connect_failures += 1
@@ -182,6 +201,13 @@
         if self.has_no_connection and not self.answer_started:
             return serving.RetryDenial.CONNECT_FAILURES
         denial = self._tracker.send_denial()
+        self.returns_to_tried = (
+            denial is serving.RetryDenial.ATTEMPTS
+            and self.answer_started
+            and self.last is serving.FailureKind.REFUSED
+        )
+        if self.returns_to_tried:
+            denial = None
         if denial is not None or self.last in serving.FAILURES_BEFORE_SENDING:
             return denial
         if self.reserve_retry():
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/engine_selection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/engine_selection.py
@@ -76,6 +76,12 @@
         """Returns an engine that answers a probe, or None."""
         return self._choose_after_loss(self._shortlist_reports(query))
 
+    def choose_among(
+        self, entries: list[serving.TargetEntry]
+    ) -> serving.TargetEntry | None:
+        """Returns one of the engines that answers a probe, or None."""
+        return self._choose_after_loss(self._reports(entries))
+
     def answers(self, entry: serving.TargetEntry) -> bool:
         """Returns whether a target answers a probe."""
         return self._probe(entry, MAX_REPORT_AGE_S) is not None
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_monitor.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_monitor.py
@@ -16,6 +16,8 @@
 
 # A waiting stream applies a changed timeout within this time.
 MAX_READ_WAIT_S = 0.25
+# Sound targets are silent for a second or so.
+LAPSED_TARGET_SILENCE_S = 4.0
 
 _Part = TypeVar("_Part")
 
@@ -162,7 +164,7 @@
             target_connection.AttemptError: The stream leaves the target.
         """
         silent_s = clock.now_s() - self.detector.idle_since_s
-        if self._is_unlisted():
+        if self._is_lost(silent_s):
             raise _unresponsive(f"{suspicion}; the target has left")
         stays_because = self._departures.prepare(
             self._entry, silent_s, self._usable_copy()
@@ -182,14 +184,16 @@
             probes=self._context.prober.recent_counts(),
         )
 
-    def _is_unlisted(self) -> bool:
-        """Returns whether the store has dropped or replaced the target.
+    def _is_lost(self, silent_s: float) -> bool:
+        """Returns whether the silent target is known to be lost.
 
-        A silent target whose entry has lapsed is lost: it would have renewed
-        the entry.
+        The entry of a sound target may lapse during its silence, so that a
+        lapse is evidence only after a longer one.
         """
         current = self._context.targets.entry(self._entry.target_id)
-        return current is None or current.started_ms != self._entry.started_ms
+        if current is None:
+            return silent_s >= LAPSED_TARGET_SILENCE_S
+        return current.started_ms != self._entry.started_ms
 
     def _leave_queue(self, report: serving.TargetReport) -> None:
         """Leaves an engine with other prompts in prefill if one is idle.
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_plan.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_plan.py
@@ -1,5 +1,6 @@
 """Plans the attempts of a stream: its next target and its memory copies."""
 
+import collections
 import dataclasses
 
 from rattanpulley_core import serving
@@ -82,15 +83,41 @@
         if not started:
             until_s = min(until_s, clock.now_s() + NO_TARGET_WAIT_S)
         while True:
-            entry = self._engine_selector.choose(
-                self._prefill_query(), self._admission.request.request_id
-            )
+            entry = self._choose_engine()
             if entry is not None:
                 return self._make_plan(entry, None)
             if clock.now_s() >= until_s:
                 return None
             target_connection.pause(NO_TARGET_POLL_S)
 
+    def _choose_engine(self) -> serving.TargetEntry | None:
+        """Returns the engine for an attempt without a memory copy, or None."""
+        if not self._attempts.returns_to_tried:
+            return self._engine_selector.choose(
+                self._prefill_query(), self._admission.request.request_id
+            )
+        return self._choose_tried_engine()
+
+    def _choose_tried_engine(self) -> serving.TargetEntry | None:
+        """Returns the engine that was tried least often and answers, or None.
+
+        An engine that was left while it was silent comes before those that
+        have refused the stream again and again.
+        """
+        tries_by_id = collections.Counter(self._attempts.tried_ids)
+        for tries in sorted(set(tries_by_id.values())):
+            entries = [
+                entry
+                for target_id, count in tries_by_id.items()
+                if count == tries
+                and (entry := self._context.targets.entry(target_id))
+                and not entry.leaving
+            ]
+            engine = self._engine_selector.choose_among(entries)
+            if engine is not None:
+                return engine
+        return None
+
     def _plan_from_copy(self, copy: memory_copies.MemoryCopy) -> AttemptPlan:
         """Continues from a copy unless its holder is silent and others answer.
 
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
@@ -27,8 +27,8 @@
 # Sound targets may read nothing for a second or so.
 SEND_TIMEOUT_S = 3.0
 MAX_CONNECT_FAILURES = 12
-# Pause before each further connection of a stream that has started.
-RECONNECT_PAUSE_S = 0.2
+# Pause of a stream that has started while targets refuse it.
+RETRY_PAUSE_S = 0.2
 # Engines are unavailable for a second or more after a crash.
 RETRY_AFTER_RANGE_S = (0.8, 1.8)
 
@@ -100,8 +100,8 @@
                     )
                 if not self.attempts.can_retry():
                     return self._give_up(str(error))
-                if self.attempts.has_no_connection:
-                    target_connection.pause(RECONNECT_PAUSE_S)
+                if self._started and self.attempts.needs_pause:
+                    target_connection.pause(RETRY_PAUSE_S)
 
     def _attempt(
         self,
