--- a/packages/daemon/tests/relay/test_attempts.py
+++ b/packages/daemon/tests/relay/test_attempts.py
@@ -68,3 +68,11 @@
     _record(attempts, serving.FailureKind.CORRUPT)
     assert not attempts.can_retry()
     assert attempts.denial is serving.RetryDenial.RETRY_BUDGET
+
+
+# One silence of a target of a sound new version, under requests whose time
+# ended within it, counted as many bad answers.
+def test_timeouts_in_one_silence_are_one_bad_answer(context):
+    for _ in range(5):
+        _record(_attempts(context), serving.FailureKind.TIMED_OUT)
+    assert len(context.observed) == 1
