Show that a silence counts as a fault once a stream (known red)

Thirty streams that leave one silent target give it a fault score of 30, which takes 7 s to fall below 1. The other targets get its work meanwhile.

--- a/packages/daemon/tests/relay/test_attempts.py
+++ b/packages/daemon/tests/relay/test_attempts.py
@@ -76,3 +76,11 @@
     for _ in range(5):
         _record(_attempts(context), serving.FailureKind.TIMED_OUT)
     assert len(context.observed) == 1
+
+
+# Streams that left one silent target together made its fault score so high that
+# it got no work for seconds after it had gone on.
+def test_one_silence_under_many_requests_is_one_fault(context):
+    for _ in range(30):
+        _record(_attempts(context), serving.FailureKind.UNRESPONSIVE)
+    assert context.loads.faults(TARGET.target_id, clock.now_s()) < 2.0
