--- a/packages/daemon/tests/relay/test_attempts.py
+++ b/packages/daemon/tests/relay/test_attempts.py
@@ -84,3 +84,15 @@
     for _ in range(30):
         _record(_attempts(context), serving.FailureKind.UNRESPONSIVE)
     assert context.loads.faults(TARGET.target_id, clock.now_s()) < 2.0
+
+
+# A stream whose time ended right after its departure kept the retry that it had
+# reserved, which other requests lacked.
+def test_reserved_retry_is_returned_at_the_end_of_the_time(context):
+    context.retry_budget = serving.PoolRetryBudget(10.0, 0.0, 1.0)
+    attempts = _attempts(context)
+    assert attempts.reserve_retry()
+    _record(attempts, serving.FailureKind.UNRESPONSIVE)
+    attempts.deadline_s = lambda: 0.0
+    assert not attempts.can_retry()
+    assert _attempts(context).reserve_retry()
