--- a/packages/daemon/tests/relay/test_attempts.py
+++ b/packages/daemon/tests/relay/test_attempts.py
@@ -68,3 +68,31 @@
     _record(attempts, serving.FailureKind.CORRUPT)
     assert not attempts.can_retry()
     assert attempts.denial is serving.RetryDenial.RETRY_BUDGET
+
+
+# One silence of a target of a sound new version, under requests whose time
+# ended within it, counted as many bad answers.
+def test_timeouts_in_one_silence_are_one_bad_answer(context):
+    for _ in range(5):
+        _record(_attempts(context), serving.FailureKind.TIMED_OUT)
+    assert len(context.observed) == 1
+
+
+# Streams that left one silent target together made its fault score so high that
+# it got no work for seconds after it had gone on.
+def test_one_silence_under_many_requests_is_one_fault(context):
+    for _ in range(30):
+        _record(_attempts(context), serving.FailureKind.UNRESPONSIVE)
+    assert context.loads.faults(TARGET.target_id, clock.now_s()) < 2.0
+
+
+# A stream whose time ended right after its departure kept the retry that it had
+# reserved, which other requests lacked.
+def test_reserved_retry_is_returned_at_the_end_of_the_time(context):
+    context.retry_budget = serving.PoolRetryBudget(10.0, 0.0, 1.0)
+    attempts = _attempts(context)
+    assert attempts.reserve_retry()
+    _record(attempts, serving.FailureKind.UNRESPONSIVE)
+    attempts.deadline_s = lambda: 0.0
+    assert not attempts.can_retry()
+    assert _attempts(context).reserve_retry()
