Read once more before a silent target is left, and keep an attempt in queues

From the review, by reading: bytes that arrived during the probes of a departure (up to 0.24 s) were not looked at, so that a target that had just gone on was left; the move from a prefill queue took the attempt that is kept for a loss; requests that the stop of the host itself ended counted against a new version. Tests for the first and the last fail before (AttemptError; one bad answer) and pass.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
@@ -122,7 +122,7 @@
             last_event_id: Id of the last event of the stream, or 0.
         """
         is_new_fault = self._is_new_fault(entry, error.kind)
-        if is_new_fault and error.kind in serving.BAD_VERSION_FAILURES:
+        if is_new_fault and self._is_evidence(error.kind):
             self._observe(entry, True, None)
         self.last = error.kind
         if error.kind is serving.FailureKind.REFUSED:
@@ -167,6 +167,15 @@
             return True
         return self._context.silences.is_new(entry.target_id, clock.now_s())
 
+    def _is_evidence(self, kind: serving.FailureKind) -> bool:
+        """Returns whether a failure is evidence against a version.
+
+        A stop of this host ends requests before their time.
+        """
+        if clock.now_s() >= self._context.host_stop.deadline_s:
+            return False
+        return kind in serving.BAD_VERSION_FAILURES
+
     def _observe(
         self, entry: serving.TargetEntry, is_bad: bool, took_s: float | None
     ) -> None:
@@ -194,11 +203,14 @@
     def can_retry(self) -> bool:
         """Returns whether the request may be retried at another target."""
         self.denial = self._retry_denial()
+        self.release_retry()
+        return self.denial is None
+
+    def release_retry(self) -> None:
+        """Returns a reserved retry that is not made."""
         if self._has_reserved_retry:
-            # The request ends without the attempt.
             self._has_reserved_retry = False
             self._window.release()
-        return self.denial is None
 
     def _retry_denial(self) -> serving.RetryDenial | None:
         now_s = clock.now_s()
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_departures.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_departures.py
@@ -79,6 +79,11 @@
         self._departures.record()
         return None
 
+    def cancel(self) -> None:
+        """Cancels a prepared departure: the target has gone on."""
+        self._transfer.next_engine = None
+        self._attempts.release_retry()
+
     def _find_next(
         self,
         entry: serving.TargetEntry,
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_monitor.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_monitor.py
@@ -16,6 +16,8 @@
 
 # A waiting stream applies a changed timeout within this time.
 MAX_READ_WAIT_S = 0.25
+# A move to an idle engine keeps an attempt for a target that is lost.
+MIN_ATTEMPTS_LEFT_IN_QUEUE = 2
 # Sound targets are silent for a second or so.
 LAPSED_TARGET_SILENCE_S = 4.0
 
@@ -98,7 +100,27 @@
             ):
                 detector.reset(now_s)
             elif now_s >= detector.check_at_s:
-                self._check_target(now_s)
+                try:
+                    self._check_target(now_s)
+                except target_connection.AttemptError as error:
+                    return self._read_before_leaving(read, error)
+
+    def _read_before_leaving(
+        self,
+        read: Callable[[float], _Part],
+        error: target_connection.AttemptError,
+    ) -> _Part:
+        """Returns bytes that arrived while the target was checked.
+
+        Raises:
+            target_connection.AttemptError: There are none.
+        """
+        try:
+            part = read(clock.now_s())
+        except target_connection.ReadWaitExpired:
+            raise error from None
+        self._departures.cancel()
+        return part
 
     def _withdraw_if_refused(self) -> None:
         """Gives up a prompt that would crash the target once it begins.
@@ -207,7 +229,7 @@
         """
         if self.detector.started or self._transfer.left_queue:
             return
-        if self._attempts.is_last:
+        if self._attempts.left_after_current < MIN_ATTEMPTS_LEFT_IN_QUEUE:
             return
         now_s = clock.now_s()
         request = self._admission.request
--- a/packages/daemon/tests/relay/test_attempts.py
+++ b/packages/daemon/tests/relay/test_attempts.py
@@ -96,3 +96,10 @@
     attempts.deadline_s = lambda: 0.0
     assert not attempts.can_retry()
     assert _attempts(context).reserve_retry()
+
+
+# Requests that the host's own stop ended counted against a new version.
+def test_end_of_a_stop_is_no_bad_answer(context):
+    context.host_stop.deadline_s = clock.now_s()
+    _record(_attempts(context), serving.FailureKind.TIMED_OUT)
+    assert context.observed == []
--- a/packages/daemon/tests/relay/test_stream_monitor.py
+++ b/packages/daemon/tests/relay/test_stream_monitor.py
@@ -78,3 +78,22 @@
         target_connection.AttemptError, match="the run is not there"
     ):
         monitor.wait(_silent_for(2.0))
+
+
+# A target that went on while it was checked was left all the same.
+def test_bytes_that_arrive_during_the_check_keep_the_target(monitor_of):
+    monitor = monitor_of(serving.TargetReport({}))
+    monitor.record_events(1)
+    cancelled = []
+    monitor._departures.cancel = lambda: cancelled.append(True)
+    reads = []
+
+    def _read(until_s: float) -> object:
+        reads.append(until_s)
+        if monitor.detector.was_missing and len(reads) > 2:
+            return b"data"
+        time.sleep(max(0.0, until_s - clock.now_s()))
+        raise target_connection.ReadWaitExpired
+
+    assert monitor.wait(_read) == b"data"
+    assert cancelled
