--- a/packages/core/src/rattanpulley_core/_internal/serving/sources.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/sources.py
@@ -46,11 +46,13 @@
         removed_ids: Ids of targets whose entries were removed or became
             unreadable.
         position: Store position at which the next watch continues.
+        unreadable: Number of entries that could not be read.
     """
 
     changed: tuple[target_registry.TargetEntry, ...]
     removed_ids: tuple[str, ...]
     position: int
+    unreadable: int = 0
 
 
 class ServingSource(abc.ABC):
