Bound the numbers and addresses of requests

A client whose X-Rattanpulley-Deadline-Ms, Last-Event-Id or token header had 6,000 digits had its connection closed without an answer: int() raises a ValueError over 4,300 digits, and a deadline of 400 digits does not fit into a float. The same held for an answer whose load header had such digits or a "²". A port over 65535 raised an OverflowError in connect, which is no OSError, and closed the connection of the client. A call of the relay that h11 refuses to send ended the greenlet that keeps the memory copy of a stream.

Integers of headers have at most 18 digits, a longer one counts as missing; an address that cannot be connected to is a failed attempt of which nothing was sent.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/target_connection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/target_connection.py
@@ -112,7 +112,8 @@
             raise AttemptError(
                 serving.FailureKind.UNREACHABLE, "connect: no answer"
             ) from error
-        except OSError as error:
+        except (OSError, OverflowError, ValueError) as error:
+            # An address out of range raises no OSError.
             self.close()
             raise AttemptError(
                 serving.FailureKind.NOT_CONNECTED, f"connect: {error}"
@@ -254,6 +255,10 @@
         raise AttemptError(
             serving.FailureKind.UNRESPONSIVE, "no answer"
         ) from error
+    except h11.LocalProtocolError as error:
+        raise AttemptError(
+            serving.FailureKind.NOT_CONNECTED, f"not sent: {error}"
+        ) from error
     finally:
         connection.close()
 
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/target_health.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/target_health.py
@@ -4,6 +4,7 @@
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import context as context_lib
 from rattanpulleyd._internal.relay import target_connection
+from rattanpulleyd._internal.relay import wire
 
 # How long a target gets no new work after a failure; then one request tests
 # whether it is reachable again.
@@ -64,10 +65,13 @@
     """Records the load that a target reports in its response."""
     text = head.value(context.names.target_load)
     parts = (text or "").split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    counts = [wire.parse_unsigned_int(part.strip()) for part in parts]
+    running, waiting, slots = counts if len(counts) == 3 else (None,) * 3
+    if running is None or waiting is None or slots is None:
         return
-    running = int(parts[0]) + int(parts[1])
-    context.loads.record_report(entry.target_id, running, clock.now_s())
+    context.loads.record_report(
+        entry.target_id, running + waiting, clock.now_s()
+    )
 
 
 def remove_replaced_target(
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/wire.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/wire.py
@@ -22,6 +22,8 @@
 )
 LAST_EVENT_ID = b"last-event-id"
 EVENT_STREAM = b"text/event-stream"
+# Longest decimal integer that is read; 64 bits hold one of 18 digits.
+MAX_INTEGER_DIGITS = 18
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -144,9 +146,14 @@
 
 
 def parse_unsigned_int(text: str | None) -> int | None:
-    """Returns the non-negative integer that `text` contains, or None."""
+    """Returns the non-negative integer that `text` contains, or None.
+
+    An integer of more than `MAX_INTEGER_DIGITS` digits counts as none.
+    """
     if text is None or not text.isascii() or not text.isdigit():
         return None
+    if len(text) > MAX_INTEGER_DIGITS:
+        return None
     return int(text)
 
 
--- a/packages/daemon/tests/relay/relay_builders.py
+++ b/packages/daemon/tests/relay/relay_builders.py
@@ -1,5 +1,6 @@
 """Builders of configurations, targets and contexts for relay tests."""
 
+import dataclasses
 import random
 import types
 
@@ -8,6 +9,17 @@
 from rattanpulleyd._internal.relay import context as context_lib
 from rattanpulleyd._internal.relay import decision_log
 from rattanpulleyd._internal.relay import relay_metrics
+from rattanpulleyd._internal.relay import wire
+
+# Names of the form x-FIELD.
+HEADER_NAMES = wire.HeaderNames(
+    **{
+        field.name: b"x-" + field.name.replace("_", "-").encode()
+        for field in dataclasses.fields(wire.HeaderNames)
+        if field.name != "set_by_relay"
+    },
+    set_by_relay=frozenset(),
+)
 
 
 def config(version: int, limit: int = 9) -> serving.ServingConfig:
--- /dev/null
+++ b/packages/daemon/tests/relay/test_odd_values.py
@@ -0,0 +1,70 @@
+"""Tests of values of clients and targets that are not as agreed."""
+
+import h11
+import pytest
+import relay_builders
+
+from rattanpulley_core import serving
+from rattanpulleyd._internal.relay import target_connection
+from rattanpulleyd._internal.relay import target_health
+from rattanpulleyd._internal.relay import wire
+
+LONG = "9" * 6000
+# 400 digits can be converted to an integer but not to a float.
+ODD_NUMBERS = [LONG, "9" * 400, "²", "٣", "-1", "1e3", "", None]
+
+
+@pytest.mark.parametrize("text", ODD_NUMBERS)
+def test_odd_number_in_a_header_counts_as_missing(text):
+    # Guards against headers of clients that close the connection unanswered.
+    assert wire.parse_unsigned_int(text) is None
+    assert wire.parse_unsigned_int("9" * 18) == int("9" * 18)
+
+
+@pytest.mark.parametrize("text", [f"{LONG},1,1", "²,1,1", "1,1", "1,1,1,1", ""])
+def test_odd_load_of_a_target_is_not_recorded(text):
+    # Guards against answers that are lost because of their load header.
+    context = relay_builders.make_context("h")
+    context.names = relay_builders.HEADER_NAMES
+    context.loads = serving.LoadTable()
+    running = []
+    for value in (text, "2, 1,8", text):
+        header = (context.names.target_load, value.encode("latin-1"))
+        target_health.record_load(
+            context,
+            relay_builders.target("t"),
+            target_connection.ResponseHead(200, (header,)),
+        )
+        running.append(context.loads.load_of("t").reported_running)
+    assert running == [0, 3, 3]
+
+
+@pytest.mark.parametrize(
+    ("host", "port"),
+    [
+        ("127.0.0.1", 65536),
+        ("127.0.0.1", -1),
+        ("127.0.0.1", 10**30),
+        ("a\x00b", 80),
+        ("a" * 5000, 80),
+    ],
+)
+def test_odd_address_of_a_target_is_a_failed_attempt(host, port):
+    # Guards against client connections that are closed without an answer.
+    entry = relay_builders.target("t", host, port)
+    connection = target_connection.TargetConnection(entry)
+    with pytest.raises(target_connection.AttemptError) as caught:
+        connection.connect(1.0)
+    assert caught.value.kind is serving.FailureKind.NOT_CONNECTED
+
+
+def test_call_that_cannot_be_sent_is_a_failed_attempt(monkeypatch):
+    # Guards against copies of memory that end with their greenlet.
+    def connect(self, timeout_s):
+        pass
+
+    monkeypatch.setattr(target_connection.TargetConnection, "connect", connect)
+    entry = relay_builders.target("t")
+    with pytest.raises(target_connection.AttemptError) as caught:
+        target_connection.call_target(entry, b"GET", b"/a b", b"", 1.0)
+    assert isinstance(caught.value.__cause__, h11.LocalProtocolError)
