Answer a request that a program error interrupts

Callers saw a connection closed without an answer whenever a request met an exception that the relay does not expect, such as the OverflowError of a port out of range: the greenlet of the connection ended with it.

The listener now catches any Exception of one request (not GreenletExit), logs request.failed with reason and place, counts it in request_failures, and answers with 502, which promises nothing, on a connection that stays open. If a stream had started, it is broken off as incomplete. An error while a request is read is answered in the same way, and its connection is closed. The log line request.ended of such a stream says "program error" instead of "the client left".

Evidence: 3 of the 4 new tests failed on the code before (nothing was received, no log line); the fourth, on GreenletExit, is to keep what holds. They pass now.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/gateway.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/gateway.py
@@ -208,13 +208,16 @@
         relay = stream_relay.StreamRelay(
             self._context, admission, connection, self._copy_calls
         )
-        status, reason = 0, "the client left"
+        status, reason = 502, "program error"
         try:
             response = relay.run()
             status, reason = 200, "complete"
             if response is not None:
                 connection.send_response(response, closes=False)
                 status, reason = response.status, response.reason
+        except context_lib.ClientDisconnectedError:
+            status, reason = 0, "the client left"
+            raise
         except stream_channel.StreamAbortedError as error:
             status, reason = 599, f"aborted: {error}"
             raise
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/listener.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/listener.py
@@ -5,6 +5,7 @@
 their response.
 """
 
+import traceback
 from typing import Any
 
 import gevent
@@ -17,6 +18,7 @@
 from rattanpulleyd._internal.relay import context as context_lib
 from rattanpulleyd._internal.relay import gateway
 from rattanpulleyd._internal.relay import memory_copies
+from rattanpulleyd._internal.relay import responses
 from rattanpulleyd._internal.relay import settings
 from rattanpulleyd._internal.relay import stream_channel
 from rattanpulleyd._internal.relay import wire
@@ -35,6 +37,13 @@
 LAST_ANSWERS_S = 0.15
 POLL_INTERVAL_S = 0.05
 LINGER_S = 0.2
+# Bounds the log line of a failed request.
+MAX_REASON_CHARACTERS = 300
+_EXPECTED_ENDS = (
+    client_connection.ConnectionEndedError,
+    context_lib.ClientDisconnectedError,
+    stream_channel.StreamAbortedError,
+)
 
 
 class Listener:
@@ -124,11 +133,7 @@
         self._greenlets_by_connection[connection] = gevent.getcurrent()
         try:
             self._serve(connection)
-        except (
-            client_connection.ConnectionEndedError,
-            context_lib.ClientDisconnectedError,
-            stream_channel.StreamAbortedError,
-        ):
+        except _EXPECTED_ENDS:
             # Logged with the request that was interrupted, if any. A request
             # that crosses the close is discarded without a reset.
             if connection.closing:
@@ -147,13 +152,60 @@
             except wire.MalformedRequestError as error:
                 self._refuse(connection, error)
                 return
-            self._gateway.serve(
-                connection, request, self._should_close(), self._shutdown
-            )
+            except _EXPECTED_ENDS:
+                raise
+            except Exception as error:  # noqa: BLE001 - whatever the fault is
+                # The rest of the request may not have been read.
+                self._fail(connection, "", error, closes=True)
+                linger(connection)
+                return
+            self._serve_request(connection, request)
             if not connection.next_cycle():
                 linger(connection)
                 return
 
+    def _serve_request(
+        self,
+        connection: client_connection.ClientConnection,
+        request: wire.ClientRequest,
+    ) -> None:
+        """Handles one request; a program error costs only its own answer."""
+        try:
+            self._gateway.serve(
+                connection, request, self._should_close(), self._shutdown
+            )
+        except _EXPECTED_ENDS:
+            raise
+        except Exception as error:  # noqa: BLE001 - whatever the fault is
+            self._fail(connection, request.request_id, error, closes=False)
+
+    def _fail(
+        self,
+        connection: client_connection.ClientConnection,
+        request_id: str,
+        error: Exception,
+        closes: bool,
+    ) -> None:
+        """Ends a request that a program error interrupted.
+
+        The request may have been sent to a target, so that the response must
+        not promise anything.
+
+        Raises:
+            stream_channel.StreamAbortedError: The response has started.
+        """
+        self._context.metrics.request_failures.inc()
+        self._context.log.failure(
+            "request.failed",
+            request=request_id,
+            reason=repr(error)[:MAX_REASON_CHARACTERS],
+            where=traceback.format_exc(limit=-3),
+        )
+        if not connection.can_respond():
+            raise stream_channel.StreamAbortedError("program error") from error
+        response = responses.error_response(502, "program error")
+        connection.send_response(response, closes)
+
     def _should_close(self) -> bool:
         """Returns whether connections close after their next response."""
         ready = self._context.cached_config.ready(clock.suspend_aware_now_s())
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/relay_metrics.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/relay_metrics.py
@@ -18,6 +18,15 @@
         self.requests = self._counter(
             "requests", "Requests by kind and status", ["kind", "status"]
         )
+        self.request_failures = self._counter(
+            "request_failures", "Requests that a program error ended", []
+        )
+        self.task_failures = self._counter(
+            "task_failures", "Tasks that a program error ended", ["task"]
+        )
+        self.unreadable_entries = self._counter(
+            "unreadable_entries", "Entries of targets that were unreadable", []
+        )
         self.attempts = self._counter(
             "attempts", "Attempts on targets by ending", ["ending"]
         )
--- /dev/null
+++ b/packages/daemon/tests/relay/test_listener.py
@@ -0,0 +1,110 @@
+"""Tests of requests that a program error interrupts."""
+
+import types
+
+import gevent
+from gevent import socket
+import pytest
+import relay_builders
+
+from rattanpulleyd._internal.relay import listener as listener_lib
+from rattanpulleyd._internal.relay import settings
+
+REQUEST = b"POST /a HTTP/1.1\r\nHost: h\r\nX-Request-Id: 1\r\n\r\n"
+
+
+class Gateway:
+    """Fails after it has sent a part of the response."""
+
+    def __init__(self, sends_head: bool, error: BaseException) -> None:
+        self.sends_head = sends_head
+        self.error = error
+
+    def serve(self, connection, request, closes, shutdown):
+        if self.sends_head:
+            connection.start_stream(200, ())
+            connection.write(b"id: 1\n\n")
+        raise self.error
+
+
+@pytest.fixture
+def context():
+    built = relay_builders.make_context("h")
+    built.names = relay_builders.HEADER_NAMES
+    built.lines = []
+    built.log = types.SimpleNamespace(
+        failure=lambda name, **fields: built.lines.append((name, fields))
+    )
+    return built
+
+
+@pytest.fixture
+def client(context):
+    """A client of a listener; `listener` is an attribute of the context."""
+    endpoint = settings.Endpoint("127.0.0.1", 0)
+    context.listener = listener_lib.Listener(context, endpoint, None)
+    context.listener.start()
+    server = context.listener._server
+    connected = socket.create_connection(("127.0.0.1", server.server_port))
+    connected.settimeout(10)
+    yield connected
+    connected.close()
+    server.stop()
+
+
+def read_until(client: socket.socket, end: bytes) -> bytes:
+    """Returns what arrives until `end`, or until the connection is closed."""
+    received = b""
+    while not received.endswith(end) and (data := client.recv(4096)):
+        received += data
+    return received
+
+
+def test_request_is_answered_whatever_fails(context, client):
+    # Guards against connections that are closed without an answer.
+    context.listener._gateway = Gateway(False, KeyError("k" * 5000))
+    for _ in range(2):
+        client.sendall(REQUEST)
+        received = read_until(client, b"program error\n")
+        assert received.startswith(b"HTTP/1.1 502 ")
+        assert b"connection: close" not in received.lower()
+    names = [name for name, _ in context.lines]
+    assert names == ["request.failed"] * 2
+    _, fields = context.lines[0]
+    assert fields["request"] == "1"
+    assert "KeyError" in fields["reason"]
+    assert len(fields["reason"]) <= listener_lib.MAX_REASON_CHARACTERS
+    assert "test_listener.py" in fields["where"]
+    assert b"rattanpulley_request_failures_total 2.0" in context.metrics.text()
+
+
+def test_started_stream_ends_as_incomplete_whatever_fails(context, client):
+    # Guards against a cut stream that looks complete.
+    context.listener._gateway = Gateway(True, RecursionError())
+    client.sendall(REQUEST)
+    received = read_until(client, b"never")
+    assert b"id: 1" in received
+    assert not received.endswith(b"0\r\n\r\n")
+    assert b" 502 " not in received
+    assert [name for name, _ in context.lines] == ["request.failed"]
+
+
+def test_request_that_cannot_be_read_is_answered(context, client, monkeypatch):
+    # Guards against headers that close the connection without an answer.
+    def decode(self, head, body, received_at_s):
+        raise OverflowError
+
+    connection = listener_lib.client_connection.ClientConnection
+    monkeypatch.setattr(connection, "_decode", decode)
+    client.sendall(REQUEST)
+    received = read_until(client, b"never")
+    assert received.startswith(b"HTTP/1.1 502 ")
+    assert [name for name, _ in context.lines] == ["request.failed"]
+
+
+def test_killed_greenlet_answers_nothing(context, client):
+    # Guards against a guard that keeps greenlets from ending.
+    context.listener._gateway = Gateway(False, gevent.GreenletExit())
+    client.sendall(REQUEST)
+    assert read_until(client, b"never") == b""
+    assert context.lines == []
