Answer HEAD requests that the relay refuses

A HEAD request that the relay itself answers with an error had its connection closed without an answer: h11 raises a LocalProtocolError for the body of the response. Responses to HEAD are now sent without their body.

Evidence: the new test received nothing on the code before, and passes now.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/client_connection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/client_connection.py
@@ -63,6 +63,7 @@
         self.closes = False
         self.closing = False
         self.responses = 0
+        self._is_head = False
         self.opened_at_s = clock.now_s()
         sock.setsockopt(socket_lib.IPPROTO_TCP, socket_lib.TCP_NODELAY, 1)
         sock.setsockopt(
@@ -103,6 +104,7 @@
             event = self._parse()
             if isinstance(event, h11.Request):
                 self._check_head_size(event)
+                self._is_head = event.method == b"HEAD"
                 return event
             if event is not h11.NEED_DATA:
                 raise ConnectionEndedError
@@ -258,7 +260,8 @@
         data = self._http.send(
             responses.make_response_head(response.status, headers, self.closes)
         )
-        if response.body:
+        # h11 refuses to send a body in response to HEAD.
+        if response.body and not self._is_head:
             data = (data or b"") + (
                 self._http.send(h11.Data(data=response.body)) or b""
             )
--- a/packages/daemon/tests/relay/test_listener.py
+++ b/packages/daemon/tests/relay/test_listener.py
@@ -108,3 +108,12 @@
     client.sendall(REQUEST)
     assert read_until(client, b"never") == b""
     assert context.lines == []
+
+
+def test_head_request_is_answered_without_a_body(context, client):
+    # Guards against error responses whose body h11 refuses to send.
+    context.listener._gateway = Gateway(False, KeyError())
+    for _ in range(2):
+        client.sendall(REQUEST.replace(b"POST", b"HEAD"))
+        received = read_until(client, b"\r\n\r\n")
+        assert received.startswith(b"HTTP/1.1 502 ")
