Pass over hosts whose address or answer is odd

The configuration and the targets were followed no more while another host was listed with an address such as "x", or answered with JSON nested too deeply: the ValueError or RecursionError ended both tasks at each restart. A negative age of a host's confirmation moved it into the future, and rows of targets were taken over with any types and ports.

Any unreadable address or answer now counts as a host without an answer, which is passed over; ages are at least 0, and rows of targets must have the types of their fields and a port in range.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/state_exchange.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/state_exchange.py
@@ -37,8 +37,18 @@
 # Time that reports need to another host. A slower transfer makes a crash look
 # later, so that the next one may count as simultaneous.
 TRANSFER_ERROR_S = 0.05
-# Errors of a document that lacks fields or has other types or numbers.
-_UNREADABLE = (KeyError, TypeError, ValueError, OverflowError)
+MAX_PORT = 65_535
+# Errors of a document that lacks fields, has other types or numbers, or is
+# nested too deeply.
+_UNREADABLE = (
+    AttributeError,
+    KeyError,
+    TypeError,
+    ValueError,
+    OverflowError,
+    RecursionError,
+)
+_TARGET_FIELDS = dataclasses.fields(serving.TargetEntry)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -197,9 +207,9 @@
             return serving.ConfigReport(
                 int(document["version"]),
                 str(document["digest"]),
-                float(document["age_s"]),
+                _decode_age_s(document),
             )
-        except (KeyError, TypeError, ValueError) as error:
+        except _UNREADABLE as error:
             raise PeerReportError(repr(error)) from error
 
     def fetch_targets(
@@ -227,7 +237,7 @@
         query = parse.urlencode(parameters)
         document = self._call(entry, "GET", f"{TARGETS_PATH}?{query}")
         try:
-            age_s = float(document["age_s"])
+            age_s = _decode_age_s(document)
             # Hosts of earlier versions send fewer kinds of reports.
             crashes = tuple(
                 _decode_batch(document[channel.field], kind)
@@ -237,7 +247,7 @@
             if document.get("behind"):
                 return serving.TargetsReport(None, age_s, crashes)
             changes = serving.TargetChanges(
-                tuple(serving.TargetEntry(*row) for row in document["changed"]),
+                tuple(map(_decode_target, document["changed"])),
                 tuple(map(str, document["removed"])),
                 int(document["position"]),
             )
@@ -270,15 +280,8 @@
         path: str,
         content: dict[str, Any] | None = None,
     ) -> dict[str, Any]:
-        pool = self._pools.get(entry.address)
-        if pool is None:
-            host, _, port = entry.address.rpartition(":")
-            pool = urllib3.HTTPConnectionPool(
-                host, int(port), maxsize=2, retries=False
-            )
-            self._pools[entry.address] = pool
         try:
-            response = pool.request(
+            response = self._pool(entry.address).request(
                 method,
                 path,
                 body=None if content is None else json.dumps(content).encode(),
@@ -299,13 +302,45 @@
             bounded_http.ResponseBoundsError,
             urllib3.exceptions.HTTPError,
             OSError,
-            ValueError,
+            *_UNREADABLE,
         ) as error:
             raise PeerReportError(str(error)) from error
         if not isinstance(document, dict):
             raise PeerReportError("the response is not a JSON object")
         return document
 
+    def _pool(self, address: str) -> urllib3.HTTPConnectionPool:
+        """Returns the connections to an address; raises ValueError."""
+        pool = self._pools.get(address)
+        if pool is None:
+            host, _, port = address.rpartition(":")
+            pool = urllib3.HTTPConnectionPool(
+                host, int(port), maxsize=2, retries=False
+            )
+            self._pools[address] = pool
+        return pool
+
+
+def _decode_age_s(document: dict[str, Any]) -> float:
+    """Returns the age of a report; raises one of `_UNREADABLE`."""
+    age_s = float(document["age_s"])
+    if not age_s >= 0:
+        # A time in the future would keep old state valid.
+        raise ValueError(f"an age of {age_s} s")
+    return age_s
+
+
+def _decode_target(row: list[Any]) -> serving.TargetEntry:
+    """Returns the target in a row; raises one of `_UNREADABLE`."""
+    entry = serving.TargetEntry(*row)
+    for field, value in zip(_TARGET_FIELDS, row, strict=True):
+        is_whole = field.type is float and type(value) is int
+        if type(value) is not field.type and not is_whole:
+            raise TypeError(f"{field.name} has another type")
+    if not 0 < entry.port <= MAX_PORT:
+        raise ValueError("the port is out of range")
+    return entry
+
 
 def _encode_batch(batch: suspects.ReportBatch) -> dict[str, Any]:
     """Returns the JSON object of a batch of crash reports."""
