Count failed tasks and unreadable entries, and list after a failed watch

A watch of the targets that raised an exception was repeated from the same position after each restart of its task, so that one event could keep a host from ever following the list. The targets are now listed anew after such a failure.

Failures of tasks are counted (task_failures) and so are unreadable entries, also those of a watch (unreadable_entries); their log line is written at most every 10 s.

Evidence: the two new tests of store_refresh failed on the code before (one list instead of two; no such bound). test_tasks additionally checks the metric.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
@@ -108,7 +108,8 @@
     def run(self) -> None:
         """Serves until SIGTERM or SIGINT, then drains requests and returns."""
         log = self._context.log
-        tasks.spawn(log, log.write_forever)
+        metrics = self._context.metrics
+        tasks.spawn(log, metrics, log.write_forever)
         log.change("process.started", domain=self._settings.domain)
         gevent.signal_handler(signal.SIGTERM, self._stop.set)
         gevent.signal_handler(signal.SIGINT, self._stop.set)
@@ -140,7 +141,7 @@
             self._watch_loop_gaps,
             self._watch_settings,
         ):
-            tasks.spawn(log, run)
+            tasks.spawn(log, metrics, run)
         self._listener.start()
         self._readiness.start()
         if self._metrics is not None:
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/store_refresh.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/store_refresh.py
@@ -36,6 +36,8 @@
 LIST_TIMEOUT_S = 0.9
 JITTER_FRACTION = 0.2
 MAX_LOGGED_ROUTES = 10
+# Least time between two log lines on unreadable entries.
+UNREADABLE_LOG_PERIOD_S = 10.0
 # Shortest outage that counts as an interruption. Entries expire after a few
 # missed heartbeats; a store that was unreachable for less has lost none.
 MIN_OUTAGE_S = 1.0
@@ -215,6 +217,7 @@
         self._position: int | None = None
         self._outage_since_s: float | None = None
         self._failing = False
+        self._unreadable_logged_at_s = float("-inf")
         self._backoff = RetryBackoff()
 
     def run_forever(self) -> None:
@@ -235,6 +238,10 @@
                 factor = self._context.rng.uniform(1 - JITTER_FRACTION, 1.0)
                 gevent.sleep(self._backoff.next_delay_s() * factor)
                 continue
+            except Exception:
+                # A watch from the same position would fail again.
+                self._position = None
+                raise
             self._backoff.reset()
             self._record_success(changes)
             pause_s = self._pause_s
@@ -257,10 +264,7 @@
             self._position = listing.position
             self._context.shared_targets.log.restart(listing.position)
             self._context.shared_targets.confirmed_at_s = sent_at_s
-            if listing.unreadable:
-                self._context.log.failure(
-                    "targets.unreadable", entries=listing.unreadable
-                )
+            self._record_unreadable(listing.unreadable)
             return changes
         reported = self._peers.fetch_target_changes(self._position)
         if reported is not None:
@@ -277,8 +281,19 @@
         sent_at_s = clock.suspend_aware_now_s()
         update = self._source.watch_targets(self._position, wait_s)
         self._context.metrics.store_calls.labels("targets", "ok").inc()
+        self._record_unreadable(update.unreadable)
         return self._apply(update, sent_at_s)
 
+    def _record_unreadable(self, entries: int) -> None:
+        """Counts unreadable entries; logs them if none were for a while."""
+        if not entries:
+            return
+        self._context.metrics.unreadable_entries.inc(entries)
+        now_s = clock.now_s()
+        if now_s - self._unreadable_logged_at_s >= UNREADABLE_LOG_PERIOD_S:
+            self._unreadable_logged_at_s = now_s
+            self._context.log.failure("targets.unreadable", entries=entries)
+
     def _confirmed_recently(self) -> bool:
         """Returns whether this host's targets are as recent as after a watch.
 
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/tasks.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/tasks.py
@@ -6,11 +6,16 @@
 import gevent
 
 from rattanpulleyd._internal.relay import decision_log
+from rattanpulleyd._internal.relay import relay_metrics
 
 RESTART_PAUSE_S = 0.5
 
 
-def spawn(log: decision_log.DecisionLog, run: Callable[[], None]) -> None:
+def spawn(
+    log: decision_log.DecisionLog,
+    metrics: relay_metrics.RelayMetrics,
+    run: Callable[[], None],
+) -> None:
     """Runs a task in its own greenlet and restarts it when it fails.
 
     Without the restart, a host whose refresh of some state had ended would keep
@@ -18,21 +23,26 @@
 
     Args:
         log: Log for failures.
+        metrics: Counts the failures.
         run: The task; it should not return.
     """
-    gevent.spawn(_run_with_restarts, log, run)
+    gevent.spawn(_run_with_restarts, log, metrics, run)
 
 
 def _run_with_restarts(
-    log: decision_log.DecisionLog, run: Callable[[], None]
+    log: decision_log.DecisionLog,
+    metrics: relay_metrics.RelayMetrics,
+    run: Callable[[], None],
 ) -> None:
+    name = getattr(run, "__qualname__", repr(run))
     while True:
         try:
             run()
         except Exception as error:  # noqa: BLE001 - whatever the fault is
+            metrics.task_failures.labels(name).inc()
             log.failure(
                 "task.failed",
-                task=getattr(run, "__qualname__", repr(run)),
+                task=name,
                 reason=repr(error),
                 where=traceback.format_exc(limit=-3),
             )
--- a/packages/daemon/tests/relay/test_store_refresh.py
+++ b/packages/daemon/tests/relay/test_store_refresh.py
@@ -1,5 +1,6 @@
 """Tests of how often the store is called."""
 
+import dataclasses
 import itertools
 import types
 
@@ -222,3 +223,55 @@
     with pytest.raises(EndOfTestError):
         refresh.run_forever()
     assert context.cached_config.age_s(fake_clock.now) < 2.0
+
+
+def test_watch_that_fails_is_followed_by_a_list(fake_clock):
+    # Guards against a task that fails at the same event after each restart.
+    context = relay_builders.make_context("a")
+    context.targets = serving.TargetRegistry()
+    context.loads = serving.LoadTable()
+    context.prober = types.SimpleNamespace(forget=lambda target_id: None)
+    source = Source(fake_clock)
+    refresh = store_refresh.TargetRefresh(
+        context, source, make_peers(lambda position: None), LEAVE_S
+    )
+    for _ in range(2):
+        with pytest.raises(EndOfTestError):
+            refresh.run_forever()
+    assert [name for name, _ in source.calls].count("list") == 2
+
+
+def test_unreadable_entries_are_counted_and_seldom_logged(
+    fake_clock, monkeypatch
+):
+    # Guards against a log that one odd entry fills.
+    context = relay_builders.make_context("a")
+    context.targets = serving.TargetRegistry()
+    lines = []
+    context.log = types.SimpleNamespace(
+        change=lambda *_arguments, **_fields: None,
+        failure=lambda name, **fields: lines.append((name, fields)),
+    )
+    source = Source(fake_clock)
+    watch_targets = source.watch_targets
+
+    def watch_odd(position, wait_s):
+        changes = watch_targets(position, wait_s)
+        return dataclasses.replace(changes, unreadable=3)
+
+    monkeypatch.setattr(source, "watch_targets", watch_odd)
+    refresh = store_refresh.TargetRefresh(
+        context, source, make_peers(lambda position: None), LEAVE_S
+    )
+    with pytest.raises(EndOfTestError):
+        refresh.run_forever()
+    took_s = source.calls[-1][1] - source.calls[0][1]
+    unreadable = [
+        fields for name, fields in lines if name == "targets.unreadable"
+    ]
+    most = 1 + took_s / store_refresh.UNREADABLE_LOG_PERIOD_S
+    assert 1 <= len(unreadable) <= most
+    assert unreadable[0] == {"entries": 3}
+    watches = [name for name, _ in source.calls].count("watch") - 1
+    counted = f"rattanpulley_unreadable_entries_total {3.0 * watches}"
+    assert counted.encode() in context.metrics.text()
--- a/packages/daemon/tests/relay/test_tasks.py
+++ b/packages/daemon/tests/relay/test_tasks.py
@@ -3,6 +3,7 @@
 import gevent
 from gevent import event
 
+from rattanpulleyd._internal.relay import relay_metrics
 from rattanpulleyd._internal.relay import tasks
 
 
@@ -30,8 +31,10 @@
         ran_again.set()
         gevent.sleep(60)
 
-    tasks.spawn(log, run)
+    metrics = relay_metrics.RelayMetrics()
+    tasks.spawn(log, metrics, run)
     assert ran_again.wait(10)
     ((name, fields),) = log.lines
     assert name == "task.failed"
     assert "a fault" in str(fields["reason"])
+    assert b"rattanpulley_task_failures_total{task=" in metrics.text()
