Split the messages of generations into requests, events and actions

Change: the classes move unchanged into requests.py, events.py and actions.py; the imports follow, the names of rattanpulley_core.generations stay. Context.pop_actions names its local list `collected`, since `actions` is now a module.

No change of behaviour.

--- a/packages/core/src/rattanpulley_core/_internal/generations/attempts.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/attempts.py
@@ -1,8 +1,8 @@
 """Start and end of attempts, and the per-target attempt counts."""
 
 from rattanpulley_core._internal.detection import estimator
+from rattanpulley_core._internal.generations import actions
 from rattanpulley_core._internal.generations import context
-from rattanpulley_core._internal.generations import messages
 from rattanpulley_core._internal.generations import rows
 from rattanpulley_core._internal.targets import rows as target_rows
 
@@ -24,7 +24,7 @@
     generation.state = _State.STARTING
     request = generation.request
     ctx.actions.append(
-        messages.StartAttempt(
+        actions.StartAttempt(
             generation_id=request.generation_id,
             attempt=attempt.number,
             target=target.name,
@@ -59,7 +59,7 @@
     _register_attempt(ctx, generation, attempt)
     generation.state = _State.ATTACHING
     ctx.actions.append(
-        messages.AttachAttempt(
+        actions.AttachAttempt(
             generation_id=generation.generation_id,
             attempt=attempt.number,
             target=target.name,
@@ -106,7 +106,7 @@
     attempt = generation.attempt
     assert attempt is not None
     ctx.actions.append(
-        messages.CancelAttempt(
+        actions.CancelAttempt(
             generation_id=generation.generation_id,
             attempt=attempt.number,
             target=attempt.target.name,
--- a/packages/core/src/rattanpulley_core/_internal/generations/callers.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/callers.py
@@ -3,9 +3,10 @@
 from rattanpulley_core import results
 from rattanpulley_core._internal.generations import context
 from rattanpulley_core._internal.generations import delivery
+from rattanpulley_core._internal.generations import events
 from rattanpulley_core._internal.generations import lifecycle
-from rattanpulley_core._internal.generations import messages
 from rattanpulley_core._internal.generations import placement
+from rattanpulley_core._internal.generations import requests
 from rattanpulley_core._internal.generations import rows
 from rattanpulley_core._internal.resume_token import signer as token_signer
 from rattanpulley_core._internal.targets import prefixes
@@ -16,7 +17,7 @@
 
 
 def on_connected(
-    ctx: context.Context, event: messages.CallerConnected, now_s: float
+    ctx: context.Context, event: events.CallerConnected, now_s: float
 ) -> None:
     """Handles a caller that requests an answer or resumes one.
 
@@ -43,7 +44,7 @@
 
 
 def on_disconnected(
-    ctx: context.Context, event: messages.CallerDisconnected, now_s: float
+    ctx: context.Context, event: events.CallerDisconnected, now_s: float
 ) -> None:
     """Handles the end of a caller's connection.
 
@@ -69,7 +70,7 @@
 
 def _refusal_code(
     ctx: context.Context,
-    event: messages.CallerConnected,
+    event: events.CallerConnected,
     generation: rows.Generation | None,
     now_s: float,
 ) -> results.ResultCode | None:
@@ -90,7 +91,7 @@
 
 
 def _resume_refusal_code(
-    ctx: context.Context, resume: messages.ResumePoint | None
+    ctx: context.Context, resume: requests.ResumePoint | None
 ) -> results.ResultCode | None:
     if resume is None:
         return None
@@ -103,7 +104,7 @@
 
 def _refuse(
     ctx: context.Context,
-    event: messages.CallerConnected,
+    event: events.CallerConnected,
     code: results.ResultCode,
 ) -> None:
     """Refuses a caller.
@@ -128,7 +129,7 @@
 
 def _is_superseded(
     ctx: context.Context,
-    event: messages.CallerConnected,
+    event: events.CallerConnected,
     generation: rows.Generation,
 ) -> bool:
     """Returns whether a generation without callers is out of date.
@@ -145,7 +146,7 @@
 
 
 def _admit(
-    ctx: context.Context, event: messages.CallerConnected, now_s: float
+    ctx: context.Context, event: events.CallerConnected, now_s: float
 ) -> None:
     request = event.request
     generation = rows.Generation(
@@ -166,7 +167,7 @@
 
 def _join_generation(
     ctx: context.Context,
-    event: messages.CallerConnected,
+    event: events.CallerConnected,
     generation: rows.Generation,
     now_s: float,
 ) -> None:
@@ -190,7 +191,7 @@
 
 
 def _restore_from_resume_point(
-    generation: rows.Generation, resume: messages.ResumePoint
+    generation: rows.Generation, resume: requests.ResumePoint
 ) -> None:
     """Initializes a generation that another daemon ran from a resume point."""
     generation.version = resume.version
@@ -202,7 +203,7 @@
 
 
 def _add_caller(
-    generation: rows.Generation, event: messages.CallerConnected
+    generation: rows.Generation, event: events.CallerConnected
 ) -> rows.Caller:
     """Adds a caller to a generation.
 
--- a/packages/core/src/rattanpulley_core/_internal/generations/context.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/context.py
@@ -4,7 +4,7 @@
 import random
 
 from rattanpulley_core._internal.budgets import buckets
-from rattanpulley_core._internal.generations import messages
+from rattanpulley_core._internal.generations import actions
 from rattanpulley_core._internal.generations import rows
 from rattanpulley_core._internal.resume_token import signer as token_signer
 from rattanpulley_core._internal.suspects import attribution
@@ -103,12 +103,12 @@
         # Attempts on lost targets. They are cancelled if the target turns out
         # to have been paused rather than dead.
         self.abandoned_attempts_by_target: dict[
-            str, list[messages.CancelAttempt]
+            str, list[actions.CancelAttempt]
         ] = {}
         # Outcomes of attempts whose connection was reset, by target, until a
         # probe shows whether the target crashed.
         self.pending_reset_outcomes_by_target: dict[
-            str, list[messages.AttemptOutcome]
+            str, list[actions.AttemptOutcome]
         ] = {}
         self.last_probe_id = 0
         self.retry_budget = buckets.RetryBudget()
@@ -116,11 +116,11 @@
             MIGRATIONS_PER_S, MIGRATIONS_BURST
         )
         self.counters = Counters()
-        self.actions: list[messages.Action] = []
+        self.actions: list[actions.Action] = []
         self.draining = False
 
-    def pop_actions(self) -> list[messages.Action]:
+    def pop_actions(self) -> list[actions.Action]:
         """Returns and clears the actions collected since the last call."""
-        actions = self.actions
+        collected = self.actions
         self.actions = []
-        return actions
+        return collected
--- a/packages/core/src/rattanpulley_core/_internal/generations/core.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/core.py
@@ -5,13 +5,14 @@
 import random
 from typing import Any
 
+from rattanpulley_core._internal.generations import actions
 from rattanpulley_core._internal.generations import callers
 from rattanpulley_core._internal.generations import checks
 from rattanpulley_core._internal.generations import context
 from rattanpulley_core._internal.generations import crashes
+from rattanpulley_core._internal.generations import events
 from rattanpulley_core._internal.generations import expiry
 from rattanpulley_core._internal.generations import failures
-from rattanpulley_core._internal.generations import messages
 from rattanpulley_core._internal.generations import migration
 from rattanpulley_core._internal.generations import placement
 from rattanpulley_core._internal.generations import probes
@@ -33,30 +34,30 @@
 # Handlers of attempt events by generation state. Events without an entry are
 # counted and ignored. States without a current attempt have no entries.
 _ATTEMPT_HANDLERS: dict[
-    tuple[_State, type[messages.AttemptEvent]], _AttemptHandler
+    tuple[_State, type[events.AttemptEvent]], _AttemptHandler
 ] = {
-    (_State.STARTING, messages.AttemptAccepted): streams.on_accepted,
-    (_State.STARTING, messages.TokensReceived): streams.on_tokens,
-    (_State.STARTING, messages.AttemptFinished): streams.on_finished,
-    (_State.STARTING, messages.AttemptFailed): failures.on_failed,
-    (_State.ATTACHING, messages.AttemptAccepted): streams.on_accepted,
-    (_State.ATTACHING, messages.TokensReceived): streams.on_tokens,
-    (_State.ATTACHING, messages.AttemptFinished): streams.on_finished,
-    (_State.ATTACHING, messages.AttemptFailed): failures.on_failed,
-    (_State.PREFILLING, messages.TokensReceived): streams.on_tokens,
-    (_State.PREFILLING, messages.AttemptFinished): streams.on_finished,
-    (_State.PREFILLING, messages.AttemptFailed): failures.on_failed,
-    (_State.STREAMING, messages.AttemptAccepted): streams.on_accepted_late,
-    (_State.STREAMING, messages.TokensReceived): streams.on_tokens,
-    (_State.STREAMING, messages.AttemptFinished): streams.on_finished,
-    (_State.STREAMING, messages.AttemptFailed): failures.on_failed,
+    (_State.STARTING, events.AttemptAccepted): streams.on_accepted,
+    (_State.STARTING, events.TokensReceived): streams.on_tokens,
+    (_State.STARTING, events.AttemptFinished): streams.on_finished,
+    (_State.STARTING, events.AttemptFailed): failures.on_failed,
+    (_State.ATTACHING, events.AttemptAccepted): streams.on_accepted,
+    (_State.ATTACHING, events.TokensReceived): streams.on_tokens,
+    (_State.ATTACHING, events.AttemptFinished): streams.on_finished,
+    (_State.ATTACHING, events.AttemptFailed): failures.on_failed,
+    (_State.PREFILLING, events.TokensReceived): streams.on_tokens,
+    (_State.PREFILLING, events.AttemptFinished): streams.on_finished,
+    (_State.PREFILLING, events.AttemptFailed): failures.on_failed,
+    (_State.STREAMING, events.AttemptAccepted): streams.on_accepted_late,
+    (_State.STREAMING, events.TokensReceived): streams.on_tokens,
+    (_State.STREAMING, events.AttemptFinished): streams.on_finished,
+    (_State.STREAMING, events.AttemptFailed): failures.on_failed,
 }
 
-_HANDLERS: dict[type[messages.Event], _Handler] = {
-    messages.CallerConnected: callers.on_connected,
-    messages.CallerDisconnected: callers.on_disconnected,
-    messages.ProbeSucceeded: probes.on_succeeded,
-    messages.ProbeFailed: probes.on_failed,
+_HANDLERS: dict[type[events.Event], _Handler] = {
+    events.CallerConnected: callers.on_connected,
+    events.CallerDisconnected: callers.on_disconnected,
+    events.ProbeSucceeded: probes.on_succeeded,
+    events.ProbeFailed: probes.on_failed,
 }
 
 
@@ -116,9 +117,7 @@
             for generation in self._ctx.generations_by_id.values()
         )
 
-    def handle(
-        self, event: messages.Event, now_s: float
-    ) -> list[messages.Action]:
+    def handle(self, event: events.Event, now_s: float) -> list[actions.Action]:
         """Handles an event.
 
         Args:
@@ -131,13 +130,13 @@
         ctx = self._ctx
         handler = _HANDLERS.get(type(event))
         if handler is None:
-            assert isinstance(event, messages.AttemptEvent)
+            assert isinstance(event, events.AttemptEvent)
             self._handle_attempt_event(event, now_s)
         else:
             handler(ctx, event, now_s)
         return ctx.pop_actions()
 
-    def tick(self, now_s: float) -> list[messages.Action]:
+    def tick(self, now_s: float) -> list[actions.Action]:
         """Runs timeouts and other periodic work; called every 50 ms.
 
         Args:
@@ -179,7 +178,7 @@
         )
 
     def _handle_attempt_event(
-        self, event: messages.AttemptEvent, now_s: float
+        self, event: events.AttemptEvent, now_s: float
     ) -> None:
         ctx = self._ctx
         generation = ctx.generations_by_id.get(event.generation_id)
--- a/packages/core/src/rattanpulley_core/_internal/generations/crashes.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/crashes.py
@@ -1,9 +1,9 @@
 """Publication of crash reports and handling of requests that crash targets."""
 
 from rattanpulley_core import results
+from rattanpulley_core._internal.generations import actions
 from rattanpulley_core._internal.generations import context
 from rattanpulley_core._internal.generations import lifecycle
-from rattanpulley_core._internal.generations import messages
 from rattanpulley_core._internal.generations import rows
 
 # A request that crashes targets does so at about the same token each time. One
@@ -17,7 +17,7 @@
     """Publishes due crash reports and ends generations of refused requests."""
     for report in ctx.ledger.resolve_due(now_s):
         ctx.actions.append(
-            messages.PublishCrashReport(
+            actions.PublishCrashReport(
                 report.fingerprint, report.target, report.boot_id, report.run
             )
         )
@@ -52,7 +52,7 @@
         if not _has_passed_crash_point(generation, attempt, crashed_tokens):
             continue
         if ctx.suspects.clear(fingerprint):
-            ctx.actions.append(messages.PublishClearance(fingerprint))
+            ctx.actions.append(actions.PublishClearance(fingerprint))
 
 
 def _has_passed_crash_point(
--- a/packages/core/src/rattanpulley_core/_internal/generations/delivery.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/delivery.py
@@ -1,8 +1,9 @@
 """Delivery of tokens, completions and failures to callers."""
 
 from rattanpulley_core import results
+from rattanpulley_core._internal.generations import actions
 from rattanpulley_core._internal.generations import context
-from rattanpulley_core._internal.generations import messages
+from rattanpulley_core._internal.generations import requests
 from rattanpulley_core._internal.generations import rows
 from rattanpulley_core._internal.resume_token import signer as token_signer
 
@@ -30,7 +31,7 @@
             has_unverified = True
             continue
         ctx.actions.append(
-            messages.DeliverTokens(
+            actions.DeliverTokens(
                 caller.caller_id,
                 generation.request.generation_id,
                 attempt.number,
@@ -67,7 +68,7 @@
 def matches_journal(
     ctx: context.Context,
     generation: rows.Generation,
-    resume: messages.ResumePoint,
+    resume: requests.ResumePoint,
 ) -> bool:
     """Returns whether the journal starts with the tokens the caller received.
 
@@ -105,7 +106,7 @@
         return
     assert generation.version is not None
     ctx.actions.append(
-        messages.DeliverTokens(
+        actions.DeliverTokens(
             caller.caller_id,
             generation.generation_id,
             max(1, generation.last_attempt),
@@ -151,7 +152,7 @@
         return
     generation.callers.remove(caller)
     ctx.actions.append(
-        messages.FinishAnswer(
+        actions.FinishAnswer(
             caller.caller_id,
             generation.generation_id,
             len(generation.journal),
@@ -198,7 +199,7 @@
     details = results.DETAILS_BY_CODE[code]
     ctx.counters.failed += 1
     ctx.actions.append(
-        messages.FailAnswer(
+        actions.FailAnswer(
             caller_id,
             generation_id,
             code,
--- a/packages/core/src/rattanpulley_core/_internal/generations/failures.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/failures.py
@@ -3,10 +3,11 @@
 from collections.abc import Callable
 
 from rattanpulley_core import results
+from rattanpulley_core._internal.generations import actions
 from rattanpulley_core._internal.generations import attempts
 from rattanpulley_core._internal.generations import context
+from rattanpulley_core._internal.generations import events
 from rattanpulley_core._internal.generations import lifecycle
-from rattanpulley_core._internal.generations import messages
 from rattanpulley_core._internal.generations import outcomes
 from rattanpulley_core._internal.generations import placement
 from rattanpulley_core._internal.generations import probes
@@ -23,14 +24,14 @@
 # Errors on this many targets are attributed to the request itself.
 MAX_ERRORED_ATTEMPTS = 3
 
-_Reason = messages.FailureReason
+_Reason = events.FailureReason
 
 
 def on_failed(
     ctx: context.Context,
     generation: rows.Generation,
     attempt: rows.Attempt,
-    event: messages.AttemptFailed,
+    event: events.AttemptFailed,
     now_s: float,
 ) -> None:
     """Handles an attempt that ended before the answer was complete."""
@@ -51,7 +52,7 @@
     generation.may_have_run = True
     generation.exclude(attempt.target.name, now_s + CORRUPT_EXCLUSION_S)
     attempt.target.consecutive_failures += 1
-    outcomes.report(ctx, generation, attempt, messages.AttemptResult.ERROR)
+    outcomes.report(ctx, generation, attempt, actions.AttemptResult.ERROR)
     attempts.cancel(ctx, generation)
     lifecycle.interrupt(ctx, generation, now_s)
     placement.place_all_queued(ctx, now_s)
@@ -61,7 +62,7 @@
     ctx: context.Context,
     generation: rows.Generation,
     attempt: rows.Attempt,
-    event: messages.AttemptFailed,
+    event: events.AttemptFailed,
     now_s: float,
 ) -> None:
     generation.exclude(attempt.target.name, now_s + FAILED_EXCLUSION_S)
@@ -73,7 +74,7 @@
     ctx: context.Context,
     generation: rows.Generation,
     attempt: rows.Attempt,
-    event: messages.AttemptFailed,
+    event: events.AttemptFailed,
     now_s: float,
 ) -> None:
     generation.exclude(attempt.target.name, now_s + REFUSED_EXCLUSION_S)
@@ -85,14 +86,14 @@
     ctx: context.Context,
     generation: rows.Generation,
     attempt: rows.Attempt,
-    event: messages.AttemptFailed,
+    event: events.AttemptFailed,
     now_s: float,
 ) -> None:
     """Retries on another target.
 
     After `MAX_ERRORED_ATTEMPTS` the target's error is passed to the callers.
     """
-    outcomes.report(ctx, generation, attempt, messages.AttemptResult.ERROR)
+    outcomes.report(ctx, generation, attempt, actions.AttemptResult.ERROR)
     generation.errored_attempts += 1
     if generation.errored_attempts >= MAX_ERRORED_ATTEMPTS:
         attempts.release(ctx, generation)
@@ -114,7 +115,7 @@
     ctx: context.Context,
     generation: rows.Generation,
     attempt: rows.Attempt,
-    event: messages.AttemptFailed,
+    event: events.AttemptFailed,
     now_s: float,
 ) -> None:
     attempts.release(ctx, generation)
@@ -127,7 +128,7 @@
     ctx: context.Context,
     generation: rows.Generation,
     attempt: rows.Attempt,
-    event: messages.AttemptFailed,
+    event: events.AttemptFailed,
     now_s: float,
 ) -> None:
     lifecycle.interrupt(ctx, generation, now_s)
@@ -137,7 +138,7 @@
     ctx: context.Context,
     generation: rows.Generation,
     attempt: rows.Attempt,
-    event: messages.AttemptFailed,
+    event: events.AttemptFailed,
     now_s: float,
 ) -> None:
     """Handles a target that already runs the generation for another daemon.
@@ -158,7 +159,7 @@
     ctx: context.Context,
     generation: rows.Generation,
     attempt: rows.Attempt,
-    event: messages.AttemptFailed,
+    event: events.AttemptFailed,
     now_s: float,
 ) -> None:
     target = attempt.target
@@ -180,7 +181,7 @@
     ctx: context.Context,
     generation: rows.Generation,
     attempt: rows.Attempt,
-    event: messages.AttemptFailed,
+    event: events.AttemptFailed,
     now_s: float,
 ) -> None:
     fail_corrupt_attempt(ctx, generation, attempt, now_s)
@@ -208,13 +209,13 @@
 )
 
 _FAILURE_HANDLERS: dict[
-    messages.FailureReason,
+    events.FailureReason,
     Callable[
         [
             context.Context,
             rows.Generation,
             rows.Attempt,
-            messages.AttemptFailed,
+            events.AttemptFailed,
             float,
         ],
         None,
--- a/packages/core/src/rattanpulley_core/_internal/generations/outcomes.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/outcomes.py
@@ -2,18 +2,18 @@
 
 import dataclasses
 
+from rattanpulley_core._internal.generations import actions
 from rattanpulley_core._internal.generations import context
-from rattanpulley_core._internal.generations import messages
 from rattanpulley_core._internal.generations import rows
 
-_Result = messages.AttemptResult
+_Result = actions.AttemptResult
 
 
 def report(
     ctx: context.Context,
     generation: rows.Generation,
     attempt: rows.Attempt,
-    result: messages.AttemptResult,
+    result: actions.AttemptResult,
 ) -> None:
     """Reports the outcome of an attempt unless it is a resume or an attach."""
     outcome = _outcome(generation, attempt, result)
@@ -61,13 +61,13 @@
 def _outcome(
     generation: rows.Generation,
     attempt: rows.Attempt,
-    result: messages.AttemptResult,
-) -> messages.AttemptOutcome | None:
+    result: actions.AttemptResult,
+) -> actions.AttemptOutcome | None:
     if attempt.is_resume or attempt.is_attach:
         return None
     request = generation.request
     target = attempt.target
-    return messages.AttemptOutcome(
+    return actions.AttemptOutcome(
         generation_id=request.generation_id,
         attempt=attempt.number,
         pool=request.pool,
--- a/packages/core/src/rattanpulley_core/_internal/generations/probes.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/probes.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Iterable
 
+from rattanpulley_core._internal.generations import actions
 from rattanpulley_core._internal.generations import attempts
 from rattanpulley_core._internal.generations import context
+from rattanpulley_core._internal.generations import events
 from rattanpulley_core._internal.generations import lifecycle
-from rattanpulley_core._internal.generations import messages
 from rattanpulley_core._internal.generations import outcomes
 from rattanpulley_core._internal.generations import placement
 from rattanpulley_core._internal.generations import rows
@@ -72,7 +73,7 @@
         ctx.last_probe_id, target, now_s, next_index_by_attempt
     )
     ctx.actions.append(
-        messages.ProbeTarget(
+        actions.ProbeTarget(
             target=target.name,
             url=target.url,
             probe_id=ctx.last_probe_id,
@@ -83,7 +84,7 @@
 
 
 def on_succeeded(
-    ctx: context.Context, event: messages.ProbeSucceeded, now_s: float
+    ctx: context.Context, event: events.ProbeSucceeded, now_s: float
 ) -> None:
     """Handles the response of a live target, which may have restarted."""
     pending = ctx.pending_probes_by_target.get(event.target)
@@ -121,7 +122,7 @@
 
 
 def on_failed(
-    ctx: context.Context, event: messages.ProbeFailed, now_s: float
+    ctx: context.Context, event: events.ProbeFailed, now_s: float
 ) -> None:
     """Handles a failed probe by marking the target as lost."""
     pending = ctx.pending_probes_by_target.get(event.target)
@@ -179,7 +180,7 @@
 def _generations_on_earlier_process(
     ctx: context.Context,
     pending: context.PendingProbe,
-    event: messages.ProbeSucceeded,
+    event: events.ProbeSucceeded,
 ) -> list[rows.Generation]:
     """Returns generations that ran on an earlier process of the target."""
     found: list[rows.Generation] = []
@@ -201,7 +202,7 @@
     target = attempt.target
     abandoned = ctx.abandoned_attempts_by_target.setdefault(target.name, [])
     abandoned.append(
-        messages.CancelAttempt(
+        actions.CancelAttempt(
             generation_id=generation.generation_id,
             attempt=attempt.number,
             target=target.name,
@@ -265,13 +266,13 @@
 def _report_crash(ctx: context.Context, generation: rows.Generation) -> None:
     attempt = generation.attempt
     assert attempt is not None
-    outcomes.report(ctx, generation, attempt, messages.AttemptResult.CRASH)
+    outcomes.report(ctx, generation, attempt, actions.AttemptResult.CRASH)
 
 
 def _resolve_stall(
     ctx: context.Context,
     pending: context.PendingProbe,
-    event: messages.ProbeSucceeded,
+    event: events.ProbeSucceeded,
     key: tuple[str, int],
     next_index: int,
     now_s: float,
@@ -309,7 +310,7 @@
     if attempt.idle_probes >= STUCK_AFTER_IDLE_PROBES and _may_migrate(
         ctx, generation, now_s
     ):
-        outcomes.report(ctx, generation, attempt, messages.AttemptResult.ERROR)
+        outcomes.report(ctx, generation, attempt, actions.AttemptResult.ERROR)
         generation.exclude(attempt.target.name, now_s + STUCK_EXCLUSION_S)
         _abandon_attempt(ctx, generation, now_s, keep_running=False)
         return
--- a/packages/core/src/rattanpulley_core/_internal/generations/rows.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/rows.py
@@ -6,7 +6,7 @@
 
 from rattanpulley_core._internal.detection import estimator
 from rattanpulley_core._internal.generations import journal as journals
-from rattanpulley_core._internal.generations import messages
+from rattanpulley_core._internal.generations import requests
 from rattanpulley_core._internal.targets import rows as target_rows
 
 # Time for a caller to reconnect after its connection was lost.
@@ -38,7 +38,7 @@
 
     caller_id: int
     deadline_s: float
-    resume: messages.ResumePoint | None
+    resume: requests.ResumePoint | None
 
 
 @dataclasses.dataclass(slots=True)
@@ -116,7 +116,7 @@
         errored_attempts: Number of attempts that a target ended with an error.
     """
 
-    request: messages.GenerationRequest
+    request: requests.GenerationRequest
     arrived_at_s: float
     deadline_s: float
     state: GenerationState = GenerationState.QUEUED
--- a/packages/core/src/rattanpulley_core/_internal/generations/streams.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/streams.py
@@ -1,14 +1,15 @@
 """Handlers for accepted attempts, tokens and completed answers."""
 
 from rattanpulley_core import results
+from rattanpulley_core._internal.generations import actions
 from rattanpulley_core._internal.generations import attempts
 from rattanpulley_core._internal.generations import checks
 from rattanpulley_core._internal.generations import context
 from rattanpulley_core._internal.generations import delivery
+from rattanpulley_core._internal.generations import events
 from rattanpulley_core._internal.generations import failures
 from rattanpulley_core._internal.generations import journal as journals
 from rattanpulley_core._internal.generations import lifecycle
-from rattanpulley_core._internal.generations import messages
 from rattanpulley_core._internal.generations import outcomes
 from rattanpulley_core._internal.generations import placement
 from rattanpulley_core._internal.generations import rows
@@ -20,7 +21,7 @@
     ctx: context.Context,
     generation: rows.Generation,
     attempt: rows.Attempt,
-    event: messages.AttemptAccepted,
+    event: events.AttemptAccepted,
     now_s: float,
 ) -> None:
     """Handles the acceptance of an attempt."""
@@ -36,7 +37,7 @@
     ctx: context.Context,
     generation: rows.Generation,
     attempt: rows.Attempt,
-    event: messages.AttemptAccepted,
+    event: events.AttemptAccepted,
     now_s: float,
 ) -> None:
     """Handles an acceptance that is reported after the first tokens."""
@@ -47,7 +48,7 @@
     ctx: context.Context,
     generation: rows.Generation,
     attempt: rows.Attempt,
-    event: messages.TokensReceived,
+    event: events.TokensReceived,
     now_s: float,
 ) -> None:
     """Handles tokens of the current attempt.
@@ -85,7 +86,7 @@
     ctx: context.Context,
     generation: rows.Generation,
     attempt: rows.Attempt,
-    event: messages.TokensReceived,
+    event: events.TokensReceived,
     now_s: float,
 ) -> tuple[str, ...]:
     """Returns the tokens of an event that follow the end of the journal.
@@ -115,7 +116,7 @@
     ctx: context.Context,
     generation: rows.Generation,
     attempt: rows.Attempt,
-    event: messages.AttemptFinished,
+    event: events.AttemptFinished,
     now_s: float,
 ) -> None:
     """Handles the target's report that the answer is complete."""
@@ -125,7 +126,7 @@
         failures.fail_corrupt_attempt(ctx, generation, attempt, now_s)
         return
     attempts.record_accepted(generation, attempt)
-    outcomes.report(ctx, generation, attempt, messages.AttemptResult.OK)
+    outcomes.report(ctx, generation, attempt, actions.AttemptResult.OK)
     attempts.release(ctx, generation)
     delivery.finish(ctx, generation, event.finish_reason, now_s)
     placement.place_all_queued(ctx, now_s)
--- a/packages/core/src/rattanpulley_core/generations.py
+++ b/packages/core/src/rattanpulley_core/generations.py
@@ -1,37 +1,39 @@
 """Public API for generations: events, actions and the generation core."""
 
+from rattanpulley_core._internal.generations import actions
 from rattanpulley_core._internal.generations import core
+from rattanpulley_core._internal.generations import events
 from rattanpulley_core._internal.generations import journal
-from rattanpulley_core._internal.generations import messages
+from rattanpulley_core._internal.generations import requests
 from rattanpulley_core._internal.generations import rows
 
-Sampling = messages.Sampling
-GenerationRequest = messages.GenerationRequest
-ResumePoint = messages.ResumePoint
-FailureReason = messages.FailureReason
+Sampling = requests.Sampling
+GenerationRequest = requests.GenerationRequest
+ResumePoint = requests.ResumePoint
+FailureReason = events.FailureReason
 
-Event = messages.Event
-CallerConnected = messages.CallerConnected
-CallerDisconnected = messages.CallerDisconnected
-AttemptAccepted = messages.AttemptAccepted
-TokensReceived = messages.TokensReceived
-AttemptFinished = messages.AttemptFinished
-AttemptFailed = messages.AttemptFailed
-ProbeSucceeded = messages.ProbeSucceeded
-ProbeFailed = messages.ProbeFailed
+Event = events.Event
+CallerConnected = events.CallerConnected
+CallerDisconnected = events.CallerDisconnected
+AttemptAccepted = events.AttemptAccepted
+TokensReceived = events.TokensReceived
+AttemptFinished = events.AttemptFinished
+AttemptFailed = events.AttemptFailed
+ProbeSucceeded = events.ProbeSucceeded
+ProbeFailed = events.ProbeFailed
 
-Action = messages.Action
-StartAttempt = messages.StartAttempt
-AttachAttempt = messages.AttachAttempt
-CancelAttempt = messages.CancelAttempt
-ProbeTarget = messages.ProbeTarget
-DeliverTokens = messages.DeliverTokens
-FinishAnswer = messages.FinishAnswer
-FailAnswer = messages.FailAnswer
-AttemptResult = messages.AttemptResult
-AttemptOutcome = messages.AttemptOutcome
-PublishCrashReport = messages.PublishCrashReport
-PublishClearance = messages.PublishClearance
+Action = actions.Action
+StartAttempt = actions.StartAttempt
+AttachAttempt = actions.AttachAttempt
+CancelAttempt = actions.CancelAttempt
+ProbeTarget = actions.ProbeTarget
+DeliverTokens = actions.DeliverTokens
+FinishAnswer = actions.FinishAnswer
+FailAnswer = actions.FailAnswer
+AttemptResult = actions.AttemptResult
+AttemptOutcome = actions.AttemptOutcome
+PublishCrashReport = actions.PublishCrashReport
+PublishClearance = actions.PublishClearance
 
 GenerationCore = core.GenerationCore
 CoreStatus = core.CoreStatus
--- a/packages/core/src/rattanpulley_core/interfaces.py
+++ b/packages/core/src/rattanpulley_core/interfaces.py
@@ -9,7 +9,8 @@
 import dataclasses
 from typing import Any
 
-from rattanpulley_core._internal.generations import messages
+from rattanpulley_core._internal.generations import actions
+from rattanpulley_core._internal.generations import events
 from rattanpulley_core._internal.peers import messages as peer_messages
 from rattanpulley_core._internal.targets import hosts
 from rattanpulley_core._internal.targets import loads
@@ -124,7 +125,7 @@
         """
 
 
-EventSink = Callable[[messages.Event], None]
+EventSink = Callable[[events.Event], None]
 LoadReport = loads.LoadReport
 LoadSink = Callable[[LoadReport | None], None]
 
@@ -148,19 +149,19 @@
     """Calls to an engine. No method blocks on the engine."""
 
     @abc.abstractmethod
-    def start(self, order: messages.StartAttempt, sink: EventSink) -> None:
+    def start(self, order: actions.StartAttempt, sink: EventSink) -> None:
         """Starts or resumes a generation and reports events to `sink`."""
 
     @abc.abstractmethod
-    def attach(self, order: messages.AttachAttempt, sink: EventSink) -> None:
+    def attach(self, order: actions.AttachAttempt, sink: EventSink) -> None:
         """Attaches to a generation that the engine still has."""
 
     @abc.abstractmethod
-    def cancel(self, order: messages.CancelAttempt) -> None:
+    def cancel(self, order: actions.CancelAttempt) -> None:
         """Cancels an attempt, closes its connection and counts errors."""
 
     @abc.abstractmethod
-    def probe(self, order: messages.ProbeTarget, sink: EventSink) -> None:
+    def probe(self, order: actions.ProbeTarget, sink: EventSink) -> None:
         """Checks on a new connection whether the target is alive."""
 
     def read_load(self, order: LoadRequest, sink: LoadSink) -> None:
@@ -176,15 +177,15 @@
     """Connection of one caller. No method blocks on the caller."""
 
     @abc.abstractmethod
-    def deliver(self, action: messages.DeliverTokens) -> None:
+    def deliver(self, action: actions.DeliverTokens) -> None:
         """Sends tokens to the caller."""
 
     @abc.abstractmethod
-    def finish(self, action: messages.FinishAnswer) -> None:
+    def finish(self, action: actions.FinishAnswer) -> None:
         """Ends the answer; no further call follows."""
 
     @abc.abstractmethod
-    def fail(self, action: messages.FailAnswer) -> None:
+    def fail(self, action: actions.FailAnswer) -> None:
         """Ends the answer with an error; no further call follows."""
 
 
