Split the claimed call by its phases

Change: call_progress.py holds the state of a call, claim_phase.py, service_phase.py and outcome_phase.py hold the handlers of their phase as functions, and calls.py keeps ClaimCall with the table of transitions. The names of rattanpulley_core.claims stay.

No change of behaviour.

--- a/packages/core/src/rattanpulley_core/claims.py
+++ b/packages/core/src/rattanpulley_core/claims.py
@@ -8,17 +8,21 @@
 """
 
 from rattanpulley_core._internal.claims import answers
+from rattanpulley_core._internal.claims import call_progress
 from rattanpulley_core._internal.claims import calls
+from rattanpulley_core._internal.claims import claim_phase
 from rattanpulley_core._internal.claims import driver
 from rattanpulley_core._internal.claims import lookup
 from rattanpulley_core._internal.claims import messages
+from rattanpulley_core._internal.claims import outcome_phase
 from rattanpulley_core._internal.claims import records
 from rattanpulley_core._internal.claims import retention
+from rattanpulley_core._internal.claims import service_phase
 from rattanpulley_core._internal.claims import settlement
 
 ClaimRequest = messages.ClaimRequest
 ClaimCall = calls.ClaimCall
-CallState = calls.CallState
+CallState = call_progress.CallState
 TRANSITIONS = calls.TRANSITIONS
 run = driver.run
 look_up_answer = lookup.look_up_answer
@@ -51,10 +55,10 @@
 to_json = records.to_json
 from_json = records.from_json
 
-CLAIM_ATTEMPTS = calls.CLAIM_ATTEMPTS
-READ_ATTEMPTS = calls.READ_ATTEMPTS
-OUTCOME_ATTEMPTS = calls.OUTCOME_ATTEMPTS
-START_WINDOW_FRACTION = calls.START_WINDOW_FRACTION
+CLAIM_ATTEMPTS = claim_phase.CLAIM_ATTEMPTS
+READ_ATTEMPTS = claim_phase.READ_ATTEMPTS
+OUTCOME_ATTEMPTS = outcome_phase.OUTCOME_ATTEMPTS
+START_WINDOW_FRACTION = service_phase.START_WINDOW_FRACTION
 SETTLE_MARGIN_S = settlement.SETTLE_MARGIN_S
 UnknownClaim = settlement.UnknownClaim
 SettlementError = settlement.SettlementError
