Join the lookup of handlers and the rule when a claimed call may run

Cause: three state machines of claims and leases looked up their handler with the same lines and error, and two modules held the rule by which a claim without an outcome counts as running. The rule must not differ between the answer to a caller and the list for operators.

The error message stays.

No change of behaviour.

--- a/packages/core/src/rattanpulley_core/_internal/claims/answers.py
+++ b/packages/core/src/rattanpulley_core/_internal/claims/answers.py
@@ -116,8 +116,7 @@
         return _replay(record.outcome)
     if record.state is records.ClaimState.SETTLED_RUN:
         return settled_run()
-    started = record.state is records.ClaimState.STARTED
-    if started and wall_s - record.wall_s <= record.max_call_s:
+    if record.may_be_running(wall_s):
         return _refusal(
             _ResultCode.IN_PROGRESS, "a call with this key is running"
         )
--- a/packages/core/src/rattanpulley_core/_internal/claims/calls.py
+++ b/packages/core/src/rattanpulley_core/_internal/claims/calls.py
@@ -6,6 +6,7 @@
 that is not listed for the state is a programming error of the caller.
 """
 
+from rattanpulley_core._internal import transitions
 from rattanpulley_core._internal.claims import answers
 from rattanpulley_core._internal.claims import call_progress
 from rattanpulley_core._internal.claims import claim_phase
@@ -101,9 +102,5 @@
         Raises:
             ValueError: The event does not occur in the current state.
         """
-        handler = TRANSITIONS.get((self.state, type(event)))
-        if handler is None:
-            raise ValueError(
-                f"{type(event).__name__} does not occur in {self.state.value}"
-            )
+        handler = transitions.find_handler(TRANSITIONS, self.state, event)
         return handler(self, event, now_s)
--- a/packages/core/src/rattanpulley_core/_internal/claims/records.py
+++ b/packages/core/src/rattanpulley_core/_internal/claims/records.py
@@ -116,6 +116,11 @@
     schema: int = SCHEMA
     extra: Mapping[str, Any] = dataclasses.field(default_factory=dict)
 
+    def may_be_running(self, wall_s: float) -> bool:
+        """Returns whether the call may still run at Unix `wall_s`."""
+        is_started = self.state is ClaimState.STARTED
+        return is_started and wall_s - self.wall_s <= self.max_call_s
+
 
 def claim_key(account: str, idempotency_key: str) -> str:
     """Returns the object key of an account's idempotency key."""
--- a/packages/core/src/rattanpulley_core/_internal/claims/settlement.py
+++ b/packages/core/src/rattanpulley_core/_internal/claims/settlement.py
@@ -77,8 +77,7 @@
         return UnknownClaim(stored.key, stored.version, None, float("inf"))
     if record.state not in _OPEN_STATES:
         return None
-    started = record.state is records.ClaimState.STARTED
-    if started and wall_s - record.wall_s <= record.max_call_s:
+    if record.may_be_running(wall_s):
         return None
     return UnknownClaim(
         stored.key, stored.version, record, settle_from_wall_s(record)
--- a/packages/core/src/rattanpulley_core/_internal/leases/groups.py
+++ b/packages/core/src/rattanpulley_core/_internal/leases/groups.py
@@ -16,6 +16,7 @@
 import enum
 from typing import Any
 
+from rattanpulley_core._internal import transitions
 from rattanpulley_core._internal.claims import messages
 
 SCHEMA = 1
@@ -216,11 +217,9 @@
             ValueError: The event does not occur in the current state.
         """
         del now_s
-        handler = TAKEOVER_TRANSITIONS.get((self.state, type(event)))
-        if handler is None:
-            raise ValueError(
-                f"{type(event).__name__} does not occur in {self.state.value}"
-            )
+        handler = transitions.find_handler(
+            TAKEOVER_TRANSITIONS, self.state, event
+        )
         return handler(self, event)
 
     def _read(self) -> list[messages.Action]:
--- a/packages/core/src/rattanpulley_core/_internal/leases/holder.py
+++ b/packages/core/src/rattanpulley_core/_internal/leases/holder.py
@@ -13,6 +13,7 @@
 import math
 from typing import Any
 
+from rattanpulley_core._internal import transitions
 from rattanpulley_core._internal.claims import messages
 
 SCHEMA = 1
@@ -122,11 +123,7 @@
         Raises:
             ValueError: The event does not occur in the current state.
         """
-        handler = TRANSITIONS.get((self.state, type(event)))
-        if handler is None:
-            raise ValueError(
-                f"{type(event).__name__} does not occur in {self.state.value}"
-            )
+        handler = transitions.find_handler(TRANSITIONS, self.state, event)
         return handler(self, event, now_s)
 
     def _read(self) -> list[messages.Action]:
