Build the error of an invalid stored table in one place

Cause: two commands of the command line built the same message and JSON value, and the file errors repeated the fields of a diagnostic.

Change: table_file.stored_table_error and _diagnostic_json; the table's name in the message comes from TableKind.key, which has the same text.

No change of output.

--- a/packages/cli/src/rattanpulley/_internal/commands/move_commands.py
+++ b/packages/cli/src/rattanpulley/_internal/commands/move_commands.py
@@ -10,6 +10,7 @@
 
 from rattanpulley import exceptions
 from rattanpulley._internal.commands import base
+from rattanpulley._internal.documents import table_file
 from rattanpulley._internal.moves import edits
 from rattanpulley._internal.moves import times
 from rattanpulley._internal.store import table_reader
@@ -47,7 +48,9 @@
                 tables.parse_pools(stored.value, stored.version)
             applied = self.writer().apply(self._change(stored))
         except tables.TableValidationError as error:
-            raise _pools_validation_error(error) from error
+            raise table_file.stored_table_error(
+                kind, error.diagnostics
+            ) from error
         return table_views.change_output(kind, applied)
 
     def _change(self, stored: table_reader.StoredTable) -> table_writer.Change:
@@ -129,21 +132,3 @@
     def edit(self, value: Any) -> dict[str, Any]:
         """Returns the pools table with the move taken back."""
         return edits.take_back(value, self.argument("pool"))
-
-
-def _pools_validation_error(
-    error: tables.TableValidationError,
-) -> exceptions.TableFaultsError:
-    return exceptions.TableFaultsError(
-        [f"tables/pools: {item}" for item in error.diagnostics],
-        {
-            "faults": [
-                {
-                    "path": item.path,
-                    "problem": item.problem,
-                    "hint": item.hint,
-                }
-                for item in error.diagnostics
-            ]
-        },
-    )
--- a/packages/cli/src/rattanpulley/_internal/documents/table_file.py
+++ b/packages/cli/src/rattanpulley/_internal/documents/table_file.py
@@ -62,9 +62,7 @@
         return {
             "file": self.file,
             "line": self.line,
-            "path": self.diagnostic.path,
-            "problem": self.diagnostic.problem,
-            "hint": self.diagnostic.hint,
+            **_diagnostic_json(self.diagnostic),
         }
 
 
@@ -78,6 +76,24 @@
     )
 
 
+def stored_table_error(
+    kind: tables.TableKind, diagnostics: Sequence[tables.Diagnostic]
+) -> exceptions.TableFaultsError:
+    """Returns the exception that reports the errors of a stored table."""
+    return exceptions.TableFaultsError(
+        [f"{kind.key}: {item}" for item in diagnostics],
+        {"faults": [_diagnostic_json(item) for item in diagnostics]},
+    )
+
+
+def _diagnostic_json(diagnostic: tables.Diagnostic) -> dict[str, Any]:
+    return {
+        "path": diagnostic.path,
+        "problem": diagnostic.problem,
+        "hint": diagnostic.hint,
+    }
+
+
 def load(kind: tables.TableKind, path: str) -> TableFile:
     """Reads a table file without validating the table.
 
--- a/packages/cli/src/rattanpulley/_internal/views/table_views.py
+++ b/packages/cli/src/rattanpulley/_internal/views/table_views.py
@@ -144,16 +144,6 @@
     """
     if file is not None and file.kind is tables.TableKind.ROUTES:
         return table_file.diagnostics_error(file.locate(error.diagnostics))
-    return exceptions.TableFaultsError(
-        [f"tables/routes: {item}" for item in error.diagnostics],
-        {
-            "faults": [
-                {
-                    "path": item.path,
-                    "problem": item.problem,
-                    "hint": item.hint,
-                }
-                for item in error.diagnostics
-            ]
-        },
+    return table_file.stored_table_error(
+        tables.TableKind.ROUTES, error.diagnostics
     )
