Name the crash attributor and the active tables for what they are

Change: `crash_attributor` and `active`; two doc comments say what is recorded and awaited instead of naming the ledger.

Only names differ.

--- a/packages/core/src/rattanpulley_core/_internal/generations/attempts.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/attempts.py
@@ -170,7 +170,7 @@
         started_at_s=now_s,
         first_index=len(generation.journal),
         estimator=estimator.IntervalEstimator(now_s),
-        suspect=ctx.ledger.is_suspect(fingerprint, now_s),
+        suspect=ctx.crash_attributor.is_suspect(fingerprint, now_s),
     )
 
 
--- a/packages/core/src/rattanpulley_core/_internal/generations/context.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/context.py
@@ -90,7 +90,7 @@
         self.signer = signer
         self.suspects = suspect_table
         self.rng = rng
-        self.ledger = attribution.CrashAttributor(suspect_table)
+        self.crash_attributor = attribution.CrashAttributor(suspect_table)
         self.generations_by_id: dict[str, rows.Generation] = {}
         # Generations that wait for a target, in the order they were queued.
         self.queued_by_id: dict[str, rows.Generation] = {}
--- a/packages/core/src/rattanpulley_core/_internal/generations/crashes.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/crashes.py
@@ -15,7 +15,7 @@
 
 def run(ctx: context.Context, now_s: float) -> None:
     """Publishes due crash reports and ends generations of refused requests."""
-    for report in ctx.ledger.resolve_due(now_s):
+    for report in ctx.crash_attributor.resolve_due(now_s):
         ctx.actions.append(
             actions.PublishCrashReport(
                 report.fingerprint, report.target, report.boot_id, report.run
--- a/packages/core/src/rattanpulley_core/_internal/generations/placement.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/placement.py
@@ -96,7 +96,7 @@
         _dequeue(ctx, generation)
         delivery.finish(ctx, generation, "length", now_s)
         return True
-    if ctx.ledger.must_wait(fingerprint, now_s):
+    if ctx.crash_attributor.must_wait(fingerprint, now_s):
         return False
     if generation.attach_target is not None and _attach(ctx, generation, now_s):
         return True
@@ -140,10 +140,11 @@
 ) -> bool:
     """Returns whether a generation may wait for a reason other than targets.
 
-    It waits for the retry budget or for the ledger to release its request.
+    It waits for the retry budget, or until it is decided whether its request
+    crashed a target.
     """
     fingerprint = generation.request.fingerprint
-    return generation.needs_retry_permit or ctx.ledger.must_wait(
+    return generation.needs_retry_permit or ctx.crash_attributor.must_wait(
         fingerprint, now_s
     )
 
@@ -254,7 +255,7 @@
         prefix_block_hashes=generation.prefix_block_hashes,
         excluded=excluded,
         is_resume=generation.is_resume,
-        suspect=ctx.ledger.is_suspect(request.fingerprint, now_s),
+        suspect=ctx.crash_attributor.is_suspect(request.fingerprint, now_s),
         prefix_tokens=len(generation.journal),
         prompt_tokens=len(request.prompt) // CHARS_PER_TOKEN,
         has_failed=generation.errored_attempts > 0,
--- a/packages/core/src/rattanpulley_core/_internal/generations/probes.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/probes.py
@@ -94,7 +94,7 @@
     del ctx.pending_probes_by_target[event.target]
     ctx.next_lost_probe_s.pop(event.target, None)
     target = pending.target
-    unconfirmed_boot_id = ctx.ledger.unconfirmed_boot_id(target.name)
+    unconfirmed_boot_id = ctx.crash_attributor.unconfirmed_boot_id(target.name)
     was_lost = target.state is target_rows.TargetState.LOST
     _cancel_abandoned_attempts(ctx, target, event.boot_id)
     target.boot_id = event.boot_id
@@ -102,14 +102,16 @@
     target.mark_alive(now_s)
     interrupted = _generations_on_earlier_process(ctx, pending, event)
     if unconfirmed_boot_id and unconfirmed_boot_id != event.boot_id:
-        ctx.ledger.record_loss(target.name, target.failure_domain, now_s)
+        ctx.crash_attributor.record_loss(
+            target.name, target.failure_domain, now_s
+        )
         _confirm_crash(ctx, target, interrupted, now_s)
         outcomes.report_resets(ctx, target.name, crashed=True)
     elif pending.needs_repeat:
         target.awaiting_probe = True
         send(ctx, target, (), now_s)
     else:
-        ctx.ledger.discard(target.name)
+        ctx.crash_attributor.discard(target.name)
         outcomes.report_resets(ctx, target.name, crashed=False)
     ctx.counters.target_restarts += bool(interrupted)
     for generation in interrupted:
@@ -164,7 +166,9 @@
     ctx.next_lost_probe_s[target.name] = now_s + LOST_PROBE_INTERVAL_S * jitter
     if target.state is not target_rows.TargetState.LOST:
         ctx.counters.targets_lost += 1
-        ctx.ledger.record_loss(target.name, target.failure_domain, now_s)
+        ctx.crash_attributor.record_loss(
+            target.name, target.failure_domain, now_s
+        )
     target.mark_lost()
     running = list(ctx.running_by_target.get(target.name, {}).values())
     _confirm_crash(ctx, target, running, now_s)
@@ -229,9 +233,9 @@
     attempt: rows.Attempt,
     now_s: float,
 ) -> None:
-    """Records in the crash ledger that an attempt's connection was reset."""
+    """Records that an attempt's connection was reset, perhaps by a crash."""
     target = attempt.target
-    ctx.ledger.record_reset(
+    ctx.crash_attributor.record_reset(
         target.name,
         target.failure_domain,
         attempt.boot_id or target.boot_id,
@@ -254,13 +258,15 @@
     The resets of one crash are reported individually, and the result of a probe
     may arrive before some of them.
     """
-    if not ctx.ledger.has_unconfirmed_crash(target.name):
+    if not ctx.crash_attributor.has_unconfirmed_crash(target.name):
         return
     for generation in running:
         attempt = generation.attempt
         if attempt is not None and attempt.accepted:
             record_reset(ctx, generation, attempt, now_s)
-    ctx.counters.crashes += ctx.ledger.confirm_crash(target.name, now_s)
+    ctx.counters.crashes += ctx.crash_attributor.confirm_crash(
+        target.name, now_s
+    )
 
 
 def _report_crash(ctx: context.Context, generation: rows.Generation) -> None:
--- a/packages/core/src/rattanpulley_core/_internal/tables/config_state.py
+++ b/packages/core/src/rattanpulley_core/_internal/tables/config_state.py
@@ -105,7 +105,7 @@
         self.counts: collections.Counter[tuple[TableKind, UpdateOutcome]] = (
             collections.Counter()
         )
-        self._in_force_by_kind: dict[TableKind, ActiveTable] = {}
+        self._active_by_kind: dict[TableKind, ActiveTable] = {}
 
     def update(
         self,
@@ -140,27 +140,27 @@
 
     def version(self, kind: TableKind) -> int:
         """Returns the version of the active table, or 0 if there is none."""
-        in_force = self._in_force_by_kind.get(kind)
-        return in_force.version if in_force else 0
+        active = self._active_by_kind.get(kind)
+        return active.version if active else 0
 
     def active_table(self, kind: TableKind) -> ActiveTable | None:
         """Returns the active table, or None before the first update."""
-        return self._in_force_by_kind.get(kind)
+        return self._active_by_kind.get(kind)
 
     @property
     def routes(self) -> rows.RouteTable:
         """The active routes; empty with version 0 before the first update."""
-        in_force = self._in_force_by_kind.get(TableKind.ROUTES)
-        if in_force and isinstance(in_force.table, rows.RouteTable):
-            return in_force.table
+        active = self._active_by_kind.get(TableKind.ROUTES)
+        if active and isinstance(active.table, rows.RouteTable):
+            return active.table
         return rows.RouteTable(0, {})
 
     @property
     def pools(self) -> rows.PoolTable:
         """The active pools; empty with version 0 before the first update."""
-        in_force = self._in_force_by_kind.get(TableKind.POOLS)
-        if in_force and isinstance(in_force.table, rows.PoolTable):
-            return in_force.table
+        active = self._active_by_kind.get(TableKind.POOLS)
+        if active and isinstance(active.table, rows.PoolTable):
+            return active.table
         return rows.PoolTable(0, {})
 
     def consistency_diagnostics(self) -> list[diagnostics.Diagnostic]:
@@ -170,12 +170,12 @@
     def _compare(
         self, kind: TableKind, version: int, value: Any
     ) -> UpdateOutcome:
-        in_force = self._in_force_by_kind.get(kind)
+        active = self._active_by_kind.get(kind)
         if version > self.version(kind):
             return UpdateOutcome.ACCEPTED
-        if in_force is None or version < in_force.version:
+        if active is None or version < active.version:
             return UpdateOutcome.OLDER
-        if canonical_text(value) == in_force.text:
+        if canonical_text(value) == active.text:
             return UpdateOutcome.SAME
         return UpdateOutcome.CONTENT_DIFFERS
 
@@ -191,7 +191,7 @@
             table = _PARSERS_BY_KIND[kind](value, version)
         except diagnostics.TableValidationError as error:
             return error.diagnostics
-        self._in_force_by_kind[kind] = ActiveTable(
+        self._active_by_kind[kind] = ActiveTable(
             version, canonical_text(value), table, source, now_s
         )
         return ()
