Separate the JSON form of move facts from their classes

Cause: moves/messages.py held 327 lines with two jobs: the classes of a move's events and facts, and the format that daemons send and store.

Change: the format moves unchanged into moves/fact_json.py; the names of rattanpulley_core.moves stay.

No change of behaviour or of the format.

--- a/packages/core/src/rattanpulley_core/_internal/moves/messages.py
+++ b/packages/core/src/rattanpulley_core/_internal/moves/messages.py
@@ -1,11 +1,10 @@
 """Typed events, actions and facts of version moves.
 
-Facts have a JSON form, in which peers forward them.
+`fact_json` has the JSON form of the facts, in which peers forward them.
 """
 
 import dataclasses
 import enum
-from typing import Any
 
 
 class Signal(enum.Enum):
@@ -210,118 +209,3 @@
 
 
 Action = PublishEvidence | PublishVerdict | PublishReport
-
-
-def verdict_to_json(verdict: Verdict) -> dict[str, Any]:
-    """Returns the JSON form that is stored and sent to peers."""
-    return dataclasses.asdict(verdict)
-
-
-def verdict_from_json(value: Any) -> Verdict:
-    """Returns the verdict of a JSON form; unknown fields are ignored.
-
-    Raises:
-        ValueError: The value is not a verdict.
-    """
-    try:
-        return Verdict(
-            pool=str(value["pool"]),
-            version=str(value["version"]),
-            move_id=str(value["move_id"]),
-            daemon=str(value["daemon"]),
-            wall_s=float(value["wall_s"]),
-            evidence=str(value["evidence"]),
-        )
-    except (KeyError, TypeError) as error:
-        raise ValueError(f"not a verdict: {error!r}") from error
-
-
-def report_to_json(report: DaemonReport) -> dict[str, Any]:
-    """Returns the JSON form of a report."""
-    return dataclasses.asdict(report)
-
-
-def report_from_json(value: Any) -> DaemonReport:
-    """Returns the report of a JSON form.
-
-    Raises:
-        ValueError: The value is not a report.
-    """
-    try:
-        return DaemonReport(
-            daemon=str(value["daemon"]),
-            pool=str(value["pool"]),
-            move_id=str(value["move_id"]),
-            share=float(value["share"]),
-            old_running=int(value["old_running"]),
-        )
-    except (KeyError, TypeError) as error:
-        raise ValueError(f"not a report: {error!r}") from error
-
-
-def batch_to_json(batch: EvidenceBatch) -> dict[str, Any]:
-    """Returns the JSON form of a batch.
-
-    An observation is a list without field names, because every daemon receives
-    the batches of all others within its bandwidth budget for control messages.
-    """
-    fields = {
-        field.name: getattr(batch, field.name)
-        for field in dataclasses.fields(batch)
-    }
-    fields["observations"] = [
-        _observation_row(observation) for observation in batch.observations
-    ]
-    return fields
-
-
-def batch_from_json(value: Any) -> EvidenceBatch:
-    """Returns the batch of a JSON form; unknown fields are ignored.
-
-    Raises:
-        ValueError: The value is not a batch.
-    """
-    try:
-        return EvidenceBatch(
-            daemon=str(value["daemon"]),
-            boot_id=str(value["boot_id"]),
-            seq=int(value["seq"]),
-            pool=str(value["pool"]),
-            move_id=str(value["move_id"]),
-            observations=tuple(
-                _observation(row) for row in value["observations"]
-            ),
-        )
-    except (IndexError, KeyError, TypeError) as error:
-        raise ValueError(f"not an evidence batch: {error!r}") from error
-
-
-def _observation_row(observation: Observation) -> list[Any]:
-    crash = observation.crash
-    return [
-        observation.signal.value,
-        observation.route,
-        float(f"{observation.share:.4g}"),
-        list(dataclasses.astuple(observation.counts)),
-        list(observation.bad_targets),
-        None if crash is None else list(dataclasses.astuple(crash)),
-    ]
-
-
-def _observation(row: Any) -> Observation:
-    signal, route, share, counts, bad_targets, crash = row[:6]
-    numbers = [int(number) for number in counts[:4]]
-    if min(numbers) < 0:
-        raise ValueError("not an evidence batch: a count is negative")
-    return Observation(
-        signal=Signal(signal),
-        route=str(route),
-        share=float(share),
-        counts=Counts(*numbers),
-        bad_targets=tuple(str(name) for name in bad_targets),
-        crash=None if crash is None else _crash(crash),
-    )
-
-
-def _crash(row: Any) -> CrashEvent:
-    return CrashEvent(str(row[0]), str(row[1]), bool(row[2]), float(row[3]))
--- a/packages/core/src/rattanpulley_core/moves.py
+++ b/packages/core/src/rattanpulley_core/moves.py
@@ -2,6 +2,7 @@
 
 from rattanpulley_core._internal.moves import controller
 from rattanpulley_core._internal.moves import evidence
+from rattanpulley_core._internal.moves import fact_json
 from rattanpulley_core._internal.moves import manager
 from rattanpulley_core._internal.moves import messages
 from rattanpulley_core._internal.moves import pacing
@@ -29,12 +30,12 @@
 PublishReport = messages.PublishReport
 
 VERDICT_PREFIX = messages.VERDICT_PREFIX
-verdict_to_json = messages.verdict_to_json
-verdict_from_json = messages.verdict_from_json
-batch_to_json = messages.batch_to_json
-batch_from_json = messages.batch_from_json
-report_to_json = messages.report_to_json
-report_from_json = messages.report_from_json
+verdict_to_json = fact_json.verdict_to_json
+verdict_from_json = fact_json.verdict_from_json
+batch_to_json = fact_json.batch_to_json
+batch_from_json = fact_json.batch_from_json
+report_to_json = fact_json.report_to_json
+report_from_json = fact_json.report_from_json
 
 FALSE_ALARM_RATE = evidence.FALSE_ALARM_RATE
 INITIAL_SHARE = pacing.INITIAL_SHARE
