Separate stalled streams and crashes from the probes of targets

Change: stall_resolution.py decides on a stalled stream whose target responds, crashes.py records resets and confirms crashes beside their reports, and lifecycle.py holds `abandon_attempt`, which both use. A parameter of the stall handler that nothing read is removed.

No change of behaviour.

--- a/packages/core/src/rattanpulley_core/_internal/generations/crashes.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/crashes.py
@@ -1,10 +1,13 @@
-"""Publication of crash reports and handling of requests that crash targets."""
+"""Record of crashes, their reports, and requests that crash targets."""
+
+from collections.abc import Iterable
 
 from rattanpulley_core import results
 from rattanpulley_core._internal.generations import actions
 from rattanpulley_core._internal.generations import context
 from rattanpulley_core._internal.generations import lifecycle
 from rattanpulley_core._internal.generations import rows
+from rattanpulley_core._internal.targets import rows as target_rows
 
 # A request that crashes targets does so at about the same token each time. One
 # that runs this many tokens past the crash point on another target was not the
@@ -13,6 +16,48 @@
 CLEARED_AFTER_TOKENS = 30
 
 
+def record_reset(
+    ctx: context.Context,
+    generation: rows.Generation,
+    attempt: rows.Attempt,
+    now_s: float,
+) -> None:
+    """Records that an attempt's connection was reset, perhaps by a crash."""
+    target = attempt.target
+    ctx.crash_attributor.record_reset(
+        target.name,
+        target.failure_domain,
+        attempt.boot_id or target.boot_id,
+        generation.request.fingerprint,
+        attempt.target_has_produced,
+        attempt.started_at_s,
+        len(generation.journal),
+        now_s,
+    )
+
+
+def confirm_crash(
+    ctx: context.Context,
+    target: target_rows.Target,
+    running: Iterable[rows.Generation],
+    now_s: float,
+) -> None:
+    """Attributes a crash to the attempts that were reset or still running.
+
+    The resets of one crash are reported individually, and the result of a probe
+    may arrive before some of them.
+    """
+    if not ctx.crash_attributor.has_unconfirmed_crash(target.name):
+        return
+    for generation in running:
+        attempt = generation.attempt
+        if attempt is not None and attempt.accepted:
+            record_reset(ctx, generation, attempt, now_s)
+    ctx.counters.crashes += ctx.crash_attributor.confirm_crash(
+        target.name, now_s
+    )
+
+
 def run(ctx: context.Context, now_s: float) -> None:
     """Publishes due crash reports and ends generations of refused requests."""
     for report in ctx.crash_attributor.resolve_due(now_s):
--- a/packages/core/src/rattanpulley_core/_internal/generations/failures.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/failures.py
@@ -6,6 +6,7 @@
 from rattanpulley_core._internal.generations import actions
 from rattanpulley_core._internal.generations import attempts
 from rattanpulley_core._internal.generations import context
+from rattanpulley_core._internal.generations import crashes
 from rattanpulley_core._internal.generations import events
 from rattanpulley_core._internal.generations import lifecycle
 from rattanpulley_core._internal.generations import outcomes
@@ -167,7 +168,7 @@
     target.consecutive_failures += 1
     # The start request was sent, so the generation may have run and crashed
     # the target, even if the target died before it responded.
-    probes.record_reset(ctx, generation, attempt, now_s)
+    crashes.record_reset(ctx, generation, attempt, now_s)
     placement.exclude_domain(
         ctx, generation, target, now_s + attribution.COMMON_CAUSE_WINDOW_S
     )
--- a/packages/core/src/rattanpulley_core/_internal/generations/lifecycle.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/lifecycle.py
@@ -42,6 +42,21 @@
     enqueue(ctx, generation, now_s)
 
 
+def abandon_attempt(
+    ctx: context.Context,
+    generation: rows.Generation,
+    now_s: float,
+    keep_running: bool,
+) -> None:
+    """Cancels an attempt whose progress on the target is unknown.
+
+    The generation is requeued.
+    """
+    generation.may_have_run = True
+    attempts.cancel(ctx, generation, keep_running)
+    interrupt(ctx, generation, now_s)
+
+
 def end(
     ctx: context.Context,
     generation: rows.Generation,
--- a/packages/core/src/rattanpulley_core/_internal/generations/probes.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/probes.py
@@ -3,13 +3,14 @@
 from collections.abc import Iterable
 
 from rattanpulley_core._internal.generations import actions
-from rattanpulley_core._internal.generations import attempts
 from rattanpulley_core._internal.generations import context
+from rattanpulley_core._internal.generations import crashes
 from rattanpulley_core._internal.generations import events
 from rattanpulley_core._internal.generations import lifecycle
 from rattanpulley_core._internal.generations import outcomes
 from rattanpulley_core._internal.generations import placement
 from rattanpulley_core._internal.generations import rows
+from rattanpulley_core._internal.generations import stall_resolution
 from rattanpulley_core._internal.targets import rows as target_rows
 
 PROBE_TIMEOUT_S = 0.25
@@ -18,14 +19,6 @@
 PROBE_REPORT_GRACE_S = 0.5
 # Interval at which lost targets are probed until they respond again.
 LOST_PROBE_INTERVAL_S = 0.5
-# The final event of an answer may be lost with its connection. Progress alone
-# does not show this, so the stream is reattached on every second idle probe.
-REATTACH_AFTER_IDLE_PROBES = 2
-# A stream moves to another target, if the retry budget allows, when its target
-# responds to probes but makes no progress for about 10 s: an engine can hang on
-# a single stream.
-STUCK_AFTER_IDLE_PROBES = 6
-STUCK_EXCLUSION_S = 30.0
 
 
 def probe_after_failure(
@@ -105,7 +98,7 @@
         ctx.crash_attributor.record_loss(
             target.name, target.failure_domain, now_s
         )
-        _confirm_crash(ctx, target, interrupted, now_s)
+        crashes.confirm_crash(ctx, target, interrupted, now_s)
         outcomes.report_resets(ctx, target.name, crashed=True)
     elif pending.needs_repeat:
         target.awaiting_probe = True
@@ -116,10 +109,10 @@
     ctx.counters.target_restarts += bool(interrupted)
     for generation in interrupted:
         _report_crash(ctx, generation)
-        _abandon_attempt(ctx, generation, now_s, keep_running=True)
+        lifecycle.abandon_attempt(ctx, generation, now_s, keep_running=True)
     if not was_lost:
         for key, next_index in pending.next_index_by_attempt.items():
-            _resolve_stall(ctx, pending, event, key, next_index, now_s)
+            stall_resolution.resolve(ctx, event, key, next_index, now_s)
     placement.place_all_queued(ctx, now_s)
 
 
@@ -171,13 +164,13 @@
         )
     target.mark_lost()
     running = list(ctx.running_by_target.get(target.name, {}).values())
-    _confirm_crash(ctx, target, running, now_s)
+    crashes.confirm_crash(ctx, target, running, now_s)
     outcomes.report_resets(ctx, target.name, crashed=True)
     for generation in running:
         _report_crash(ctx, generation)
         _record_abandoned_attempt(ctx, generation)
         # The target is unreachable, so it is not told to stop.
-        _abandon_attempt(ctx, generation, now_s, keep_running=True)
+        lifecycle.abandon_attempt(ctx, generation, now_s, keep_running=True)
     placement.place_all_queued(ctx, now_s)
 
 
@@ -227,146 +220,7 @@
         ctx.actions.extend(abandoned)
 
 
-def record_reset(
-    ctx: context.Context,
-    generation: rows.Generation,
-    attempt: rows.Attempt,
-    now_s: float,
-) -> None:
-    """Records that an attempt's connection was reset, perhaps by a crash."""
-    target = attempt.target
-    ctx.crash_attributor.record_reset(
-        target.name,
-        target.failure_domain,
-        attempt.boot_id or target.boot_id,
-        generation.request.fingerprint,
-        attempt.target_has_produced,
-        attempt.started_at_s,
-        len(generation.journal),
-        now_s,
-    )
-
-
-def _confirm_crash(
-    ctx: context.Context,
-    target: target_rows.Target,
-    running: Iterable[rows.Generation],
-    now_s: float,
-) -> None:
-    """Attributes a crash to the attempts that were reset or still running.
-
-    The resets of one crash are reported individually, and the result of a probe
-    may arrive before some of them.
-    """
-    if not ctx.crash_attributor.has_unconfirmed_crash(target.name):
-        return
-    for generation in running:
-        attempt = generation.attempt
-        if attempt is not None and attempt.accepted:
-            record_reset(ctx, generation, attempt, now_s)
-    ctx.counters.crashes += ctx.crash_attributor.confirm_crash(
-        target.name, now_s
-    )
-
-
 def _report_crash(ctx: context.Context, generation: rows.Generation) -> None:
     attempt = generation.attempt
     assert attempt is not None
     outcomes.report(ctx, generation, attempt, actions.AttemptResult.CRASH)
-
-
-def _resolve_stall(
-    ctx: context.Context,
-    pending: context.PendingProbe,
-    event: events.ProbeSucceeded,
-    key: tuple[str, int],
-    next_index: int,
-    now_s: float,
-) -> None:
-    """Handles a stalled stream whose target is alive.
-
-    Args:
-        ctx: Shared state.
-        pending: The probe.
-        event: The response to the probe.
-        key: Generation id and attempt number of the stream.
-        next_index: Journal length at the time of the probe.
-        now_s: Current monotonic time.
-    """
-    generation_id, number = key
-    generation = ctx.generations_by_id.get(generation_id)
-    if generation is None or generation.attempt is None:
-        return
-    attempt = generation.attempt
-    if attempt.number != number:
-        return
-    if len(generation.journal) > next_index:
-        attempt.target.record_false_alarm(now_s)
-        return
-    engine_index = event.next_index_by_generation_id.get(generation_id)
-    if engine_index is None:
-        _abandon_attempt(ctx, generation, now_s, keep_running=False)
-        return
-    is_finished = generation_id in event.finished_generation_ids
-    if engine_index > next_index or is_finished:
-        _reattach(ctx, generation, now_s)
-        return
-    attempt.idle_probes += 1
-    attempt.target.record_false_alarm(now_s)
-    if attempt.idle_probes >= STUCK_AFTER_IDLE_PROBES and _may_migrate(
-        ctx, generation, now_s
-    ):
-        outcomes.report(ctx, generation, attempt, actions.AttemptResult.ERROR)
-        generation.exclude(attempt.target.name, now_s + STUCK_EXCLUSION_S)
-        _abandon_attempt(ctx, generation, now_s, keep_running=False)
-        return
-    attempt.estimator.back_off(now_s)
-    if attempt.idle_probes % REATTACH_AFTER_IDLE_PROBES == 0:
-        _reattach(ctx, generation, now_s)
-
-
-def _may_migrate(
-    ctx: context.Context, generation: rows.Generation, now_s: float
-) -> bool:
-    """Returns whether a stuck stream may move to another target.
-
-    Under general overload every stream is slow. The retry budget keeps the
-    moves from adding to the load.
-    """
-    attempt = generation.attempt
-    assert attempt is not None
-    excluded = generation.excluded(now_s) | {attempt.target.name}
-    query = placement.build_query(ctx, generation, now_s, excluded)
-    if ctx.chooser.choose(query, now_s) is None:
-        return False
-    return ctx.retry_budget.try_acquire_retry(now_s)
-
-
-def _reattach(
-    ctx: context.Context, generation: rows.Generation, now_s: float
-) -> None:
-    if generation.callers:
-        attempts.reattach(ctx, generation, now_s)
-        return
-    # Another daemon may be reading the generation on the target by now, so the
-    # target is not told to stop.
-    attempt = generation.attempt
-    assert attempt is not None
-    target = attempt.target.name
-    _abandon_attempt(ctx, generation, now_s, keep_running=True)
-    generation.attach_target = target
-
-
-def _abandon_attempt(
-    ctx: context.Context,
-    generation: rows.Generation,
-    now_s: float,
-    keep_running: bool,
-) -> None:
-    """Cancels an attempt whose progress on the target is unknown.
-
-    The generation is requeued.
-    """
-    generation.may_have_run = True
-    attempts.cancel(ctx, generation, keep_running)
-    lifecycle.interrupt(ctx, generation, now_s)
