Join repeated steps of two tests of core

Cause: two tests of outcomes held the same loop until the retry of a failed attempt, and the test of arbitrary JSON listed its keys a second time beside KNOWN_KEYS.

Change: retry_after_error, and KNOWN_KEYS in the strategy. The assertions, the examples and what the tests guard stay.

--- a/packages/core/tests/generations/test_outcomes.py
+++ b/packages/core/tests/generations/test_outcomes.py
@@ -62,6 +62,17 @@
     return core.handle(event, now_s)
 
 
+def retry_after_error(core, start):
+    """Fails an attempt with an error and returns its only retry."""
+    actions = fail_attempt(core, start, generations.FailureReason.ERRORED, 0.1)
+    for tick in range(1, 100):
+        if actions_of_type(actions, generations.StartAttempt):
+            break
+        actions = core.tick(0.1 + tick * TICK_S)
+    (retry,) = actions_of_type(actions, generations.StartAttempt)
+    return retry
+
+
 def receive_token(core, start, index, now_s):
     event = generations.TokensReceived(
         start.generation_id, start.attempt, index, ("t",), start.version
@@ -114,13 +125,7 @@
     core = make_core({"v1": 1.0, "v2": 1e-9})
     (start,) = actions_of_type(submit_request(core), generations.StartAttempt)
     assert start.version == "v1"
-    actions = fail_attempt(core, start, generations.FailureReason.ERRORED, 0.1)
-    for tick in range(1, 100):
-        if actions_of_type(actions, generations.StartAttempt):
-            break
-        actions = core.tick(0.1 + tick * TICK_S)
-    (retry,) = actions_of_type(actions, generations.StartAttempt)
-    assert retry.version == "v2"
+    assert retry_after_error(core, start).version == "v2"
 
 
 def test_error_at_full_share_is_retried_on_the_replaced_version():
@@ -130,13 +135,7 @@
     core._ctx.targets.set_retry_version("pool", "v2")
     (start,) = actions_of_type(submit_request(core), generations.StartAttempt)
     assert start.version == "v1"
-    actions = fail_attempt(core, start, generations.FailureReason.ERRORED, 0.1)
-    for tick in range(1, 100):
-        if actions_of_type(actions, generations.StartAttempt):
-            break
-        actions = core.tick(0.1 + tick * TICK_S)
-    (retry,) = actions_of_type(actions, generations.StartAttempt)
-    assert retry.version == "v2"
+    assert retry_after_error(core, start).version == "v2"
 
 
 def test_refused_request_is_not_retried_on_the_replaced_version():
--- a/packages/core/tests/tables/test_parsers.py
+++ b/packages/core/tests/tables/test_parsers.py
@@ -191,18 +191,7 @@
     lambda inner: (
         st.lists(inner, max_size=3)
         | st.dictionaries(
-            st.sampled_from(
-                [
-                    "schema",
-                    "rows",
-                    "match",
-                    "kind",
-                    "versions",
-                    "targets",
-                    "move",
-                    "a",
-                ]
-            ),
+            st.sampled_from(KNOWN_KEYS),
             inner,
             max_size=4,
         )
