--- a/packages/core/src/rattanpulley_core/_internal/generations/failures.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/failures.py
@@ -8,6 +8,7 @@
 from rattanpulley_core._internal.generations import context
 from rattanpulley_core._internal.generations import crashes
 from rattanpulley_core._internal.generations import events
+from rattanpulley_core._internal.generations import exclusions
 from rattanpulley_core._internal.generations import lifecycle
 from rattanpulley_core._internal.generations import outcomes
 from rattanpulley_core._internal.generations import placement
@@ -104,7 +105,7 @@
         return
     generation.exclude(attempt.target.name, now_s + CORRUPT_EXCLUSION_S)
     if generation.version is None:
-        placement.exclude_version(
+        exclusions.exclude_version(
             ctx, generation, attempt.version, now_s + CORRUPT_EXCLUSION_S
         )
     generation.needs_retry_permit = True
@@ -169,7 +170,7 @@
     # The start request was sent, so the generation may have run and crashed
     # the target, even if the target died before it responded.
     crashes.record_reset(ctx, generation, attempt, now_s)
-    placement.exclude_domain(
+    exclusions.exclude_domain(
         ctx, generation, target, now_s + attribution.COMMON_CAUSE_WINDOW_S
     )
     outcomes.defer_reset(ctx, generation, attempt)
