Separate the exchange of tables from the peer runtime

Change: table_exchange.py holds it; MalformedTableError takes the place of the handler that counted malformed content in passing, and the peer runtime counts it as before.

No change of behaviour.

--- a/packages/daemon/src/rattanpulleyd/_internal/peers/peer_runtime.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/peers/peer_runtime.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Callable
 import dataclasses
-import hashlib
-import json
 import random
 from typing import Any
 import zlib
@@ -18,21 +16,14 @@
 from rattanpulley_core import suspects
 from rattanpulley_core import tables
 from rattanpulleyd._internal.peers import crash_report_codec
+from rattanpulleyd._internal.peers import table_exchange
 from rattanpulleyd._internal.peers import tcp_streams
 from rattanpulleyd._internal.settings import model
 
 TICK_INTERVAL_S = 0.25
-# Time to wait for the object API watch to deliver a table that peers announced,
-# before requesting it from a peer.
-STORE_GRACE_PERIOD_S = 1.0
-TABLE_SOURCE = "peer"
-# Limit of the object API for one value, which also bounds a table.
-MAX_TABLE_BYTES = 1_048_576
 # Time to write the last messages before the streams are closed.
 LEAVE_LINGER_S = 0.1
 
-TableUpdate = Callable[[tables.TableKind, int, Any, str], None]
-
 
 class PeerRuntime:
     """Owns the peer protocol of one daemon.
@@ -49,7 +40,7 @@
         rng: random.Random,
         config: tables.ConfigState,
         suspect_table: suspects.SuspectTable,
-        update_table: TableUpdate,
+        update_table: table_exchange.TableUpdate,
         account_limits: limits.AccountLimits,
     ) -> None:
         """Initializes the runtime; streams are accepted after `start`.
@@ -65,14 +56,17 @@
             account_limits: Receives the number of live daemons.
         """
         self._clock = clock
-        self._config = config
         self._suspects = suspect_table
-        self._update_table = update_table
         self._limits = account_limits
         self.on_move_fact: Callable[[peers.Fact], None] | None = None
         self.on_members: Callable[[set[str]], None] | None = None
         self.on_live_count: Callable[[int], None] | None = None
-        self._missing_since_s: dict[tables.TableKind, float] = {}
+        self._tables = table_exchange.TableExchange(
+            clock=clock,
+            config=config,
+            update_table=update_table,
+            feed=self.feed,
+        )
         listen = peer_settings.listen
         self.streams = tcp_streams.TcpPeerStreams(
             listen.host, listen.port, self.feed
@@ -106,7 +100,7 @@
         ] = {
             peers.FactKind.CRASH_REPORT: self._on_crash_report,
             peers.FactKind.CLEARANCE: self._on_clearance,
-            peers.FactKind.TABLE: self._on_table_version,
+            peers.FactKind.TABLE: self._tables.on_version,
             peers.FactKind.EVIDENCE: self._on_move_fact,
             peers.FactKind.VERDICT: self._on_move_fact,
             peers.FactKind.MOVE_REPORT: self._on_move_fact,
@@ -136,24 +130,11 @@
         """Runs one pass of the time-dependent work."""
         now_s = self._clock.monotonic_s()
         self._execute(self.core.tick(now_s))
-        self._request_missing_tables(now_s)
+        self._tables.request_missing(now_s)
 
     def announce_table(self, kind: tables.TableKind) -> None:
         """Announces the active table to the peers and serves it on request."""
-        active = self._config.active_table(kind)
-        if active is None:
-            return
-        self._missing_since_s.pop(kind, None)
-        text = active.text.encode()
-        version = active.version
-        content = zlib.compress(text)
-        digest = hashlib.blake2b(text, digest_size=16).digest()
-        self.feed(peers.TableAvailable(kind.value, version, content))
-        self.feed(
-            peers.FactPublished(
-                peers.FactKind.TABLE, kind.value, version, digest, None
-            )
-        )
+        self._tables.announce(kind)
 
     def publish_crash_report(
         self, report: generations.PublishCrashReport
@@ -238,31 +219,11 @@
         except (ValueError, zlib.error):
             self.core.state.counters.malformed_facts += 1
 
-    def _on_table_version(self, fact: peers.Fact) -> None:
-        kind = _KINDS_BY_NAME.get(fact.key)
-        if kind is not None and fact.version > self._config.version(kind):
-            now_s = self._clock.monotonic_s()
-            self._missing_since_s.setdefault(kind, now_s)
-
-    def _request_missing_tables(self, now_s: float) -> None:
-        """Requests tables that the object API watch did not deliver in time."""
-        for kind, since_s in list(self._missing_since_s.items()):
-            if now_s - since_s < STORE_GRACE_PERIOD_S:
-                continue
-            self._missing_since_s[kind] = now_s
-            version = self._config.version(kind)
-            self.feed(peers.TableWanted(kind.value, version))
-
     def _on_table(self, action: peers.TableReceived) -> None:
-        kind = _KINDS_BY_NAME.get(action.table)
-        if kind is None:
-            return
         try:
-            value = json.loads(_decompress(action.content))
-        except (ValueError, zlib.error):
+            self._tables.on_table(action)
+        except table_exchange.MalformedTableError:
             self.core.state.counters.malformed_tables += 1
-            return
-        self._update_table(kind, action.version, value, TABLE_SOURCE)
 
     def _expected_daemons(self) -> set[str]:
         """Returns all daemons that did not leave, including dead ones."""
@@ -289,20 +250,3 @@
             member.state.name.lower(),
             member.incarnation,
         )
-
-
-def _decompress(content: bytes) -> bytes:
-    """Returns the decompressed JSON text of a table.
-
-    Raises:
-        ValueError: The text exceeds `MAX_TABLE_BYTES`.
-        zlib.error: The content is not zlib data.
-    """
-    decompressor = zlib.decompressobj()
-    text = decompressor.decompress(content, MAX_TABLE_BYTES)
-    if decompressor.unconsumed_tail:
-        raise ValueError("the table is too large")
-    return text
-
-
-_KINDS_BY_NAME = {kind.value: kind for kind in tables.TableKind}
