Check in one place whether the result of a probe is outdated

Cause: the handlers of a successful and of a failed probe held the same lines.

Change: _pending_probe.

Result: 109 tests of generations in core, of the command line, and of golden, moves and operations of the daemon pass. No change of behaviour.

--- a/packages/core/src/rattanpulley_core/_internal/generations/probes.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/probes.py
@@ -80,9 +80,8 @@
     ctx: context.Context, event: events.ProbeSucceeded, now_s: float
 ) -> None:
     """Handles the response of a live target, which may have restarted."""
-    pending = ctx.pending_probes_by_target.get(event.target)
-    if pending is None or pending.probe_id != event.probe_id:
-        ctx.counters.stale_events += 1
+    pending = _pending_probe(ctx, event)
+    if pending is None:
         return
     del ctx.pending_probes_by_target[event.target]
     ctx.next_lost_probe_s.pop(event.target, None)
@@ -120,11 +119,21 @@
     ctx: context.Context, event: events.ProbeFailed, now_s: float
 ) -> None:
     """Handles a failed probe by marking the target as lost."""
+    pending = _pending_probe(ctx, event)
+    if pending is None:
+        return
+    _mark_target_lost(ctx, pending, now_s)
+
+
+def _pending_probe(
+    ctx: context.Context, event: events.ProbeSucceeded | events.ProbeFailed
+) -> context.PendingProbe | None:
+    """Returns the probe of a result, or None if the result is outdated."""
     pending = ctx.pending_probes_by_target.get(event.target)
     if pending is None or pending.probe_id != event.probe_id:
         ctx.counters.stale_events += 1
-        return
-    _mark_target_lost(ctx, pending, now_s)
+        return None
+    return pending
 
 
 def expire(ctx: context.Context, now_s: float) -> None:
