--- a/packages/cli/tests/conftest.py
+++ b/packages/cli/tests/conftest.py
@@ -34,11 +34,7 @@
 
     def put(self, key, value, expected_version):
         self._begin()
-        present = self.objects_by_key.get(key)
-        version = present.version if present else 0
-        if version != expected_version:
-            self._end()
-            raise interfaces.StoreConflictError(key, version)
+        version = self._checked_version(key, expected_version)
         self.revision += 1
         stored = interfaces.StoredObject(
             key, copy.deepcopy(value), version + 1, self.revision
@@ -50,14 +46,19 @@
 
     def delete(self, key, expected_version):
         self._begin()
+        self._checked_version(key, expected_version)
+        self.revision += 1
+        del self.objects_by_key[key]
+        self._end()
+
+    def _checked_version(self, key, expected_version):
+        """Returns the present version; it must be the expected one."""
         present = self.objects_by_key.get(key)
         version = present.version if present else 0
         if version != expected_version:
             self._end()
             raise interfaces.StoreConflictError(key, version)
-        self.revision += 1
-        del self.objects_by_key[key]
-        self._end()
+        return version
 
     def list_objects(self, prefix):
         self._begin()
--- a/packages/daemon/tests/processes/support.py
+++ b/packages/daemon/tests/processes/support.py
@@ -44,7 +44,16 @@
 
 def run_command(deployment: Any, *arguments: str) -> str:
     """Runs the command line and returns its output; it must succeed."""
-    completed = subprocess.run(
+    completed = try_command(deployment, "tester", *arguments)
+    assert completed.returncode == 0, completed.stdout + completed.stderr
+    return completed.stdout
+
+
+def try_command(
+    deployment: Any, operator: str, *arguments: str
+) -> subprocess.CompletedProcess[str]:
+    """Runs the command line and returns the process with any exit code."""
+    return subprocess.run(
         [sys.executable, "-m", "rattanpulley", *arguments],
         capture_output=True,
         text=True,
@@ -53,8 +62,6 @@
             **os.environ,
             "PYTHONPATH": os.pathsep.join(sys.path),
             "RATTANPULLEY_PLATFORM": deployment.platform_url,
-            "RATTANPULLEY_WHO": "tester",
+            "RATTANPULLEY_WHO": operator,
         },
     )
-    assert completed.returncode == 0, completed.stdout + completed.stderr
-    return completed.stdout
--- a/packages/daemon/tests/processes/test_chaos_operations.py
+++ b/packages/daemon/tests/processes/test_chaos_operations.py
@@ -3,11 +3,7 @@
 from collections.abc import Iterator
 import itertools
 import json
-import os
 import pathlib
-import subprocess
-import sys
-from typing import Any
 
 import chaos_callers
 import pytest
@@ -33,24 +29,6 @@
         yield running
 
 
-def _run_command(
-    deployment: launcher.Deployment, operator: str, *arguments: str
-) -> Any:
-    """Runs the command line and returns the process with any exit code."""
-    return subprocess.run(
-        [sys.executable, "-m", "rattanpulley", *arguments],
-        capture_output=True,
-        text=True,
-        check=False,
-        env={
-            **os.environ,
-            "PYTHONPATH": os.pathsep.join(sys.path),
-            "RATTANPULLEY_PLATFORM": deployment.platform_url,
-            "RATTANPULLEY_WHO": operator,
-        },
-    )
-
-
 def _apply_changes(
     deployment: launcher.Deployment,
     path: pathlib.Path,
@@ -60,14 +38,14 @@
     """Applies distinct values; returns each value with its exit code."""
     results = []
     for value_s in range(first_value_s, first_value_s + ROUNDS):
-        shown = _run_command(
+        shown = support.try_command(
             deployment, operator, "get", "routes", "-o", str(path), "--json"
         )
         table = json.loads(path.read_text())
         table["rows"]["stock"]["max_call_s"] = float(value_s)
         path.write_text(json.dumps(table))
         version = str(json.loads(shown.stdout)["version"])
-        applied = _run_command(
+        applied = support.try_command(
             deployment,
             operator,
             *("apply", "routes", str(path), "--at-version", version),
@@ -115,7 +93,7 @@
     )
     for earlier, later in itertools.pairwise(observed_versions):
         assert all(a <= b for a, b in zip(earlier, later, strict=True))
-    audit = _run_command(
+    audit = support.try_command(
         deployment, "ana", "audit", "--table", "routes", "--json"
     )
     applied_s = [
