Separate findings and tallies from the evidence of a move

Change: findings.py and tallies.py; Tally.observation computes the mean share.

No change of behaviour.

--- a/packages/core/src/rattanpulley_core/_internal/moves/evidence.py
+++ b/packages/core/src/rattanpulley_core/_internal/moves/evidence.py
@@ -1,14 +1,15 @@
 """Evidence of one daemon and its peers on one move."""
 
 from collections.abc import Iterator
-import dataclasses
 import math
 
 from rattanpulley_core._internal.moves import crashes
+from rattanpulley_core._internal.moves import findings
 from rattanpulley_core._internal.moves import latency
 from rattanpulley_core._internal.moves import messages
 from rattanpulley_core._internal.moves import sequential_test
 from rattanpulley_core._internal.moves import strata
+from rattanpulley_core._internal.moves import tallies
 from rattanpulley_core._internal.tables import rows
 
 # Probability that a move to a version that is no worse is ever taken back. It
@@ -16,92 +17,10 @@
 # together, and of daemons (Bonferroni correction), since each of them may give
 # a verdict.
 FALSE_ALARM_RATE = 0.005
-# Name of the test over all routes together, which needs fewer bad requests when
-# every route is affected. It is not a valid name of a route.
-ALL_ROUTES = "*"
 # Minimum of bad requests for a verdict, whatever the assumed rates are.
 MIN_BAD_REQUESTS = 3
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Finding:
-    """Strength of the evidence of one test against the new version.
-
-    Attributes:
-        signal: Signal that the test compares.
-        route: Name of the route, or `ALL_ROUTES`.
-        log_capital: Natural logarithm of the test's capital.
-        threshold: Value of `log_capital` from which the evidence is conclusive.
-        counts: Observations of the test.
-        is_conclusive: Whether the evidence is sufficient for a verdict.
-    """
-
-    signal: messages.Signal
-    route: str
-    log_capital: float
-    threshold: float
-    counts: messages.Counts
-    is_conclusive: bool
-
-    def describe(self) -> str:
-        """Returns a description for operators."""
-        c = self.counts
-        place = f"route {self.route}"
-        if self.route == ALL_ROUTES:
-            place = "all routes"
-        return (
-            f"{self.signal.value} on {place}: new version"
-            f" {c.new_bad} of {c.new_bad + c.new_ok}, old version"
-            f" {c.old_bad} of {c.old_bad + c.old_ok}; log evidence"
-            f" {self.log_capital:.1f}, threshold {self.threshold:.1f}"
-        )
-
-
-@dataclasses.dataclass(slots=True)
-class _Tally:
-    """Accumulated observations that are not yet applied or published."""
-
-    share_sum: float = 0.0
-    count: int = 0
-    new_ok: int = 0
-    new_bad: int = 0
-    old_ok: int = 0
-    old_bad: int = 0
-    bad_targets: set[str] = dataclasses.field(default_factory=set)
-
-    def add(self, share: float, is_new: bool, is_bad: bool) -> None:
-        """Adds one observation."""
-        self.share_sum += share
-        self.count += 1
-        self.new_ok += is_new and not is_bad
-        self.new_bad += is_new and is_bad
-        self.old_ok += not is_new and not is_bad
-        self.old_bad += not is_new and is_bad
-
-    def add_all(self, other: messages.Observation) -> None:
-        """Adds all requests of an observation."""
-        c = other.counts
-        count = c.new_ok + c.new_bad + c.old_ok + c.old_bad
-        self.share_sum += other.share * count
-        self.count += count
-        self.new_ok += c.new_ok
-        self.new_bad += c.new_bad
-        self.old_ok += c.old_ok
-        self.old_bad += c.old_bad
-        self.bad_targets.update(other.bad_targets)
-
-    def observation(
-        self, signal: messages.Signal, route: str, share: float
-    ) -> messages.Observation:
-        """Returns the accumulated requests as one observation."""
-        counts = messages.Counts(
-            self.new_ok, self.new_bad, self.old_ok, self.old_bad
-        )
-        return messages.Observation(
-            signal, route, share, counts, tuple(sorted(self.bad_targets))
-        )
-
-
 class MoveEvidence:
     """Collects observations and tests the new version against the old one.
 
@@ -121,7 +40,7 @@
         route_count: int,
         daemon_count: int,
     ) -> None:
-        self._strongest_finding: Finding | None = None
+        self._strongest_finding: findings.Finding | None = None
         self._is_stale = False
         self.new_requests = 0
         self.expected_requests = 0.0
@@ -137,8 +56,10 @@
             tuple[messages.Signal, str], sequential_test.SequentialTest
         ] = {}
         self._bad_targets: dict[tuple[messages.Signal, str], set[str]] = {}
-        self._pending: dict[tuple[messages.Signal, str, str], _Tally] = {}
-        self._unpublished: dict[tuple[messages.Signal, str], _Tally] = {}
+        self._pending: dict[
+            tuple[messages.Signal, str, str], tallies.Tally
+        ] = {}
+        self._unpublished: dict[tuple[messages.Signal, str], tallies.Tally] = {}
         self._unpublished_crashes: list[messages.Observation] = []
 
     def update_plan(
@@ -195,12 +116,11 @@
             test.invest_until(progress)
         pending, self._pending = self._pending, {}
         for (signal, route, _), tally in pending.items():
-            share = tally.share_sum / tally.count
-            observation = tally.observation(signal, route, share)
+            observation = tally.observation(signal, route)
             self._apply(observation)
-            self._unpublished.setdefault((signal, route), _Tally()).add_all(
-                observation
-            )
+            self._unpublished.setdefault(
+                (signal, route), tallies.Tally()
+            ).add_all(observation)
 
     def apply_peer(self, batch: messages.EvidenceBatch) -> None:
         """Applies a batch of a peer; the caller drops duplicate batches."""
@@ -211,15 +131,15 @@
 
     def pop_unpublished(self) -> tuple[messages.Observation, ...]:
         """Returns and removes the observations not yet published to peers."""
-        tallies, self._unpublished = self._unpublished, {}
+        unpublished, self._unpublished = self._unpublished, {}
         crash_rows, self._unpublished_crashes = self._unpublished_crashes, []
         merged = [
-            tally.observation(signal, route, tally.share_sum / tally.count)
-            for (signal, route), tally in tallies.items()
+            tally.observation(signal, route)
+            for (signal, route), tally in unpublished.items()
         ]
         return (*merged, *crash_rows)
 
-    def strongest_finding(self) -> Finding | None:
+    def strongest_finding(self) -> findings.Finding | None:
         """Returns the finding with the strongest evidence.
 
         None before any request is observed.
@@ -242,7 +162,7 @@
         is_bad: bool,
     ) -> None:
         key = (signal, ended.route, ended.failure_domain)
-        tally = self._pending.setdefault(key, _Tally())
+        tally = self._pending.setdefault(key, tallies.Tally())
         tally.add(share, is_new, is_bad)
         if is_new and is_bad:
             tally.bad_targets.add(ended.target)
@@ -297,7 +217,7 @@
         self._unpublished_crashes.append(observation)
 
     def _apply(self, observation: messages.Observation) -> None:
-        for route in (observation.route, ALL_ROUTES):
+        for route in (observation.route, findings.ALL_ROUTES):
             self._apply_to((observation.signal, route), observation)
         if observation.signal is messages.Signal.ERRORS:
             counts = observation.counts
@@ -319,7 +239,7 @@
         test.update(observation.counts, observation.share)
         self._bad_targets.setdefault(key, set()).update(observation.bad_targets)
 
-    def _finding(self, key: tuple[messages.Signal, str]) -> Finding:
+    def _finding(self, key: tuple[messages.Signal, str]) -> findings.Finding:
         test = self._tests[key]
         # A single bad target indicates a fault of that target, which the daemon
         # ejects.
@@ -329,7 +249,7 @@
             and test.counts.new_bad >= MIN_BAD_REQUESTS
             and len(self._bad_targets[key]) >= needed_targets
         )
-        return Finding(
+        return findings.Finding(
             key[0],
             key[1],
             test.log_capital,
--- a/packages/core/src/rattanpulley_core/_internal/moves/suspicion.py
+++ b/packages/core/src/rattanpulley_core/_internal/moves/suspicion.py
@@ -8,7 +8,7 @@
 
 import math
 
-from rattanpulley_core._internal.moves import evidence
+from rattanpulley_core._internal.moves import findings
 
 MAX_SUSPICION_SHARE = 0.5
 # Log evidence that starts a suspicion: odds of 20 to 1.
@@ -41,7 +41,7 @@
         self._since_s = 0.0
 
     def update(
-        self, finding: evidence.Finding | None, wall_s: float, span_s: float
+        self, finding: findings.Finding | None, wall_s: float, span_s: float
     ) -> None:
         """Updates the state from the strongest evidence.
 
