--- a/packages/core/src/rattanpulley_core/_internal/moves/controller.py
+++ b/packages/core/src/rattanpulley_core/_internal/moves/controller.py
@@ -2,11 +2,10 @@
 
 from collections.abc import Mapping
 import dataclasses
-import enum
-from typing import Any
 
 from rattanpulley_core._internal.moves import evidence
 from rattanpulley_core._internal.moves import messages
+from rattanpulley_core._internal.moves import move_status
 from rattanpulley_core._internal.moves import pacing
 from rattanpulley_core._internal.moves import suspicion
 from rattanpulley_core._internal.moves import verdicts
@@ -25,54 +24,7 @@
 # move at risk.
 _EXPECTED_BEFORE_RISK = 20.0
 
-
-class MoveState(enum.Enum):
-    """State of a move as one daemon sees it."""
-
-    PLANNED = "planned"
-    MOVING = "moving"
-    AT_RISK = "at_risk"
-    DONE = "done"
-    TAKEN_BACK = "taken_back"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class MoveStatus:
-    """Status of a move for operators.
-
-    Attributes:
-        pool: Name of the pool.
-        move_id: Id of the move.
-        from_version: Old version, which the move drains.
-        to_version: New version.
-        state: State of the move.
-        share: Share of new requests that this daemon sends to the new version,
-            0 to 1.
-        finish_by_s: Deadline of the move in Unix seconds.
-        reason: Why the move is in this state.
-        waiting_for: Daemons that have not reported the old version as drained,
-            including unresponsive daemons.
-    """
-
-    pool: str
-    move_id: str
-    from_version: str
-    to_version: str
-    state: MoveState
-    share: float
-    finish_by_s: float
-    reason: str
-    waiting_for: tuple[str, ...] = ()
-
-    def to_json(self) -> dict[str, Any]:
-        """Returns the JSON form for `GET /status`."""
-        fields = {
-            field.name: getattr(self, field.name)
-            for field in dataclasses.fields(self)
-        }
-        fields["state"] = self.state.value
-        fields["waiting_for"] = list(self.waiting_for)
-        return fields
+_State = move_status.MoveState
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -196,7 +148,9 @@
             self._share = self._next_share(elapsed_s, wall_s)
         return found
 
-    def status(self, daemons: frozenset[str], old_running: int) -> MoveStatus:
+    def status(
+        self, daemons: frozenset[str], old_running: int
+    ) -> move_status.MoveStatus:
         """Returns the status for operators.
 
         Args:
@@ -205,7 +159,7 @@
         """
         waiting = self._daemons_waited_for(daemons, old_running)
         state, reason = self._state(waiting)
-        return MoveStatus(
+        return move_status.MoveStatus(
             pool=self.parameters.pool.name,
             move_id=self.move.move_id,
             from_version=self.move.from_version,
@@ -310,18 +264,21 @@
             )
         )
 
-    def _state(self, waiting: tuple[str, ...]) -> tuple[MoveState, str]:
+    def _state(
+        self, waiting: tuple[str, ...]
+    ) -> tuple[move_status.MoveState, str]:
+        """Returns the state and its reason."""
         verdict = self.verdict
         if verdict is not None:
-            return MoveState.TAKEN_BACK, f"{verdict.daemon}: {verdict.evidence}"
+            return _State.TAKEN_BACK, f"{verdict.daemon}: {verdict.evidence}"
         if not waiting:
-            return MoveState.DONE, "the old version is empty on every daemon"
+            return _State.DONE, "the old version is empty on every daemon"
         if self._wall_s < self.move.start_at_s:
-            return MoveState.PLANNED, "the move has not started"
+            return _State.PLANNED, "the move has not started"
         risk = self._risk_reason(waiting)
         if risk:
-            return MoveState.AT_RISK, risk
-        return MoveState.MOVING, "paused" if self.move.paused else "on plan"
+            return _State.AT_RISK, risk
+        return _State.MOVING, "paused" if self.move.paused else "on plan"
 
     def _risk_reason(self, waiting: tuple[str, ...]) -> str:
         """Returns why the deadline may be missed, or an empty string."""
--- a/packages/core/src/rattanpulley_core/_internal/moves/manager.py
+++ b/packages/core/src/rattanpulley_core/_internal/moves/manager.py
@@ -4,6 +4,7 @@
 
 from rattanpulley_core._internal.moves import controller
 from rattanpulley_core._internal.moves import messages
+from rattanpulley_core._internal.moves import move_status
 from rattanpulley_core._internal.moves import verdicts
 from rattanpulley_core._internal.tables import rows
 
@@ -146,7 +147,7 @@
 
     def statuses(
         self, old_running_by_pool: Mapping[str, int]
-    ) -> list[controller.MoveStatus]:
+    ) -> list[move_status.MoveStatus]:
         """Returns the status of every move for operators."""
         return [
             move_controller.status(
--- a/packages/core/src/rattanpulley_core/moves.py
+++ b/packages/core/src/rattanpulley_core/moves.py
@@ -1,16 +1,16 @@
 """Public API for version moves."""
 
-from rattanpulley_core._internal.moves import controller
 from rattanpulley_core._internal.moves import evidence
 from rattanpulley_core._internal.moves import fact_json
 from rattanpulley_core._internal.moves import manager
 from rattanpulley_core._internal.moves import messages
+from rattanpulley_core._internal.moves import move_status
 from rattanpulley_core._internal.moves import pacing
 from rattanpulley_core._internal.moves import verdicts
 
 MoveManager = manager.MoveManager
-MoveState = controller.MoveState
-MoveStatus = controller.MoveStatus
+MoveState = move_status.MoveState
+MoveStatus = move_status.MoveStatus
 VerdictSet = verdicts.VerdictSet
 
 Signal = messages.Signal
