Separate changes and errors of tables from the table writer

Change: table_change.py holds the requested change, write_errors.py the errors of a conflict and of an unknown outcome; the messages stay. The test of the writer imports the change from its new module.

No change of output.

--- a/packages/cli/src/rattanpulley/_internal/commands/move_commands.py
+++ b/packages/cli/src/rattanpulley/_internal/commands/move_commands.py
@@ -13,8 +13,8 @@
 from rattanpulley._internal.documents import table_file
 from rattanpulley._internal.moves import edits
 from rattanpulley._internal.moves import times
+from rattanpulley._internal.store import table_change
 from rattanpulley._internal.store import table_reader
-from rattanpulley._internal.store import table_writer
 from rattanpulley._internal.views import table_views
 from rattanpulley._internal.views import text
 from rattanpulley_core import tables
@@ -53,8 +53,8 @@
             ) from error
         return table_views.change_output(kind, applied)
 
-    def _change(self, stored: table_reader.StoredTable) -> table_writer.Change:
-        return table_writer.Change(
+    def _change(self, stored: table_reader.StoredTable) -> table_change.Change:
+        return table_change.Change(
             kind=stored.kind,
             value=self.edit(stored.value),
             expected_version=stored.version,
--- a/packages/cli/src/rattanpulley/_internal/commands/table_commands.py
+++ b/packages/cli/src/rattanpulley/_internal/commands/table_commands.py
@@ -10,8 +10,8 @@
 from rattanpulley._internal.commands import base
 from rattanpulley._internal.documents import checks
 from rattanpulley._internal.documents import table_file
+from rattanpulley._internal.store import table_change
 from rattanpulley._internal.store import table_reader
-from rattanpulley._internal.store import table_writer
 from rattanpulley._internal.views import table_views
 from rattanpulley._internal.views import text
 from rattanpulley_core import tables
@@ -122,7 +122,7 @@
                 f"Run 'rattanpulley diff {file.kind.value} {file.path}' and"
                 " give the version it shows with --at-version",
             )
-        change = table_writer.Change(
+        change = table_change.Change(
             kind=file.kind,
             value=file.value,
             expected_version=base.parse_version(at_version),
--- a/packages/cli/src/rattanpulley/_internal/store/table_writer.py
+++ b/packages/cli/src/rattanpulley/_internal/store/table_writer.py
@@ -11,7 +11,9 @@
 from typing import Any
 
 from rattanpulley import exceptions
+from rattanpulley._internal.store import table_change
 from rattanpulley._internal.store import table_reader
+from rattanpulley._internal.store import write_errors
 from rattanpulley_core import interfaces
 from rattanpulley_core import tables
 
@@ -21,27 +23,6 @@
 RETRY_DELAY_S = 0.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Change:
-    """A change of a table requested by an operator.
-
-    Attributes:
-        kind: Kind of the table.
-        value: The new table.
-        expected_version: Version that the change is based on; 0 creates.
-        who: Name of the operator.
-        what: Command that makes the change.
-        reason: Text given by the operator; may be empty.
-    """
-
-    kind: tables.TableKind
-    value: Any
-    expected_version: int
-    who: str
-    what: str
-    reason: str
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ApplyResult:
     """Result of a change.
@@ -84,7 +65,7 @@
             have taken effect.
     """
 
-    change: Change
+    change: table_change.Change
     entry: tables.ChangeEntry
     latest_version: int
     last_read: table_reader.StoredTable
@@ -114,7 +95,7 @@
         self._new_id = new_id
         self._sleep = sleep
 
-    def apply(self, change: Change) -> ApplyResult:
+    def apply(self, change: table_change.Change) -> ApplyResult:
         """Applies a change if the stored version is the expected one.
 
         Raises:
@@ -125,7 +106,9 @@
         """
         stored = table_reader.read_table(self._store, change.kind)
         if stored.version != change.expected_version:
-            raise self._conflict_error(change, stored.version)
+            raise write_errors.conflict_error(
+                self._store, change, stored.version
+            )
         self._validate(change)
         differences = tables.diff_tables(stored.value, change.value)
         if not differences:
@@ -139,7 +122,7 @@
             version, entry.change_id, differences, write.has_lost_response
         )
 
-    def _validate(self, change: Change) -> None:
+    def _validate(self, change: table_change.Change) -> None:
         """Validates the new table and its consistency with the other one."""
         routes: tables.RouteTable | None
         pools: tables.PoolTable | None
@@ -175,7 +158,9 @@
         except tables.TableValidationError:
             return None
 
-    def _new_entry(self, change: Change, stored: Any) -> tables.ChangeEntry:
+    def _new_entry(
+        self, change: table_change.Change, stored: Any
+    ) -> tables.ChangeEntry:
         before, after = tables.changed_rows(stored, change.value)
         return tables.ChangeEntry(
             change_id=self._new_id(),
@@ -225,14 +210,16 @@
             if outcome is _WriteOutcome.APPLIED:
                 return version
             if outcome is _WriteOutcome.CONFLICT:
-                raise self._conflict_error(
-                    write.change, write.last_read.version
+                raise write_errors.conflict_error(
+                    self._store, write.change, write.last_read.version
                 )
         if not write.has_lost_response:
             # The store rejected every attempt, so the change did not take
             # effect, even if all reads were stale.
-            raise self._conflict_error(write.change, write.latest_version)
-        raise _outcome_unknown_error(write)
+            raise write_errors.conflict_error(
+                self._store, write.change, write.latest_version
+            )
+        raise write_errors.outcome_unknown_error(write.change, write.entry)
 
     def _read_back(self, write: _PendingWrite) -> tuple[_WriteOutcome, int]:
         """Returns the outcome of the write and the version it created, or 0."""
@@ -277,58 +264,3 @@
         write: _PendingWrite, entry: tables.ChangeEntry | None
     ) -> bool:
         return entry is not None and entry.change_id == write.entry.change_id
-
-    def _conflict_error(
-        self, change: Change, current_version: int
-    ) -> exceptions.ConflictError:
-        """Returns the error, with the newer changes and their authors."""
-        newer_rows = [
-            row
-            for row in self._audit_rows(change.kind)
-            if row.version > change.expected_version
-        ]
-        lines = [
-            f"the {change.kind.value} table has version {current_version}, not"
-            f" {change.expected_version}"
-        ]
-        lines.extend(_describe(row) for row in newer_rows)
-        details = {
-            "expected_version": change.expected_version,
-            "current_version": current_version,
-            "changes": [
-                {"version": row.version, **row.entry.to_json()}
-                for row in newer_rows
-            ],
-        }
-        hint = (
-            f"Nothing was written. Run 'rattanpulley diff {change.kind.value}"
-            " FILE' again and apply with the new version"
-        )
-        return exceptions.ConflictError("\n".join(lines), hint, details)
-
-    def _audit_rows(
-        self, kind: tables.TableKind
-    ) -> list[table_reader.AuditRow]:
-        try:
-            return table_reader.read_audit(self._store, [kind])
-        except exceptions.StoreUnavailableError:
-            # The conflict is certain; only the list of changes is missing.
-            return []
-
-
-def _describe(row: table_reader.AuditRow) -> str:
-    paths = ", ".join(change.path for change in row.entry.row_changes())
-    return f"version {row.version} by {row.entry.who}: {paths}"
-
-
-def _outcome_unknown_error(
-    write: _PendingWrite,
-) -> exceptions.OutcomeUnknownError:
-    table = write.change.kind.value
-    return exceptions.OutcomeUnknownError(
-        f"the object API did not confirm change {write.entry.change_id} of the"
-        f" {table} table",
-        "It may still take effect. Look for the change id with 'rattanpulley"
-        f" audit --table {table}' before you apply again",
-        {"change_id": write.entry.change_id, "table": table},
-    )
--- a/packages/cli/tests/store/test_table_writer.py
+++ b/packages/cli/tests/store/test_table_writer.py
@@ -8,6 +8,7 @@
 import pytest
 
 from rattanpulley import exceptions
+from rattanpulley._internal.store import table_change
 from rattanpulley._internal.store import table_reader
 from rattanpulley._internal.store import table_writer
 from rattanpulley_core import tables
@@ -33,7 +34,7 @@
         writer = table_writer.TableWriter(
             self.store, lambda: 1.8e9, lambda: next(self.ids), lambda _: None
         )
-        change = table_writer.Change(
+        change = table_change.Change(
             KIND, pools_value(weight), expected, who, "apply", ""
         )
         return writer.apply(change)
