Separate the engine and the baselines from the simulation of choosers

Cause: chooser_measure/simulation.py held 327 lines with three jobs.

Change: simulated_engine.py and baseline_choosers.py take the engine with its constants and the two choosers that serve as baselines.

No test covers this module.

--- a/packages/standins/src/rattanpulley_standins/_internal/chooser_measure/simulation.py
+++ b/packages/standins/src/rattanpulley_standins/_internal/chooser_measure/simulation.py
@@ -5,9 +5,7 @@
 for a while, and one fails and restarts with a cold cache.
 """
 
-import collections
 from collections.abc import Callable
-import hashlib
 import heapq
 import itertools
 import random
@@ -15,118 +13,28 @@
 
 from rattanpulley_core import tables
 from rattanpulley_core import targets
+from rattanpulley_standins._internal.chooser_measure import baseline_choosers
+from rattanpulley_standins._internal.chooser_measure import simulated_engine
 
 DURATION_S = 240.0
 REQUESTS_PER_S = 60.0
 DAEMON_COUNT = 8
-ENGINE_COUNT = 24
 DOMAIN_COUNT = 4
 GROUP_COUNT = 60
-PREFIX_TOKENS = 2000
-OWN_TOKENS = 200
-CACHED_GROUPS = 12
 MAX_RUNNING = 64
 REPORT_INTERVAL_S = 2.0
-# Name, start and end in seconds, latency factor.
-SLOW_ENGINE = ("e3", 60.0, 120.0, 5.0)
 # Name, start and end in seconds.
-REFUSING_ENGINE = ("e7", 100.0, 160.0)
 FAILED_ENGINE = ("e11", 150.0, 170.0)
 
 
-# Target, prefix group, answer length in tokens, arrival and dispatch times.
-_QueuedRequest = tuple[targets.Target, int, int, float, float]
-
-
-class RoundRobinChooser(targets.TargetChooser):
-    """Baseline: round robin over the eligible targets."""
-
-    def __init__(self, table: targets.TargetTable, rng: random.Random) -> None:
-        self._table = table
-        self._start = rng.randrange(ENGINE_COUNT)
-
-    def choose(self, query: targets.TargetQuery, now_s: float) -> str | None:
-        """Returns the next eligible target."""
-        eligible = targets.eligible_targets(self._table, query)
-        if not eligible:
-            return None
-        self._start += 1
-        return eligible[self._start % len(eligible)].name
-
-
-class HashingChooser(targets.TargetChooser):
-    """Baseline: rendezvous hashing on the prefix, regardless of load."""
-
-    def __init__(self, table: targets.TargetTable, rng: random.Random) -> None:
-        self._table = table
-
-    def choose(self, query: targets.TargetQuery, now_s: float) -> str | None:
-        """Returns the eligible target with the largest hash."""
-        eligible = targets.eligible_targets(self._table, query)
-        if not eligible:
-            return None
-        key = str(query.prefix_block_hashes[-1])
-        return max(eligible, key=lambda target: self._weight(key, target)).name
-
-    def _weight(self, key: str, target: targets.Target) -> bytes:
-        return hashlib.blake2b((key + target.name).encode()).digest()
-
-
-class SimulatedEngine:
-    """Engine with serial prefills, a prefix cache and batched decoding."""
-
-    def __init__(self, name: str) -> None:
-        self.name = name
-        self.cache: collections.OrderedDict[int, bool] = (
-            collections.OrderedDict()
-        )
-        self.free_at_s = 0.0
-        self.running = 0
-        self.waiting: collections.deque[_QueuedRequest] = collections.deque()
-        self.uncached_tokens = 0
-
-    def is_refusing(self, now_s: float) -> bool:
-        """Returns whether the engine refuses all requests."""
-        return (
-            self.name == REFUSING_ENGINE[0]
-            and REFUSING_ENGINE[1] <= now_s < REFUSING_ENGINE[2]
-        )
-
-    def slowness(self, now_s: float) -> float:
-        """Returns the factor of the engine's latencies."""
-        is_slow = (
-            self.name == SLOW_ENGINE[0]
-            and SLOW_ENGINE[1] <= now_s < SLOW_ENGINE[2]
-        )
-        return SLOW_ENGINE[3] if is_slow else 1.0
-
-    def prefill(self, group: int, now_s: float) -> float:
-        """Starts a prefill and returns the time of its first token."""
-        tokens = OWN_TOKENS
-        if group not in self.cache:
-            tokens += PREFIX_TOKENS
-        self.cache[group] = True
-        self.cache.move_to_end(group)
-        if len(self.cache) > CACHED_GROUPS:
-            self.cache.popitem(last=False)
-        self.uncached_tokens += tokens
-        cost_s = (0.005 + 0.00005 * tokens) * self.slowness(now_s)
-        self.free_at_s = max(now_s, self.free_at_s) + cost_s
-        return self.free_at_s
-
-    def interval_s(self, now_s: float) -> float:
-        """Returns the time between tokens, which grows with the batch size."""
-        batch_factor = 1.0 + max(0, self.running - 32) / 32
-        return 0.03 * batch_factor * self.slowness(now_s)
-
-
 class Simulation:
     """One simulated run of a chooser class."""
 
     def __init__(self, chooser_class: Any, seed: int) -> None:
         self.rng = random.Random(seed)
         self.engines = {
-            f"e{i}": SimulatedEngine(f"e{i}") for i in range(ENGINE_COUNT)
+            f"e{i}": simulated_engine.SimulatedEngine(f"e{i}")
+            for i in range(simulated_engine.ENGINE_COUNT)
         }
         self.tables = [
             self._make_table(i % DOMAIN_COUNT) for i in range(DAEMON_COUNT)
@@ -221,7 +129,9 @@
         engine.waiting.append((target, group, length, arrived_s, now_s))
         self._admit_queued(now_s, engine)
 
-    def _admit_queued(self, now_s: float, engine: SimulatedEngine) -> None:
+    def _admit_queued(
+        self, now_s: float, engine: simulated_engine.SimulatedEngine
+    ) -> None:
         while engine.waiting and engine.running < MAX_RUNNING:
             target, group, length, arrived_s, sent_s = engine.waiting.popleft()
             engine.running += 1
@@ -240,7 +150,7 @@
     def _start_stream(
         self,
         now_s: float,
-        engine: SimulatedEngine,
+        engine: simulated_engine.SimulatedEngine,
         target: targets.Target,
         length: int,
         arrived_s: float,
@@ -254,7 +164,10 @@
         self._schedule(end_s, self._finish_stream, engine, target)
 
     def _finish_stream(
-        self, now_s: float, engine: SimulatedEngine, target: targets.Target
+        self,
+        now_s: float,
+        engine: simulated_engine.SimulatedEngine,
+        target: targets.Target,
     ) -> None:
         engine.running -= 1
         target.in_flight -= 1
@@ -308,14 +221,15 @@
             "model", f"{group} " * 2000
         ),
         excluded=excluded,
-        prompt_tokens=PREFIX_TOKENS + OWN_TOKENS,
+        prompt_tokens=simulated_engine.PREFIX_TOKENS
+        + simulated_engine.OWN_TOKENS,
     )
 
 
 CHOOSERS = (
-    RoundRobinChooser,
+    baseline_choosers.RoundRobinChooser,
     targets.LeastOutstandingChooser,
-    HashingChooser,
+    baseline_choosers.HashingChooser,
     targets.ExpectedCostChooser,
 )
 
