Join the output of two measurements and name the exit code of an interrupt

Cause: the commands of the resume and the chooser measurement wrote and printed their results with the same lines, and three commands held the number 130.

Change: result_file.write_and_print, which also creates the folder (only the resume measurement did), and interrupts.EXIT_INTERRUPTED.

--- a/packages/standins/src/rattanpulley_standins/_internal/chooser_measure/command.py
+++ b/packages/standins/src/rattanpulley_standins/_internal/chooser_measure/command.py
@@ -2,12 +2,13 @@
 
 import argparse
 import datetime
-import json
 import pathlib
 import sys
 from typing import Any
 
 from rattanpulley_core import targets
+from rattanpulley_standins._internal import interrupts
+from rattanpulley_standins._internal import result_file
 from rattanpulley_standins._internal.chooser_measure import choice_cost
 from rattanpulley_standins._internal.chooser_measure import prefix_load
 from rattanpulley_standins._internal.chooser_measure import simulation
@@ -34,10 +35,8 @@
     try:
         values = _measure(arguments)
     except KeyboardInterrupt:
-        sys.exit(130)
-    text = json.dumps(values, indent=2) + "\n"
-    arguments.output.write_text(text, "utf-8")
-    print(text, end="")
+        sys.exit(interrupts.EXIT_INTERRUPTED)
+    result_file.write_and_print(arguments.output, values)
 
 
 def _measure(arguments: argparse.Namespace) -> dict[str, Any]:
--- a/packages/standins/src/rattanpulley_standins/_internal/demo/command.py
+++ b/packages/standins/src/rattanpulley_standins/_internal/demo/command.py
@@ -22,7 +22,7 @@
             scenario = scenario_lib.Scenario(running, options.seed)
             scenario.run()
     except KeyboardInterrupt:
-        sys.exit(130)
+        sys.exit(interrupts.EXIT_INTERRUPTED)
     except deployment.DeploymentError as error:
         print(error, file=sys.stderr)
         sys.exit(1)
--- a/packages/standins/src/rattanpulley_standins/_internal/interrupts.py
+++ b/packages/standins/src/rattanpulley_standins/_internal/interrupts.py
@@ -4,6 +4,9 @@
 
 import gevent
 
+# Exit code after an interrupt: 128 and the number of SIGINT, as in shells.
+EXIT_INTERRUPTED = 130
+
 
 def interrupt_on_termination_signals() -> None:
     """Makes the first signal raise `KeyboardInterrupt` in this greenlet.
--- a/packages/standins/src/rattanpulley_standins/_internal/resume_measure/command.py
+++ b/packages/standins/src/rattanpulley_standins/_internal/resume_measure/command.py
@@ -2,7 +2,6 @@
 
 import argparse
 import datetime
-import json
 import pathlib
 import sys
 from typing import Any
@@ -10,6 +9,7 @@
 import gevent
 
 from rattanpulley_standins._internal import interrupts
+from rattanpulley_standins._internal import result_file
 from rattanpulley_standins._internal.injection import costs as costs_lib
 from rattanpulley_standins._internal.injection import injector as injector_lib
 from rattanpulley_standins._internal.launch import command
@@ -45,11 +45,8 @@
     try:
         values = _measure(arguments)
     except KeyboardInterrupt:
-        sys.exit(130)
-    arguments.output.parent.mkdir(parents=True, exist_ok=True)
-    text = json.dumps(values, indent=2) + "\n"
-    arguments.output.write_text(text, "utf-8")
-    print(text, end="")
+        sys.exit(interrupts.EXIT_INTERRUPTED)
+    result_file.write_and_print(arguments.output, values)
 
 
 def _measure(arguments: argparse.Namespace) -> dict[str, Any]:
