--- a/packages/cli/src/rattanpulley/_internal/commands/move_commands.py
+++ b/packages/cli/src/rattanpulley/_internal/commands/move_commands.py
@@ -10,10 +10,11 @@
 
 from rattanpulley import exceptions
 from rattanpulley._internal.commands import base
+from rattanpulley._internal.documents import table_file
 from rattanpulley._internal.moves import edits
 from rattanpulley._internal.moves import times
+from rattanpulley._internal.store import table_change
 from rattanpulley._internal.store import table_reader
-from rattanpulley._internal.store import table_writer
 from rattanpulley._internal.views import table_views
 from rattanpulley._internal.views import text
 from rattanpulley_core import tables
@@ -47,11 +48,13 @@
                 tables.parse_pools(stored.value, stored.version)
             applied = self.writer().apply(self._change(stored))
         except tables.TableValidationError as error:
-            raise _pools_validation_error(error) from error
+            raise table_file.stored_table_error(
+                kind, error.diagnostics
+            ) from error
         return table_views.change_output(kind, applied)
 
-    def _change(self, stored: table_reader.StoredTable) -> table_writer.Change:
-        return table_writer.Change(
+    def _change(self, stored: table_reader.StoredTable) -> table_change.Change:
+        return table_change.Change(
             kind=stored.kind,
             value=self.edit(stored.value),
             expected_version=stored.version,
@@ -129,21 +132,3 @@
     def edit(self, value: Any) -> dict[str, Any]:
         """Returns the pools table with the move taken back."""
         return edits.take_back(value, self.argument("pool"))
-
-
-def _pools_validation_error(
-    error: tables.TableValidationError,
-) -> exceptions.TableFaultsError:
-    return exceptions.TableFaultsError(
-        [f"tables/pools: {item}" for item in error.diagnostics],
-        {
-            "faults": [
-                {
-                    "path": item.path,
-                    "problem": item.problem,
-                    "hint": item.hint,
-                }
-                for item in error.diagnostics
-            ]
-        },
-    )
--- a/packages/core/src/rattanpulley_core/_internal/generations/failures.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/failures.py
@@ -3,10 +3,13 @@
 from collections.abc import Callable
 
 from rattanpulley_core import results
+from rattanpulley_core._internal.generations import actions
 from rattanpulley_core._internal.generations import attempts
 from rattanpulley_core._internal.generations import context
+from rattanpulley_core._internal.generations import crashes
+from rattanpulley_core._internal.generations import events
+from rattanpulley_core._internal.generations import exclusions
 from rattanpulley_core._internal.generations import lifecycle
-from rattanpulley_core._internal.generations import messages
 from rattanpulley_core._internal.generations import outcomes
 from rattanpulley_core._internal.generations import placement
 from rattanpulley_core._internal.generations import probes
@@ -23,14 +26,14 @@
 # Errors on this many targets are attributed to the request itself.
 MAX_ERRORED_ATTEMPTS = 3
 
-_Reason = messages.FailureReason
+_Reason = events.FailureReason
 
 
 def on_failed(
     ctx: context.Context,
     generation: rows.Generation,
     attempt: rows.Attempt,
-    event: messages.AttemptFailed,
+    event: events.AttemptFailed,
     now_s: float,
 ) -> None:
     """Handles an attempt that ended before the answer was complete."""
@@ -51,7 +54,7 @@
     generation.may_have_run = True
     generation.exclude(attempt.target.name, now_s + CORRUPT_EXCLUSION_S)
     attempt.target.consecutive_failures += 1
-    outcomes.report(ctx, generation, attempt, messages.AttemptResult.ERROR)
+    outcomes.report(ctx, generation, attempt, actions.AttemptResult.ERROR)
     attempts.cancel(ctx, generation)
     lifecycle.interrupt(ctx, generation, now_s)
     placement.place_all_queued(ctx, now_s)
@@ -61,7 +64,7 @@
     ctx: context.Context,
     generation: rows.Generation,
     attempt: rows.Attempt,
-    event: messages.AttemptFailed,
+    event: events.AttemptFailed,
     now_s: float,
 ) -> None:
     generation.exclude(attempt.target.name, now_s + FAILED_EXCLUSION_S)
@@ -73,7 +76,7 @@
     ctx: context.Context,
     generation: rows.Generation,
     attempt: rows.Attempt,
-    event: messages.AttemptFailed,
+    event: events.AttemptFailed,
     now_s: float,
 ) -> None:
     generation.exclude(attempt.target.name, now_s + REFUSED_EXCLUSION_S)
@@ -85,14 +88,14 @@
     ctx: context.Context,
     generation: rows.Generation,
     attempt: rows.Attempt,
-    event: messages.AttemptFailed,
+    event: events.AttemptFailed,
     now_s: float,
 ) -> None:
     """Retries on another target.
 
     After `MAX_ERRORED_ATTEMPTS` the target's error is passed to the callers.
     """
-    outcomes.report(ctx, generation, attempt, messages.AttemptResult.ERROR)
+    outcomes.report(ctx, generation, attempt, actions.AttemptResult.ERROR)
     generation.errored_attempts += 1
     if generation.errored_attempts >= MAX_ERRORED_ATTEMPTS:
         attempts.release(ctx, generation)
@@ -102,7 +105,7 @@
         return
     generation.exclude(attempt.target.name, now_s + CORRUPT_EXCLUSION_S)
     if generation.version is None:
-        placement.exclude_version(
+        exclusions.exclude_version(
             ctx, generation, attempt.version, now_s + CORRUPT_EXCLUSION_S
         )
     generation.needs_retry_permit = True
@@ -114,7 +117,7 @@
     ctx: context.Context,
     generation: rows.Generation,
     attempt: rows.Attempt,
-    event: messages.AttemptFailed,
+    event: events.AttemptFailed,
     now_s: float,
 ) -> None:
     attempts.release(ctx, generation)
@@ -127,7 +130,7 @@
     ctx: context.Context,
     generation: rows.Generation,
     attempt: rows.Attempt,
-    event: messages.AttemptFailed,
+    event: events.AttemptFailed,
     now_s: float,
 ) -> None:
     lifecycle.interrupt(ctx, generation, now_s)
@@ -137,7 +140,7 @@
     ctx: context.Context,
     generation: rows.Generation,
     attempt: rows.Attempt,
-    event: messages.AttemptFailed,
+    event: events.AttemptFailed,
     now_s: float,
 ) -> None:
     """Handles a target that already runs the generation for another daemon.
@@ -158,7 +161,7 @@
     ctx: context.Context,
     generation: rows.Generation,
     attempt: rows.Attempt,
-    event: messages.AttemptFailed,
+    event: events.AttemptFailed,
     now_s: float,
 ) -> None:
     target = attempt.target
@@ -166,8 +169,8 @@
     target.consecutive_failures += 1
     # The start request was sent, so the generation may have run and crashed
     # the target, even if the target died before it responded.
-    probes.record_reset(ctx, generation, attempt, now_s)
-    placement.exclude_domain(
+    crashes.record_reset(ctx, generation, attempt, now_s)
+    exclusions.exclude_domain(
         ctx, generation, target, now_s + attribution.COMMON_CAUSE_WINDOW_S
     )
     outcomes.defer_reset(ctx, generation, attempt)
@@ -180,7 +183,7 @@
     ctx: context.Context,
     generation: rows.Generation,
     attempt: rows.Attempt,
-    event: messages.AttemptFailed,
+    event: events.AttemptFailed,
     now_s: float,
 ) -> None:
     fail_corrupt_attempt(ctx, generation, attempt, now_s)
@@ -208,13 +211,13 @@
 )
 
 _FAILURE_HANDLERS: dict[
-    messages.FailureReason,
+    events.FailureReason,
     Callable[
         [
             context.Context,
             rows.Generation,
             rows.Attempt,
-            messages.AttemptFailed,
+            events.AttemptFailed,
             float,
         ],
         None,
--- a/packages/core/src/rattanpulley_core/_internal/generations/placement.py
+++ b/packages/core/src/rattanpulley_core/_internal/generations/placement.py
@@ -96,7 +96,7 @@
         _dequeue(ctx, generation)
         delivery.finish(ctx, generation, "length", now_s)
         return True
-    if ctx.ledger.must_wait(fingerprint, now_s):
+    if ctx.crash_attributor.must_wait(fingerprint, now_s):
         return False
     if generation.attach_target is not None and _attach(ctx, generation, now_s):
         return True
@@ -140,10 +140,11 @@
 ) -> bool:
     """Returns whether a generation may wait for a reason other than targets.
 
-    It waits for the retry budget or for the ledger to release its request.
+    It waits for the retry budget, or until it is decided whether its request
+    crashed a target.
     """
     fingerprint = generation.request.fingerprint
-    return generation.needs_retry_permit or ctx.ledger.must_wait(
+    return generation.needs_retry_permit or ctx.crash_attributor.must_wait(
         fingerprint, now_s
     )
 
@@ -254,85 +255,8 @@
         prefix_block_hashes=generation.prefix_block_hashes,
         excluded=excluded,
         is_resume=generation.is_resume,
-        suspect=ctx.ledger.is_suspect(request.fingerprint, now_s),
+        suspect=ctx.crash_attributor.is_suspect(request.fingerprint, now_s),
         prefix_tokens=len(generation.journal),
         prompt_tokens=len(request.prompt) // CHARS_PER_TOKEN,
         has_failed=generation.errored_attempts > 0,
     )
-
-
-def exclude_version(
-    ctx: context.Context,
-    generation: rows.Generation,
-    version: str,
-    until_s: float,
-) -> None:
-    """Excludes all targets of a version if another usable version is live.
-
-    After an error, a request could otherwise fail on every target of a bad
-    version before that version is rolled back. The version that a version move
-    replaces stays usable until the move's finish-by date, even if it gets no
-    new requests.
-
-    Args:
-        ctx: Shared state.
-        generation: The generation whose attempt failed.
-        version: The version of the failed attempt.
-        until_s: Monotonic time until which the targets are excluded.
-    """
-    pool = [
-        target
-        for target in ctx.targets.targets_by_name.values()
-        if target.pool == generation.request.pool
-    ]
-    weights = ctx.targets.version_weights(generation.request.pool)
-    live = target_rows.TargetState.LIVE
-    usable = {name for name, weight in weights.items() if weight > 0.0}
-    usable.add(ctx.targets.retry_version(generation.request.pool) or "")
-    has_other = any(
-        target.version != version
-        and target.state is live
-        and target.version in usable
-        for target in pool
-    )
-    if not has_other:
-        return
-    for target in pool:
-        if target.version == version:
-            generation.exclude(target.name, until_s)
-
-
-def exclude_domain(
-    ctx: context.Context,
-    generation: rows.Generation,
-    lost: target_rows.Target,
-    until_s: float,
-) -> None:
-    """Excludes a lost target's failure domain if another one is usable.
-
-    The targets of a domain are often lost together. A request that moves from
-    one to the next would be on each of them when it is lost, and be blamed for
-    it.
-
-    Args:
-        ctx: Shared state.
-        generation: The generation whose attempt was reset.
-        lost: The target of that attempt.
-        until_s: Monotonic time until which the targets are excluded.
-    """
-    pool = [
-        target
-        for target in ctx.targets.targets_by_name.values()
-        if target.pool == generation.request.pool
-        and generation.version in (None, target.version)
-    ]
-    live = target_rows.TargetState.LIVE
-    has_other = any(
-        target.failure_domain != lost.failure_domain and target.state is live
-        for target in pool
-    )
-    if not has_other:
-        return
-    for target in pool:
-        if target.failure_domain == lost.failure_domain:
-            generation.exclude(target.name, until_s)
