Show that crashes side by side let a part crash targets for too long

Callers saw: requests with a part that had crashed five targets were sent on later than contact_ms after the fifth crash, more often than the three times that the rule allows.

The drive sends prompts with the part at a fixed gap of 0.3 to 4 s, to 1, 2, 3, 8 and 87 hosts in turn or to several at once, with and without retries.

--- a/packages/core/tests/suspects/test_parts_fleet.py
+++ b/packages/core/tests/suspects/test_parts_fleet.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import itertools
 import random
 
 import exchanging_hosts
@@ -140,6 +141,13 @@
             if run.retries_left:
                 self.send(run.parts, run.host, run.retries_left - 1)
 
+    def has_passed(self, wait_s):
+        """Returns whether `wait_s` have passed since the crash that counts."""
+        crashes_s = self.cause_crashes_s
+        if len(crashes_s) < CRASHES:
+            return False
+        return self.now_s > crashes_s[CRASHES - 1] + wait_s
+
     def late_sends(self):
         after_s = self.cause_crashes_s[CRASHES - 1] + CONTACT_S
         return [sent_s for sent_s in self.cause_sent_s if sent_s > after_s]
@@ -174,6 +182,53 @@
         assert fleet.refused == 0
 
 
+# Domains, hosts in each of them, engines.
+SPREADS = {
+    "1-host": (1, 1, 12),
+    "2-hosts": (1, 2, 12),
+    "3-hosts": (3, 1, 12),
+    "8-hosts": (4, 2, 12),
+    "87-hosts": (4, 22, 57),
+}
+GAPS_S = (0.3, 0.5, 0.8, 1.2, 1.6, 2.0, 2.5, 3.0, 4.0)
+# Hosts that get a prompt at once, in place of one host after the other.
+MAX_HOSTS_AT_ONCE = 8
+OBSERVED_AFTER_CRASHES_S = 12.0
+
+
+def run_at_gap(fleet, gap_s, at_once, retries):
+    """Sends prompts with the part each `gap_s` until it must be stopped."""
+    next_send_s = 1.0
+    turn = 0
+    while not fleet.has_passed(OBSERVED_AFTER_CRASHES_S):
+        if fleet.now_s >= next_send_s:
+            next_send_s += gap_s
+            hosts = fleet.hosts[:MAX_HOSTS_AT_ONCE]
+            for host in hosts if at_once else [fleet.hosts[turn]]:
+                fleet.send((COMMON, CAUSE), host, retries)
+            turn = (turn + 1) % len(fleet.hosts)
+        fleet.arrive((COMMON,), 2.0)
+        fleet.arrive((f"rare {fleet.now_s:.0f}",), 1.0)
+        fleet.step()
+
+
+@pytest.mark.parametrize("at_once", [False, True], ids=["turns", "at-once"])
+@pytest.mark.parametrize("spread", SPREADS)
+def test_part_is_stopped_at_any_gap_of_its_crashes(spread, at_once):
+    # Guards against crashes of prompts side by side that count as one loss.
+    late = {}
+    refused = {}
+    gaps_s = GAPS_S[::4] if spread == "87-hosts" else GAPS_S
+    for gap_s, retries in itertools.product(gaps_s, (0, RETRIES)):
+        for seed in range(2):
+            fleet = Fleet(seed, *SPREADS[spread])
+            run_at_gap(fleet, gap_s, at_once, retries)
+            late[gap_s, retries, seed] = len(fleet.late_sends())
+            refused[gap_s, retries, seed] = fleet.refused
+    assert {k: n for k, n in late.items() if n > MAX_LATE_SENDS} == {}
+    assert {k: n for k, n in refused.items() if n} == {}
+
+
 def test_part_stays_stopped_while_all_hosts_restart():
     # Guards against the loss of what is refused when all hosts are killed.
     fleet = Fleet(1, *SIZES["8 hosts, 12 engines"])
