Refuse the narrower part when a wider one began at each of its crashes

Callers saw: sound prompts with a part that all prompts share were refused for 15 min, and the part that crashed targets was not.

Cause: a prompt with the shared part alone may begin at a target when it crashes. If it is recorded first, the shared part looks as if it had crashed the target without the other one. If that happens once, and both parts have the same crashes, the search for a narrower part required fewer crashes of it, and the name of the part decided.

Evidence: the new test of test_parts.py fails before.

Change: of two parts with the same crashes, one that was never without the other is narrower if the other was without it. The search keeps the parts that it has passed, so that it ends whatever the reports hold.

--- a/packages/core/src/rattanpulley_core/_internal/suspects/part_causes.py
+++ b/packages/core/src/rattanpulley_core/_internal/suspects/part_causes.py
@@ -95,16 +95,56 @@
 
         A part that all prompts share is at every loss of one that few have.
         """
-        for other in self._candidates:
-            rows = self._rows_by_part[other]
-            if (
-                rows.keys() < self._rows_by_part[part].keys()
-                and part in self._bundle(other)
-                and self._losses(other, explained) >= REFUSAL_LOSSES
-                and self._losses(part, explained | rows.keys()) < OWN_LOSSES
-            ):
-                return self._narrowed(other, explained)
-        return part
+        passed: set[str] = set()
+        while True:
+            passed.add(part)
+            narrower = self._narrower(part, passed, explained)
+            if narrower is None:
+                return part
+            part = narrower
+
+    def _narrower(
+        self,
+        part: str,
+        passed: AbstractSet[str],
+        explained: AbstractSet[crash_log.Crash],
+    ) -> str | None:
+        """Returns a narrower part that explains the losses, or None."""
+        return next(
+            (
+                other
+                for other in self._candidates - passed
+                if self._is_narrower(other, part)
+                and self._explains(other, part, explained)
+            ),
+            None,
+        )
+
+    def _is_narrower(self, other: str, part: str) -> bool:
+        """Returns whether `other` was never without `part`, but not vice versa.
+
+        Prompts with the wider part alone may have begun at the same crashes.
+        """
+        rows = self._rows_by_part[other].keys()
+        part_rows = self._rows_by_part[part].keys()
+        if part not in self._bundle(other):
+            return False
+        return rows < part_rows or (
+            rows == part_rows and other not in self._bundle(part)
+        )
+
+    def _explains(
+        self,
+        other: str,
+        part: str,
+        explained: AbstractSet[crash_log.Crash],
+    ) -> bool:
+        """Returns whether `other` leaves too few losses to the wider `part`."""
+        rows = self._rows_by_part[other].keys()
+        return (
+            self._losses(other, explained) >= REFUSAL_LOSSES
+            and self._losses(part, explained | rows) < OWN_LOSSES
+        )
 
     def _losses(
         self, part: str, explained: AbstractSet[crash_log.Crash]
--- a/packages/core/tests/suspects/test_parts.py
+++ b/packages/core/tests/suspects/test_parts.py
@@ -141,6 +141,16 @@
     assert not is_refused(known, (COMMON,), now_s)
 
 
+def test_part_is_told_from_a_wider_one_that_began_at_each_crash(known):
+    # Guards against refusing what all prompts share in place of the cause.
+    for number, target in enumerate("abcde"):
+        for parts in ((COMMON,), (COMMON, CAUSE)):
+            known.record_crash(parts, target, "boot", 1, 0.5, float(number))
+    now_s = 4.0 + SETTLED_S
+    assert is_refused(known, (COMMON, CAUSE), now_s)
+    assert not is_refused(known, (COMMON,), now_s)
+
+
 def test_prompts_beside_the_cause_are_not_refused(known):
     # Guards against what only began on the same targets.
     now_s = crash(known, (CAUSE,), "abcdef")
