Count crashes of prompts side by side that one part caused

Callers saw: requests with a part that had crashed five targets were sent on later than contact_ms after the fifth crash, more often than the three times that the rule allows.

Cause: all crashes within 0.3 s counted as one loss, since a failure domain that is lost takes its targets at once. Prompts with the part that run side by side end their targets as close together, at one host or several, so that the fifth loss came several crashes after the fifth crash.

Change: crashes of one instant count each, up to three, unless another target was lost with them on which no prompt with the part had just begun.

--- a/packages/core/src/rattanpulley_core/_internal/suspects/part_causes.py
+++ b/packages/core/src/rattanpulley_core/_internal/suspects/part_causes.py
@@ -5,7 +5,7 @@
 no answer that went on.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from collections.abc import Set as AbstractSet
 import dataclasses
 
@@ -16,9 +16,12 @@
 REFUSAL_LOSSES = 5
 # Losses without a narrower part that are evidence against the wider one.
 OWN_LOSSES = 3
-# Targets that are lost within this time count as one loss: a failure domain
-# takes all of them, whatever they run.
+# A failure domain that is lost takes its targets within this time, whatever
+# they run.
 SIMULTANEOUS_S = 0.3
+# Crashes of one instant that count at most, so that no single event that takes
+# many targets, such as the loss of a pool, refuses a part.
+MAX_INSTANT_LOSSES = 3
 
 RowsByCrash = Mapping[crash_log.Crash, crash_log.LogRow]
 
@@ -59,6 +62,7 @@
             for part, rows in rows_by_part.items()
             if len(rows) >= REFUSAL_LOSSES
         }
+        self._counter = LossCounter(rows_by_part)
         self._candidates = set(self._rows_by_part)
         self._settled_before_s = settled_before_s
 
@@ -150,11 +154,14 @@
         self, part: str, explained: AbstractSet[crash_log.Crash]
     ) -> int:
         """Returns the settled losses of a part, without explained ones."""
-        return count_losses(
-            row.run
-            for crash, row in self._rows_by_part[part].items()
-            if crash not in explained
-            and row.run.crashed_s <= self._settled_before_s
+        return self._counter.count(
+            part,
+            (
+                row.run
+                for crash, row in self._rows_by_part[part].items()
+                if crash not in explained
+                and row.run.crashed_s <= self._settled_before_s
+            ),
         )
 
     def _bundle(self, part: str) -> frozenset[str]:
@@ -174,20 +181,73 @@
         return Cause(part, self._bundle(part), expiries_s[-REFUSAL_LOSSES])
 
 
-def count_losses(runs: Iterable[reports.CrashedRun]) -> int:
-    """Returns the number of crashes; simultaneous ones count once.
+class LossCounter:
+    """Counts the losses that are evidence against a part.
+
+    Crashes of one instant count each, since prompts with the part run side by
+    side. They count once if something else took the targets: then one of them
+    had no answer to such a prompt that had just begun.
+    """
+
+    def __init__(self, rows_by_part: Mapping[str, RowsByCrash]) -> None:
+        """Creates a counter.
+
+        Args:
+            rows_by_part: All reports that count, by part and crash.
+        """
+        self._rows_by_part = rows_by_part
+        self._lost_s_by_crash: dict[crash_log.Crash, float] = {}
+        for rows in rows_by_part.values():
+            for crash, row in rows.items():
+                lost_s = self._lost_s_by_crash.get(crash, row.run.crashed_s)
+                lost_s = min(lost_s, row.run.crashed_s)
+                self._lost_s_by_crash[crash] = lost_s
+
+    def count(self, part: str, runs: Iterable[reports.CrashedRun]) -> int:
+        """Returns the number of losses.
+
+        Args:
+            part: The part.
+            runs: Runs of prompts with the part at its crashes.
+        """
+        return sum(
+            1
+            if self._has_other_cause(part, instant)
+            else min(len(instant), MAX_INSTANT_LOSSES)
+            for instant in _group_by_instant(runs)
+        )
+
+    def _has_other_cause(
+        self, part: str, instant: Sequence[reports.CrashedRun]
+    ) -> bool:
+        """Returns whether targets without the part were lost in an instant."""
+        if len(instant) == 1:
+            return False
+        crashes_of_part = self._rows_by_part[part].keys()
+        earliest_s = instant[0].crashed_s - SIMULTANEOUS_S
+        latest_s = instant[-1].crashed_s + SIMULTANEOUS_S
+        return any(
+            earliest_s <= lost_s <= latest_s and crash not in crashes_of_part
+            for crash, lost_s in self._lost_s_by_crash.items()
+        )
+
+
+def _group_by_instant(
+    runs: Iterable[reports.CrashedRun],
+) -> list[list[reports.CrashedRun]]:
+    """Returns the runs grouped by the instant of their crashes, in order.
 
     A prompt that was sent after a crash and crashed another target is no part
-    of the same loss, however soon.
+    of the same instant, however soon.
     """
-    losses = 0
-    last: reports.CrashedRun | None = None
+    instants: list[list[reports.CrashedRun]] = []
     for run in sorted(runs, key=lambda run: run.crashed_s):
+        first = instants[-1][0] if instants else None
         if (
-            last is None
-            or run.crashed_s >= last.crashed_s + SIMULTANEOUS_S
-            or run.may_follow(last)
+            first is None
+            or run.crashed_s >= first.crashed_s + SIMULTANEOUS_S
+            or run.may_follow(first)
         ):
-            losses += 1
-            last = run
-    return losses
+            instants.append([])
+        instants[-1].append(run)
+    return instants
--- a/packages/core/src/rattanpulley_core/_internal/suspects/parts.py
+++ b/packages/core/src/rattanpulley_core/_internal/suspects/parts.py
@@ -29,6 +29,14 @@
     return f"{pool}.{part}"
 
 
+def _loss_key(target: str, boot_id: str) -> str:
+    """Returns the fingerprint of a loss without its cause, which is no part.
+
+    Each loss has its own, so that none has enough crashes for a refusal.
+    """
+    return f"-.{target}.{boot_id}"
+
+
 class PartSuspects(known_crashes.KnownCrashes):
     """Parts of prompts that crash targets, as known to one entry host.
 
@@ -79,6 +87,20 @@
             key = (part, target, boot_id)
             self._record_own(key, run, now_s, tuple(parts))
 
+    def record_loss(self, target: str, boot_id: str, now_s: float) -> None:
+        """Records that a target crashed, whatever it was doing.
+
+        Targets that are lost together with those of a part, and had no answer
+        to a prompt with it, show that something else took them all.
+
+        Args:
+            target: Id of the target.
+            boot_id: Identifies the process that crashed.
+            now_s: Current time.
+        """
+        key = (_loss_key(target, boot_id), target, boot_id)
+        self._record_own(key, reports.CrashedRun(now_s, now_s, 0), now_s)
+
     def record_answer(
         self,
         parts: Iterable[str],
@@ -125,8 +147,9 @@
 
     def losses(self, part: str) -> int:
         """Returns the number of losses under a part, settled or not."""
-        rows = self.log.active(part).values()
-        return part_causes.count_losses(row.run for row in rows)
+        rows_by_part = dict(self.log.active_by_fingerprint())
+        runs = [row.run for row in rows_by_part.get(part, {}).values()]
+        return part_causes.LossCounter(rows_by_part).count(part, runs)
 
     def prompt_refused_for_s(
         self, parts: Collection[str], now_s: float
--- a/packages/core/tests/suspects/test_parts.py
+++ b/packages/core/tests/suspects/test_parts.py
@@ -58,6 +58,48 @@
     assert not is_refused(known, (CAUSE,), now_s)
 
 
+def crash_at_once(known, parts, targets, at_s):
+    """Records crashes within one instant of prompts that ran side by side."""
+    crash(known, parts, targets, at_s, period_s=0.02)
+
+
+def test_prompts_side_by_side_count_each(known):
+    # Guards against clients at two hosts whose crashes count half.
+    for number, targets in enumerate(("ab", "cd", "e")):
+        crash_at_once(known, (CAUSE,), targets, 3.0 * number)
+        # Losses of the same targets are no sign of another cause.
+        for target in targets:
+            known.record_loss(target, "boot", 3.0 * number)
+    assert not is_refused(known, (CAUSE,), 6.0)
+    assert is_refused(known, (CAUSE,), 6.0 + SETTLED_S)
+
+
+def test_losses_that_took_other_targets_count_once(known):
+    # Guards against blaming a part for domains that are lost one by one.
+    for number, (one, two, other) in enumerate(("abc", "def", "ghi", "jkl")):
+        at_s = 3.0 * number
+        crash_at_once(known, (CAUSE,), (one, two), at_s)
+        known.record_loss(other, "boot", at_s + 0.1)
+    now_s = 9.0 + SETTLED_S
+    assert known.losses(CAUSE) == 4
+    assert not is_refused(known, (CAUSE,), now_s)
+    now_s = crash(known, (CAUSE,), "m", now_s)
+    assert is_refused(known, (CAUSE,), now_s)
+
+
+def test_other_losses_of_a_target_are_known_to_other_hosts(known):
+    # Guards against a host that blames a part for what another host saw.
+    other = suspects.PartSuspects("other")
+    for number, (one, two, lost) in enumerate(("abc", "def", "ghi")):
+        crash_at_once(known, (CAUSE,), (one, two), 3.0 * number)
+        other.record_loss(lost, "boot", 3.0 * number)
+    now_s = 6.0 + SETTLED_S
+    assert is_refused(known, (CAUSE,), now_s)
+    batch = other.log.since("", 0, now_s)
+    known.merge(batch.reports, now_s, 0.0, is_upstream=True)
+    assert not is_refused(known, (CAUSE,), now_s)
+
+
 def test_retries_that_crash_at_once_count_each(known):
     # Guards against a prompt that ends all targets within one instant.
     for number in range(5):
--- a/packages/core/tests/suspects/test_parts_fleet.py
+++ b/packages/core/tests/suspects/test_parts_fleet.py
@@ -124,15 +124,18 @@
         lost = [run for run in self.runs if run.engine in engines]
         self.runs = [run for run in self.runs if run.engine not in engines]
         for run in lost:
+            own_s = self.now_s + run.host.offset_s
+            target, boot = f"e{run.engine}", str(self.boots[run.engine])
+            run.host.known.record_loss(target, boot, own_s)
             if run.begins_s > self.now_s:
                 continue
             run.host.known.record_crash(
                 run.parts,
-                f"e{run.engine}",
-                str(self.boots[run.engine]),
+                target,
+                boot,
                 run.events(self.now_s),
                 self.now_s - run.sent_s,
-                self.now_s + run.host.offset_s,
+                own_s,
             )
         for engine in engines:
             self.boots[engine] += 1
@@ -251,6 +254,7 @@
     "one each 0.4 s": (1, 0.4),
     "two each second": (2, 1.0),
     "most of a domain each 3 s": (None, 3.0),
+    "the whole pool each 5 s": (57, 5.0),
 }
 
 
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/request_crashes.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/request_crashes.py
@@ -46,6 +46,7 @@
     context.suspects.record_crash(
         fingerprint, entry.target_id, boot_id, last_event_id, ran_s, now_s
     )
+    context.part_suspects.record_loss(entry.target_id, boot_id, now_s)
     # A prompt that still waited for its answer has not ended the target.
     if progress.answered_at_s is not None:
         context.part_suspects.record_crash(
--- a/packages/daemon/tests/relay/test_request_crashes.py
+++ b/packages/daemon/tests/relay/test_request_crashes.py
@@ -42,3 +42,33 @@
         progress.events = events
         request_crashes.record_answer(context, admission, progress)
     assert context.part_suspects.losses(PART) == 0
+
+
+# Guards against blaming a part for losses that took waiting prompts too.
+@pytest.mark.parametrize(("waits", "losses"), [(True, 1), (False, 2)])
+def test_loss_under_a_waiting_prompt_speaks_for_another_cause(
+    context, monkeypatch, waits, losses
+):
+    monkeypatch.setattr(request_crashes, "_has_crashed", lambda entry: True)
+    monkeypatch.setattr(
+        request_crashes, "_stops_as_planned", lambda context, entry: False
+    )
+    answered_at_s = clock.now_s() - 0.1
+    attempts = [("t1", answered_at_s), ("t2", answered_at_s)]
+    if waits:
+        attempts.append(("t3", None))
+    for number, (target, answered_s) in enumerate(attempts):
+        request_crashes.record_crash(
+            context,
+            types.SimpleNamespace(
+                part_keys=(PART,),
+                fingerprint=f"content {number}",
+                request=types.SimpleNamespace(request_id="r"),
+            ),
+            types.SimpleNamespace(target_id=target, started_ms=1),
+            0,
+            attempt_progress.AttemptProgress(
+                clock.now_s() - 2.0, answered_at_s=answered_s
+            ),
+        )
+    assert context.part_suspects.losses(PART) == losses
