Show that copies of a request side by side delay its refusal

Callers saw nothing yet; the drive finds it. The rule allows three retries of a request later than contact_ms after its third crash.

Crashes count in succession: each counted run began after the one before had ended. Copies at several hosts that run side by side count once.

--- a/packages/core/tests/suspects/test_shared_fleet.py
+++ b/packages/core/tests/suspects/test_shared_fleet.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import itertools
 import random
 
 import exchanging_hosts
@@ -35,8 +36,9 @@
 class Fleet:
     """Hosts, targets and the two kinds of requests."""
 
-    def __init__(self, seed, domains, hosts_per_domain, targets):
+    def __init__(self, seed, domains, hosts_per_domain, targets, run_s=RUN_S):
         self.rng = random.Random(seed)
+        self.run_s = run_s
         self.now_s = 0.0
         self.hosts = exchanging_hosts.make_hosts(
             domains, hosts_per_domain, self.rng, suspects.SharedSuspects
@@ -91,7 +93,7 @@
         return whole + (self.rng.random() < expected - whole)
 
     def _is_over(self, run):
-        return self.now_s - run.started_s >= RUN_S
+        return self.now_s - run.started_s >= self.run_s
 
     def _end(self, run):
         if run.fingerprint == "cause":
@@ -149,6 +151,52 @@
         assert fleet.refused_popular == 0
 
 
+# Domains, hosts in each of them, targets.
+SPREADS = {
+    "2-hosts": (1, 2, 12),
+    "3-hosts": (1, 3, 12),
+    "8-hosts": (4, 2, 12),
+}
+GAPS_S = (0.3, 0.8, 1.2, 2.0, 2.5, 3.0, 4.0)
+# A run that is over before the next one starts, and one that lasts longer.
+RUNS_S = {"quick": 0.1, "slow": 2.5}
+OBSERVED_AFTER_CRASHES_S = 10.0
+
+
+def run_at_gap(fleet, gap_s, at_once, retries):
+    """Sends the request each `gap_s` until it must be stopped."""
+    next_send_s = 1.0
+    turn = 0
+    crashes_s = fleet.crashes_s
+    while (
+        len(crashes_s) < 3
+        or fleet.now_s <= crashes_s[2] + OBSERVED_AFTER_CRASHES_S
+    ):
+        if fleet.now_s >= next_send_s:
+            next_send_s += gap_s
+            for host in fleet.hosts if at_once else [fleet.hosts[turn]]:
+                fleet.send("cause", host, retries)
+            turn = (turn + 1) % len(fleet.hosts)
+        fleet.step(cause_rate=0.0, popular_rate=5.0)
+
+
+@pytest.mark.parametrize("at_once", [False, True], ids=["turns", "at-once"])
+@pytest.mark.parametrize("spread", SPREADS)
+@pytest.mark.parametrize("run", RUNS_S)
+def test_cause_is_stopped_at_any_gap_of_its_runs(spread, at_once, run):
+    # Guards against crashes of copies side by side that count as one.
+    late = {}
+    refused = {}
+    for gap_s, retries in itertools.product(GAPS_S, (0, 1)):
+        for seed in range(3):
+            fleet = Fleet(seed, *SPREADS[spread], RUNS_S[run])
+            run_at_gap(fleet, gap_s, at_once, retries)
+            late[gap_s, retries, seed] = len(fleet.late_sends())
+            refused[gap_s, retries, seed] = fleet.refused_popular
+    assert {k: n for k, n in late.items() if n > MAX_LATE_RETRIES} == {}
+    assert {k: n for k, n in refused.items() if n} == {}
+
+
 def test_cause_stays_stopped_while_hosts_restart_in_turn():
     # Guards against the loss of reports with the host that collects them.
     for seed in range(10):
