Wait for the connections that a stopping host accepts last

Traced by reading: the handlers of the connections accepted last are spawned, but had not run when stop looked whether any connection was left; it returned, and the exit of the process reset them.

The handlers now start before stop looks. The new test fails before (no connection is known) and passes.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/listener.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/listener.py
@@ -106,6 +106,8 @@
         while (accepted := self._accept_waiting()) is not None:
             gevent.spawn(self._handle, *accepted)
         self._server.close()
+        # Lets the handlers register their connections, which `stop` waits for.
+        gevent.sleep(0)
 
     def _accept_waiting(self) -> tuple[socket.socket, Any] | None:
         """Returns a connection that waits to be accepted and its address."""
--- a/packages/daemon/tests/relay/test_listener.py
+++ b/packages/daemon/tests/relay/test_listener.py
@@ -117,3 +117,17 @@
         client.sendall(REQUEST.replace(b"POST", b"HEAD"))
         received = read_until(client, b"\r\n\r\n")
         assert received.startswith(b"HTTP/1.1 502 ")
+
+
+# The process exited before the handlers of the connections that it had accepted
+# last had started, which reset them.
+def test_last_connections_are_known_before_the_process_exits(context, client):
+    listener = context.listener
+    # Accepts nothing by itself, so that the connections wait in the socket.
+    listener._server.stop_accepting()
+    address = ("127.0.0.1", listener._server.server_port)
+    waiting = [socket.create_connection(address) for _ in range(3)]
+    listener._stop_accepting()
+    assert len(listener._greenlets_by_connection) >= len(waiting)
+    for connection in waiting:
+        connection.close()
