Hold what targets say of themselves in one part of the core

Callers saw requests sent to targets that had said that they drain, or that had asked for time with a refusal: nothing read either. Tried and blocked targets stay the last resort; draining and asked-for times are none.

--- a/packages/core/src/rattanpulley_core/_internal/serving/placement.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/placement.py
@@ -11,6 +11,7 @@
 import random
 
 from rattanpulley_core._internal.serving import reports
+from rattanpulley_core._internal.serving import target_availability
 from rattanpulley_core._internal.serving import target_registry
 from rattanpulley_core._internal.serving import versions as versions_lib
 
@@ -151,6 +152,7 @@
         own_domain: str,
         rng: random.Random,
         versions: versions_lib.VersionGate | None = None,
+        availability: target_availability.TargetAvailability | None = None,
     ) -> None:
         """Initializes the placement.
 
@@ -160,7 +162,12 @@
             own_domain: Failure domain of the host.
             rng: Random number generator.
             versions: Status of the versions; a new gate by default.
+            availability: What targets say about themselves; a new table by
+                default.
         """
+        self._availability = (
+            availability or target_availability.TargetAvailability()
+        )
         self._versions = versions or versions_lib.VersionGate()
         self._targets = targets
         self._loads = loads
@@ -173,9 +180,10 @@
         """Returns the target for a request, or None if the pool has none.
 
         Targets that were already tried or are blocked are used only if no other
-        target is left.
+        target is left; those that drain, have asked for time or have enough
+        requests are not.
         """
-        entries = self._versions.stable(self._targets.usable(query.pool))
+        entries = self._versions.stable(self._open_entries(query.pool, now_s))
         untried = [e for e in entries if e.target_id not in query.excluded_ids]
         candidates = self._available_entries(query, now_s) or untried or entries
         return self._choose_cheapest(
@@ -197,6 +205,51 @@
             sample[-1] = self._rng.choice(local)
         return sorted(sample, key=lambda entry: self._cost(entry, query, now_s))
 
+    def shortage(
+        self, query: PlacementQuery, now_s: float
+    ) -> target_availability.Shortage:
+        """Returns why no target was chosen."""
+        availability = self._availability
+        entries = [
+            entry
+            for entry in self._targets.in_pool(query.pool)
+            if not availability.is_draining(entry, now_s)
+        ]
+        entries = self._versions.stable(entries)
+        available = availability.available(entries, now_s)
+        waits_s = [availability.back_in_s(entry, now_s) for entry in entries]
+        if not available:
+            return target_availability.Shortage(min(waits_s, default=None))
+        is_full = any(waits_s) and all(
+            availability.is_full(entry, self._known_load(entry, now_s))
+            for entry in available
+        )
+        return target_availability.Shortage(is_full=is_full)
+
+    def _open_entries(
+        self, pool: str, now_s: float
+    ) -> list[target_registry.TargetEntry]:
+        """Returns the targets of a pool that may get one more request."""
+        listed = self._targets.in_pool(pool)
+        availability = self._availability
+        entries = availability.available(listed, now_s)
+        others_pause = any(availability.back_in_s(e, now_s) for e in listed)
+        return [
+            entry
+            for entry in entries
+            if self._known_load(entry, now_s)
+            < availability.in_flight_limit(entry, now_s, others_pause)
+        ]
+
+    def _known_load(
+        self, entry: target_registry.TargetEntry, now_s: float
+    ) -> int:
+        """Returns the own requests, or what a recent report says if more."""
+        load = self._loads.load_of(entry.target_id)
+        if now_s - load.reported_at_s < REPORT_AGE_LIMIT_S:
+            return max(load.in_flight, load.reported_running)
+        return load.in_flight
+
     def _available_entries(
         self, query: PlacementQuery, now_s: float
     ) -> list[target_registry.TargetEntry]:
@@ -207,7 +260,7 @@
         """
         entries = [
             entry
-            for entry in self._targets.usable(query.pool)
+            for entry in self._open_entries(query.pool, now_s)
             if entry.target_id not in query.excluded_ids
             and not self._is_blocked(entry, now_s)
         ]
@@ -282,7 +335,7 @@
         """
         entries = [
             entry
-            for entry in self._copy_holders(pool)
+            for entry in self._copy_holders(pool, now_s)
             if entry.domain != runs_on.domain
             and entry.target_id != runs_on.target_id
             and not self._is_blocked(entry, now_s)
@@ -294,13 +347,16 @@
             entries, lambda entry: self._copy_cost(entry, now_s)
         )
 
-    def _copy_holders(self, pool: str) -> list[target_registry.TargetEntry]:
+    def _copy_holders(
+        self, pool: str, now_s: float
+    ) -> list[target_registry.TargetEntry]:
         """Returns the targets that may store copies.
 
         Targets of an accepted version come first, because the old targets stop
         immediately when the rollout of that version is completed.
         """
-        entries = self._targets.usable(pool)
+        listed = self._targets.in_pool(pool)
+        entries = self._availability.available(listed, now_s)
         versions = self._versions
         return versions.accepted(entries) or versions.stable(entries)
 
@@ -328,9 +384,7 @@
     ) -> float:
         """Returns the expected wait, in units of one request in flight."""
         load = self._loads.load_of(entry.target_id)
-        cost = float(load.in_flight)
-        if now_s - load.reported_at_s < REPORT_AGE_LIMIT_S:
-            cost = max(cost, float(load.reported_running))
+        cost = float(self._known_load(entry, now_s))
         cost += FAULT_COST * self._loads.faults(entry.target_id, now_s)
         if query.needs_prefill:
             cost += PREFILL_COST * load.prefills + 0.5 * load.copies
--- a/packages/core/src/rattanpulley_core/_internal/serving/target_registry.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/target_registry.py
@@ -79,11 +79,10 @@
         """Returns the entry of a target, or None; includes leaving targets."""
         return self._entries_by_id.get(target_id)
 
-    def usable(self, pool: str) -> list[TargetEntry]:
-        """Returns the targets of a pool that accept new work."""
+    def in_pool(self, pool: str) -> list[TargetEntry]:
+        """Returns the targets of a pool; includes leaving targets."""
         ids = self._ids_by_pool.get(pool, ())
-        entries = [self._entries_by_id[target_id] for target_id in ids]
-        return [entry for entry in entries if not entry.leaving]
+        return [self._entries_by_id[target_id] for target_id in ids]
 
     def all_entries(self) -> list[TargetEntry]:
         """Returns the entries of all targets."""
--- a/packages/core/src/rattanpulley_core/serving.py
+++ b/packages/core/src/rattanpulley_core/serving.py
@@ -14,6 +14,7 @@
 from rattanpulley_core._internal.serving import rollouts
 from rattanpulley_core._internal.serving import shutdown
 from rattanpulley_core._internal.serving import sources
+from rattanpulley_core._internal.serving import target_availability
 from rattanpulley_core._internal.serving import target_registry
 from rattanpulley_core._internal.serving import trial_table
 from rattanpulley_core._internal.serving import versions
@@ -71,6 +72,13 @@
 TargetsReport = peer_sync.TargetsReport
 VersionStatus = versions.VersionStatus
 VersionGate = versions.VersionGate
+Announcement = target_availability.Announcement
+AvailabilityChange = target_availability.AvailabilityChange
+MAX_RETRY_AFTER_S = target_availability.MAX_RETRY_AFTER_S
+Shortage = target_availability.Shortage
+TargetAvailability = target_availability.TargetAvailability
+UnavailableReason = target_availability.Reason
+parse_announcement = target_availability.parse_announcement
 RegistryChange = target_registry.RegistryChange
 TargetEntry = target_registry.TargetEntry
 TargetRegistry = target_registry.TargetRegistry
--- a/packages/core/tests/serving/test_placement.py
+++ b/packages/core/tests/serving/test_placement.py
@@ -104,7 +104,7 @@
 def test_copy_is_stored_in_another_domain() -> None:
     """The loss of a failure domain must not remove both run and copy."""
     registry, _, placement = _make_placement()
-    for entry in registry.usable("pool"):
+    for entry in registry.in_pool("pool"):
         holder = placement.choose_copy_holder("pool", entry, 0.0)
         assert holder is not None
         assert holder.domain != entry.domain
--- a/packages/core/tests/serving/test_target_registry.py
+++ b/packages/core/tests/serving/test_target_registry.py
@@ -6,7 +6,11 @@
 
 
 def _ids(registry: serving.TargetRegistry) -> set[str]:
-    return {entry.target_id for entry in registry.usable("pool")}
+    """Returns the targets that get new work."""
+    available = serving.TargetAvailability().available(
+        registry.in_pool("pool"), 0.0
+    )
+    return {entry.target_id for entry in available}
 
 
 def test_leaving_target_gets_no_new_work() -> None:
