Send nothing new to targets that drain or have asked for time

Callers' requests reached targets that had said that they leave or that they want nothing for some seconds, and callers that were refused by all of them were told to come back at once: no answer's words were read.

Every head that a target sends is now read where heads are read (TargetConnection.read_head): successes, failures, refusals, heads of streams, reports and memory copy calls. The send is checked again after the connection is open; one that is no longer allowed ends as `unavailable`, which has sent nothing. Copies, their holders, the engines that were just asked for a report and crash reports ask the same part. When all targets have asked for time, the request is refused at once with a Retry-After not before the first is back, spread over a quarter of that time; a stream that has begun waits for it within its time.

--- a/packages/core/src/rattanpulley_core/_internal/serving/failure_kinds.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/failure_kinds.py
@@ -26,6 +26,8 @@
         QUEUED: The attempt was given up while its prompt was queued.
         WITHDRAWN: The attempt was given up because its prompt is refused by
             now.
+        UNAVAILABLE: The target has said, before the request was sent, that it
+            drains or wants no requests.
     """
 
     NOT_CONNECTED = "not_connected"
@@ -39,6 +41,7 @@
     TIMED_OUT = "timed_out"
     QUEUED = "queued"
     WITHDRAWN = "withdrawn"
+    UNAVAILABLE = "unavailable"
 
 
 class RetryDenial(enum.Enum):
@@ -87,7 +90,11 @@
 
 # Nothing was sent, so the request can be sent to another target at no cost.
 FAILURES_BEFORE_SENDING = frozenset(
-    {FailureKind.NOT_CONNECTED, FailureKind.UNREACHABLE}
+    {
+        FailureKind.NOT_CONNECTED,
+        FailureKind.UNREACHABLE,
+        FailureKind.UNAVAILABLE,
+    }
 )
 
 # Only a run that had started can have left a copy of its memory.
@@ -122,6 +129,7 @@
     # known.
     FailureKind.QUEUED: FailureRule(Executed.UNKNOWN, True, False, 504),
     FailureKind.WITHDRAWN: FailureRule(Executed.UNKNOWN, True, False, 502),
+    FailureKind.UNAVAILABLE: FailureRule(Executed.NO, False, False, 503),
 }
 
 
--- a/packages/core/src/rattanpulley_core/_internal/serving/placement.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/placement.py
@@ -205,14 +205,12 @@
             sample[-1] = self._rng.choice(local)
         return sorted(sample, key=lambda entry: self._cost(entry, query, now_s))
 
-    def shortage(
-        self, query: PlacementQuery, now_s: float
-    ) -> target_availability.Shortage:
-        """Returns why no target was chosen."""
+    def shortage(self, pool: str, now_s: float) -> target_availability.Shortage:
+        """Returns why no target of a pool was chosen."""
         availability = self._availability
         entries = [
             entry
-            for entry in self._targets.in_pool(query.pool)
+            for entry in self._targets.in_pool(pool)
             if not availability.is_draining(entry, now_s)
         ]
         entries = self._versions.stable(entries)
--- a/packages/core/src/rattanpulley_core/_internal/serving/target_availability.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/target_availability.py
@@ -90,6 +90,12 @@
     back_in_s: float | None = None
     is_full: bool = False
 
+    def outlasts(self, wait_s: float) -> bool:
+        """Returns whether a request that waits so long gets no target."""
+        if self.is_full:
+            return True
+        return self.back_in_s is not None and self.back_in_s > wait_s
+
 
 @dataclasses.dataclass(slots=True)
 class _Pause:
--- a/packages/core/tests/serving/test_target_availability.py
+++ b/packages/core/tests/serving/test_target_availability.py
@@ -170,7 +170,7 @@
     availability.record(entries[0], _asks(3.0), 0.0)
     availability.record(entries[1], _asks(2.0), 0.0)
     availability.record(entries[2], DRAINING, 0.0)
-    assert placement.shortage(QUERY, 0.5) == serving.Shortage(back_in_s=1.5)
+    assert placement.shortage("pool", 0.5) == serving.Shortage(back_in_s=1.5)
 
 
 def test_last_target_gets_no_more_than_it_can_queue() -> None:
@@ -182,7 +182,7 @@
     while placement.choose(QUERY, 1.0) is not None:
         load.in_flight += 1
     assert load.in_flight == 8
-    assert placement.shortage(QUERY, 1.0).is_full
+    assert placement.shortage("pool", 1.0).is_full
     # The load that others cause counts as well.
     load.in_flight = 0
     loads.record_report("b", 8, 1.0)
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
@@ -11,6 +11,10 @@
 from rattanpulleyd._internal.relay import target_connection
 from rattanpulleyd._internal.relay import target_health
 
+# Clients return within this part of the time that all targets have asked for,
+# after its end.
+RETURN_SPREAD = 0.25
+
 
 class RequestAttempts:
     """The attempts of one request to a plain or stream route.
@@ -163,6 +167,14 @@
             return None
         return serving.RetryDenial.RETRY_BUDGET
 
+    def _back_in_s(self, rng: random.Random) -> float:
+        """Returns when a target is back if all have asked for time, else 0."""
+        shortage = self._context.placement.shortage(
+            self._admission.pool, clock.now_s()
+        )
+        back_in_s = shortage.back_in_s or 0.0
+        return back_in_s * rng.uniform(1.0, 1.0 + RETURN_SPREAD)
+
     def log_fields(self) -> dict[str, object]:
         """Returns what the log tells about the end of the request."""
         config = self._context.cached_config.config
@@ -193,5 +205,5 @@
         if status == 503:
             retry_after_s = request_crashes.refused_for_s(
                 self._context, self._admission
-            ) or rng.uniform(*retry_after_range_s)
+            ) or self._back_in_s(rng) + rng.uniform(*retry_after_range_s)
         return responses.error_response(status, reason, retry_after_s)
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/context.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/context.py
@@ -9,6 +9,7 @@
 from rattanpulleyd._internal.relay import decision_log
 from rattanpulleyd._internal.relay import relay_metrics
 from rattanpulleyd._internal.relay import target_prober
+from rattanpulleyd._internal.relay import target_words
 from rattanpulleyd._internal.relay import wire
 
 
@@ -37,6 +38,8 @@
     Attributes:
         cached_config: The configuration and its age.
         targets: Targets by id.
+        availability: What targets say about themselves.
+        words: Reads it from the answers of targets.
         shared_targets: Target changes that other hosts can request.
         loads: Load and health by target.
         placement: Selection of targets.
@@ -55,6 +58,8 @@
 
     cached_config: serving.CachedConfig
     targets: serving.TargetRegistry
+    availability: serving.TargetAvailability
+    words: target_words.TargetWords
     shared_targets: SharedTargets
     loads: serving.LoadTable
     placement: serving.Placement
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/engine_selection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/engine_selection.py
@@ -39,6 +39,7 @@
         placement = self._context.placement
         entries = placement.shortlist(query, MAX_PROBED_TARGETS, clock.now_s())
         reported = self._reports(entries) if len(entries) > 1 else []
+        reported = self._still_available(reported)
         if not reported:
             return placement.choose(query, clock.now_s())
         chosen = placement.choose_by_reports(
@@ -65,7 +66,8 @@
         """Returns an engine without prompts in prefill or queue, or None."""
         placement = self._context.placement
         entries = placement.shortlist(query, MAX_PROBED_TARGETS, clock.now_s())
-        idle = [row for row in self._reports(entries) if row[1].prompts == 0]
+        reported = self._still_available(self._reports(entries))
+        idle = [row for row in reported if row[1].prompts == 0]
         if not idle:
             return None
         return placement.choose_by_reports(idle, clock.now_s(), after_loss=True)
@@ -84,7 +86,8 @@
             )
             if holder is None:
                 return None
-            if self._probe(holder, MAX_HOLDER_REPORT_AGE_S) is not None:
+            report = self._probe(holder, MAX_HOLDER_REPORT_AGE_S)
+            if report is not None and self._is_available(holder):
                 return holder
         return None
 
@@ -106,6 +109,16 @@
             if (report := greenlets[entry.target_id].value) is not None
         ]
 
+    def _still_available(
+        self, rows: list[tuple[serving.TargetEntry, serving.TargetReport]]
+    ) -> list[tuple[serving.TargetEntry, serving.TargetReport]]:
+        """Returns the targets that have not refused work with their report."""
+        return [row for row in rows if self._is_available(row[0])]
+
+    def _is_available(self, entry: serving.TargetEntry) -> bool:
+        availability = self._context.availability
+        return availability.reason_of(entry, clock.now_s()) is None
+
     def _probe(
         self, entry: serving.TargetEntry, age_limit_s: float
     ) -> serving.TargetReport | None:
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/memory_copies.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/memory_copies.py
@@ -120,21 +120,39 @@
             self._handle = None
 
     def usable_copy(self) -> MemoryCopy | None:
-        """Returns the copy if its holder has not restarted and accepts work."""
+        """Returns the copy if its holder accepts a request now."""
+        copy = self._kept_copy()
+        if copy is None:
+            return None
+        availability = self._context.availability
+        if availability.back_in_s(copy.holder, clock.now_s()):
+            return None
+        return copy
+
+    def _kept_copy(self) -> MemoryCopy | None:
+        """Returns the copy if its holder has not restarted or begun to drain.
+
+        A holder that has asked for time keeps its copy.
+        """
         copy = self._copy
         if copy is None:
             return None
         current = self._context.targets.entry(copy.holder.target_id)
-        if current is None or current.leaving:
+        if current is None or current.started_ms != copy.holder.started_ms:
             return None
-        if current.started_ms != copy.holder.started_ms:
+        if self._context.availability.is_draining(current, clock.now_s()):
             return None
         return copy
 
     def _maintain(self) -> None:
         while self._failures < MAX_FAILED_COPIES:
             gevent.sleep(CHECK_INTERVAL_S)
-            if self.usable_copy() is None:
+            if self._context.availability.back_in_s(
+                self._runs_on, clock.now_s()
+            ):
+                # A call that can wait; the run goes on.
+                continue
+            if self._kept_copy() is None:
                 self._copy, self._handle = None, None
                 self._choose_and_copy()
             elif self._handle and clock.now_s() >= self._renew_at_s:
@@ -160,6 +178,7 @@
                 call.path,
                 call.body,
                 COPY_TIMEOUT_S,
+                self._context.words.record_head,
             )
             if status == HTTP_OK:
                 handle = self._calls.handle_of(body)
@@ -197,6 +216,7 @@
                 call.path,
                 call.body,
                 RELEASE_TIMEOUT_S,
+                self._context.words.record_head,
             )
         except target_connection.AttemptError as error:
             # The engine frees the copy itself when it expires.
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
@@ -88,9 +88,13 @@
         wait_s = self._admission.route.objective_s * NO_TARGET_WAIT_FRACTION
         until_s = clock.now_s() + wait_s
         while True:
-            entry = self._context.placement.choose(query, clock.now_s())
-            if entry is not None or clock.now_s() >= until_s:
+            now_s = clock.now_s()
+            entry = self._context.placement.choose(query, now_s)
+            if entry is not None or now_s >= until_s:
                 return entry
+            shortage = self._context.placement.shortage(query.pool, now_s)
+            if shortage.outlasts(until_s - now_s):
+                return None
             target_connection.pause(NO_TARGET_POLL_S)
 
     def _attempt(
@@ -100,12 +104,15 @@
     ) -> responses.Response:
         """Sends the request to a target and returns the response."""
         request = self._admission.request
-        connection = target_connection.TargetConnection(entry)
+        connection = target_connection.TargetConnection(
+            entry, self._context.words.record_head
+        )
         load = self._context.loads.load_of(entry.target_id)
         load.in_flight += 1
         self.targets.append(entry.target_id)
         try:
             connection.connect(target_connection.CONNECT_TIMEOUT_S)
+            self._context.words.check(entry)
             headers = context_lib.outgoing_headers(
                 self._context, self._admission, entry
             )
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
@@ -31,6 +31,7 @@
 from rattanpulleyd._internal.relay import suspect_sharing
 from rattanpulleyd._internal.relay import target_prober
 from rattanpulleyd._internal.relay import target_reports
+from rattanpulleyd._internal.relay import target_words
 from rattanpulleyd._internal.relay import tasks
 from rattanpulleyd._internal.relay import wire
 
@@ -136,6 +137,7 @@
             targets.run_forever,
             rollouts.run_forever,
             membership.run_forever,
+            self._context.words.run_forever,
             *(sharing.run_forever for sharing in sharings),
             self._watch_loop_gaps,
             self._watch_settings,
@@ -216,7 +218,10 @@
     bounds = settings.bounds
     rng = random.Random()
     metrics = relay_metrics.RelayMetrics()
+    log = decision_log.DecisionLog(settings.name)
     targets = serving.TargetRegistry()
+    availability = serving.TargetAvailability()
+    words = target_words.TargetWords(availability, targets, names, log, metrics)
     loads = serving.LoadTable()
     gate = serving.VersionGate()
     fleet = serving.Fleet(settings.name)
@@ -227,9 +232,13 @@
     return context_lib.RelayContext(
         cached_config=serving.CachedConfig(bounds.key_removal_s),
         targets=targets,
+        availability=availability,
+        words=words,
         shared_targets=context_lib.SharedTargets(serving.ChangeLog()),
         loads=loads,
-        placement=serving.Placement(targets, loads, settings.domain, rng, gate),
+        placement=serving.Placement(
+            targets, loads, settings.domain, rng, gate, availability
+        ),
         prefill_estimator=serving.PrefillEstimator(),
         retry_budget=retry_budget,
         trials=serving.TrialTable(
@@ -239,8 +248,10 @@
         part_suspects=suspects.PartSuspects(uuid.uuid4().hex),
         fleet=fleet,
         names=names,
-        prober=target_prober.TargetProber(report_reader, metrics),
-        log=decision_log.DecisionLog(settings.name),
+        prober=target_prober.TargetProber(
+            report_reader, metrics, words.record_head
+        ),
+        log=log,
         metrics=metrics,
         rng=rng,
     )
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/relay_metrics.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/relay_metrics.py
@@ -28,6 +28,15 @@
             "memory_copies", "Copies of a run's memory", ["result"]
         )
         self.probes = self._counter("probes", "Probes of targets", ["result"])
+        self.target_words = self._counter(
+            "target_words", "What targets say of themselves", ["word"]
+        )
+        self.targets_unavailable = prometheus_client.Gauge(
+            "rattanpulley_targets_unavailable",
+            "Targets that have said that they want no requests",
+            ["reason"],
+            registry=self.registry,
+        )
         self.suspects = self._counter(
             "suspects", "Requests that crash targets", ["event"]
         )
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/request_crashes.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/request_crashes.py
@@ -144,7 +144,9 @@
 ) -> bool:
     """Returns whether the target has left or is draining."""
     current = context.targets.entry(entry.target_id)
-    return current is None or current.leaving
+    if current is None:
+        return True
+    return context.availability.is_draining(current, clock.now_s())
 
 
 def _has_crashed(entry: serving.TargetEntry) -> bool:
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/status_report.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/status_report.py
@@ -49,6 +49,7 @@
             },
             "config_age_s": round(age_s, 3) if config else None,
             "targets": self._targets(),
+            "unavailable": self._unavailable(),
             "hosts": context.fleet.hosts,
             "crash_reports": len(context.suspects),
             "part_crash_reports": len(context.part_suspects),
@@ -61,9 +62,10 @@
         """Returns the numbers of targets by pool and version."""
         gate = self._context.trials.gate
         counts: dict[tuple[str, str], list[int]] = {}
+        now_s = clock.now_s()
         for entry in self._context.targets.all_entries():
             row = counts.setdefault((entry.pool, entry.version), [0, 0])
-            row[entry.leaving] += 1
+            row[self._context.availability.is_draining(entry, now_s)] += 1
         return [
             {
                 "pool": pool,
@@ -75,6 +77,23 @@
             for (pool, version), (in_use, leaving) in sorted(counts.items())
         ]
 
+    def _unavailable(self) -> list[dict[str, Any]]:
+        """Returns the targets that want no requests, and for how long."""
+        now_s = clock.now_s()
+        return [
+            {
+                "target": row.target_id,
+                "reason": row.reason.value,
+                "for_s": round(now_s - row.since_s, 1),
+                "left_s": (
+                    round(row.until_s - now_s, 1)
+                    if row.until_s != float("inf")
+                    else None
+                ),
+            }
+            for row in self._context.availability.pauses(now_s)
+        ]
+
     def _trial_status(self, trial: serving.RolloutTrial) -> dict[str, Any]:
         order = trial.order
         state = "accepted" if trial.accepted else "on trial"
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_plan.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_plan.py
@@ -75,6 +75,8 @@
         copy, self.copy = self.copy, None
         if (
             copy is not None
+            and self._context.availability.reason_of(copy.holder, clock.now_s())
+            is None
             and self._attempts.last in serving.FAILURES_AFTER_START
         ):
             return self._make_plan(copy.holder, copy.reference)
@@ -87,7 +89,18 @@
             )
             if entry is not None:
                 return self._make_plan(entry, None)
-            if clock.now_s() >= until_s:
+            now_s = clock.now_s()
+            shortage = self._context.placement.shortage(
+                self._admission.pool, now_s
+            )
+            if started and shortage.back_in_s is not None:
+                until_s = min(
+                    max(until_s, now_s + shortage.back_in_s + wait_s),
+                    self._attempts.deadline_s(),
+                )
+            elif shortage.outlasts(until_s - now_s):
+                return None
+            if now_s >= until_s:
                 return None
             target_connection.pause(NO_TARGET_POLL_S)
 
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
@@ -102,7 +102,9 @@
         """Sends the request to a target and forwards its events."""
         request = self._admission.request
         entry = plan.entry
-        connection = target_connection.TargetConnection(entry)
+        connection = target_connection.TargetConnection(
+            entry, self._context.words.record_head
+        )
         load = self._context.loads.load_of(entry.target_id)
         load.in_flight += 1
         prefill = prefill_counter.PrefillCounter(load)
@@ -113,6 +115,7 @@
         self.report.targets.append(entry.target_id)
         try:
             connection.connect(target_connection.CONNECT_TIMEOUT_S)
+            self._context.words.check(entry)
             connection.send(
                 request.method,
                 request.target,
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/target_connection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/target_connection.py
@@ -5,6 +5,7 @@
 a non-idempotent request ran.
 """
 
+from collections.abc import Callable
 import dataclasses
 import socket as socket_lib
 
@@ -75,6 +76,10 @@
         return not names.isdisjoint(_FRAMING_HEADERS)
 
 
+# Called with the head of each answer and the target that was asked.
+HeadObserver = Callable[[serving.TargetEntry, ResponseHead], None]
+
+
 class TargetConnection:
     """A connection that carries one request.
 
@@ -82,8 +87,13 @@
         sent: Whether a part of the request may have been sent.
     """
 
-    def __init__(self, entry: serving.TargetEntry) -> None:
+    def __init__(
+        self,
+        entry: serving.TargetEntry,
+        on_head: HeadObserver | None = None,
+    ) -> None:
         self._entry = entry
+        self._on_head = on_head
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
@@ -162,7 +172,10 @@
             event = self._next_event(until_s)
             if isinstance(event, h11.Response):
                 raw = tuple(event.headers.raw_items())
-                return ResponseHead(event.status_code, raw)
+                head = ResponseHead(event.status_code, raw)
+                if self._on_head is not None:
+                    self._on_head(self._entry, head)
+                return head
             if not isinstance(event, h11.InformationalResponse):
                 raise AttemptError(
                     serving.FailureKind.CORRUPT, "no head in the answer"
@@ -233,6 +246,7 @@
     path: bytes,
     body: bytes,
     timeout_s: float,
+    on_head: HeadObserver | None = None,
 ) -> tuple[int, bytes]:
     """Sends a request that the relay itself makes; returns status and body.
 
@@ -240,7 +254,7 @@
         AttemptError: No complete response arrived in time, or it is too
             long.
     """
-    connection = TargetConnection(entry)
+    connection = TargetConnection(entry, on_head)
     until_s = clock.now_s() + timeout_s
     headers: wire.Headers = ((b"Host", entry.address.encode()),)
     if body:
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/target_prober.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/target_prober.py
@@ -22,15 +22,18 @@
         self,
         reader: target_reports.TargetReportReader,
         metrics: relay_metrics.RelayMetrics,
+        on_head: target_connection.HeadObserver | None = None,
     ) -> None:
         """Creates a prober without results.
 
         Args:
             reader: Decodes the reports of targets.
             metrics: Counts the probes.
+            on_head: Reads the head of each answer.
         """
         self._reader = reader
         self._metrics = metrics
+        self._on_head = on_head
         self._running_by_id: dict[str, event.AsyncResult] = {}
         self._results_by_id: dict[
             str, tuple[float, serving.TargetReport | None]
@@ -88,7 +91,12 @@
     def _call(self, entry: serving.TargetEntry) -> serving.TargetReport | None:
         try:
             _, body = target_connection.call_target(
-                entry, b"GET", self._reader.path, b"", PROBE_TIMEOUT_S
+                entry,
+                b"GET",
+                self._reader.path,
+                b"",
+                PROBE_TIMEOUT_S,
+                self._on_head,
             )
         except target_connection.AttemptError:
             return None
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/wire.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/wire.py
@@ -21,6 +21,7 @@
     }
 )
 LAST_EVENT_ID = b"last-event-id"
+RETRY_AFTER = b"retry-after"
 EVENT_STREAM = b"text/event-stream"
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -46,6 +47,7 @@
         target_id: Id that a target reports for itself.
         token_counts: Tokens of the prompt and maximum tokens of the response.
         prompt_parts: Ids and tokens of the parts of the prompt, in order.
+        draining: Whether a target is going to stop; `1` if so.
         set_by_relay: Headers that only the relay may set.
     """
 
@@ -64,6 +66,7 @@
     target_id: bytes
     token_counts: bytes
     prompt_parts: bytes
+    draining: bytes
     set_by_relay: frozenset[bytes]
 
 
