Keep the load off targets that are back or left over, shown by a fleet drive

Each host now sends a scarce target its share of twice the slots only (all slots while the target reports free ones), while at least half of a pool has asked for time; a target that is back gets a growing part of that within 1 s.

The registry keeps the targets of a pool in order, so that drives repeat exactly.

--- a/packages/core/src/rattanpulley_core/_internal/serving/placement.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/placement.py
@@ -218,8 +218,9 @@
         waits_s = [availability.back_in_s(entry, now_s) for entry in entries]
         if not available:
             return target_availability.Shortage(min(waits_s, default=None))
-        is_full = any(waits_s) and all(
-            availability.is_full(entry, self._known_load(entry, now_s))
+        is_full = _is_scarce(waits_s) and not any(
+            availability.is_ramping(entry, now_s)
+            or self._has_room(entry, now_s)
             for entry in available
         )
         return target_availability.Shortage(is_full=is_full)
@@ -230,15 +231,39 @@
         """Returns the targets of a pool that may get one more request."""
         listed = self._targets.in_pool(pool)
         availability = self._availability
-        entries = availability.available(listed, now_s)
-        others_pause = any(availability.back_in_s(e, now_s) for e in listed)
+        is_scarce = _is_scarce(
+            [
+                availability.back_in_s(entry, now_s)
+                for entry in listed
+                if not availability.is_draining(entry, now_s)
+            ]
+        )
         return [
             entry
-            for entry in entries
-            if self._known_load(entry, now_s)
-            < availability.in_flight_limit(entry, now_s, others_pause)
+            for entry in availability.available(listed, now_s)
+            if not (is_scarce or availability.is_ramping(entry, now_s))
+            or self._has_room(entry, now_s)
         ]
 
+    def _has_room(
+        self, entry: target_registry.TargetEntry, now_s: float
+    ) -> bool:
+        """Returns whether a scarce target may get one more request."""
+        load = self._loads.load_of(entry.target_id)
+        limit = self._availability.own_limit(entry, now_s)
+        if now_s - load.reported_at_s >= REPORT_AGE_LIMIT_S:
+            return load.in_flight < limit
+        if (
+            load.reported_running
+            >= entry.slots * target_availability.SLOT_FACTOR
+        ):
+            return False
+        is_idle = load.reported_running < entry.slots
+        if is_idle and not self._availability.is_ramping(entry, now_s):
+            # The other hosts use less than their share.
+            limit = max(limit, entry.slots)
+        return load.in_flight < limit
+
     def _known_load(
         self, entry: target_registry.TargetEntry, now_s: float
     ) -> int:
@@ -398,3 +423,13 @@
         load = self._loads.load_of(entry.target_id)
         faults = self._loads.faults(entry.target_id, now_s)
         return load.copies + load.in_flight + FAULT_COST * faults
+
+
+def _is_scarce(waits_s: list[float]) -> bool:
+    """Returns whether at least half of the targets have asked for time.
+
+    Args:
+        waits_s: Rest of the time that each target has asked for.
+    """
+    paused = sum(wait_s > 0.0 for wait_s in waits_s)
+    return 0 < len(waits_s) <= 2 * paused
--- a/packages/core/src/rattanpulley_core/_internal/serving/target_availability.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/target_availability.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 import dataclasses
 import enum
+import math
 import re
 
 from rattanpulley_core._internal.serving import target_registry
@@ -24,7 +25,7 @@
 MAX_REMEMBERED_STARTS = 4
 # Time in which a target that is back gets more and more requests.
 RAMP_S = 1.0
-# Requests of this host per slot of a target, while others of its pool ask for
+# Requests per slot of a target, at all hosts, while others of its pool ask for
 # time: those that run and as many that wait.
 SLOT_FACTOR = 2
 _SECONDS = re.compile(r"[0-9]+(\.[0-9]*)?", re.ASCII)
@@ -127,6 +128,7 @@
             max_targets: Number of targets that are remembered.
         """
         self._max_targets = max_targets
+        self._hosts = 1
         # By target id, then by its start; a start of 0 is unknown.
         self._starts_by_id: OrderedDict[str, dict[int, _Pauses]] = OrderedDict()
 
@@ -209,30 +211,34 @@
         """Returns the targets that get new requests."""
         return [e for e in entries if self.reason_of(e, now_s) is None]
 
-    def is_full(
-        self, entry: target_registry.TargetEntry, requests: int
+    def set_host_count(self, hosts: int) -> None:
+        """Sets the number of hosts that share the targets."""
+        self._hosts = max(1, hosts)
+
+    def is_ramping(
+        self, entry: target_registry.TargetEntry, now_s: float
     ) -> bool:
-        """Returns whether a target has all requests that it can queue."""
-        return requests >= entry.slots * SLOT_FACTOR
+        """Returns whether a target is back since a short time only."""
+        return self._back_for_s(entry, now_s) < RAMP_S
 
-    def in_flight_limit(
-        self,
-        entry: target_registry.TargetEntry,
-        now_s: float,
-        others_pause: bool,
-    ) -> float:
-        """Returns how many requests a target may have.
+    def own_limit(
+        self, entry: target_registry.TargetEntry, now_s: float
+    ) -> int:
+        """Returns how many requests of this host a scarce target may have.
 
-        Args:
-            entry: The target.
-            now_s: Current time.
-            others_pause: Whether other targets of its pool ask for time.
+        It is the host's share of the slots and queue of the target, of which a
+        target that has just come back gets a growing part.
         """
-        limit = entry.slots * SLOT_FACTOR if others_pause else float("inf")
-        back_for_s = now_s - self._until_s(entry, Reason.RETRY_AFTER)
-        if 0.0 <= back_for_s < RAMP_S:
-            limit = min(limit, 1 + int(entry.slots * back_for_s / RAMP_S))
-        return limit
+        share = math.ceil(entry.slots * SLOT_FACTOR / self._hosts)
+        if not self.is_ramping(entry, now_s):
+            return share
+        back_for_s = self._back_for_s(entry, now_s)
+        return min(share, 1 + int(share * back_for_s / RAMP_S))
+
+    def _back_for_s(
+        self, entry: target_registry.TargetEntry, now_s: float
+    ) -> float:
+        return now_s - self._until_s(entry, Reason.RETRY_AFTER)
 
     def pauses(self, now_s: float) -> list[AvailabilityChange]:
         """Returns the current times without new requests."""
--- a/packages/core/src/rattanpulley_core/_internal/serving/target_registry.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/target_registry.py
@@ -66,7 +66,8 @@
 
     def __init__(self) -> None:
         self._entries_by_id: dict[str, TargetEntry] = {}
-        self._ids_by_pool: dict[str, set[str]] = {}
+        # Ordered, unlike sets of strings: seeded drives repeat exactly.
+        self._ids_by_pool: dict[str, dict[str, None]] = {}
         self._missing_since_by_id: dict[str, float] = {}
         self._listed = False
 
@@ -125,7 +126,7 @@
             self._delete(known)
         changes = self._remove_superseded(entry) if known is None else []
         self._entries_by_id[entry.target_id] = entry
-        self._ids_by_pool.setdefault(entry.pool, set()).add(entry.target_id)
+        self._ids_by_pool.setdefault(entry.pool, {})[entry.target_id] = None
         kind = _change_kind(known, entry)
         if kind:
             changes.append(RegistryChange(entry.target_id, kind))
@@ -198,7 +199,7 @@
 
     def _delete(self, entry: TargetEntry) -> None:
         del self._entries_by_id[entry.target_id]
-        self._ids_by_pool[entry.pool].discard(entry.target_id)
+        self._ids_by_pool[entry.pool].pop(entry.target_id, None)
 
 
 def _change_kind(known: TargetEntry | None, entry: TargetEntry) -> str:
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/fleet_refresh.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/fleet_refresh.py
@@ -93,6 +93,7 @@
         if context.fleet.replace_all(entries):
             context.log.change("fleet.listed", hosts=context.fleet.hosts)
         context.retry_budget.set_host_count(context.fleet.hosts)
+        context.availability.set_host_count(context.fleet.hosts)
 
     def _announce_once(self) -> None:
         """Registers this host unless that was done a short time ago."""
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
@@ -138,10 +138,11 @@
         sent_at_s = progress.sent_at_s
         head = self._wait(connection.read_head, sent_at_s)
         progress.answered_at_s = clock.now_s()
+        # A refusal tells the load as well.
+        target_health.record_load(self._context, entry, head)
         responses.check_response_head(
             head, self._admission.request, self._context.names
         )
-        target_health.record_load(self._context, entry, head)
         body = self._read_body(connection, sent_at_s)
         response = responses.Response(
             head.status,
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
@@ -229,6 +229,7 @@
         bounds.retry_window_s, bounds.retry_ratio, bounds.retry_slack
     )
     retry_budget.set_host_count(fleet.hosts)
+    availability.set_host_count(fleet.hosts)
     return context_lib.RelayContext(
         cached_config=serving.CachedConfig(bounds.key_removal_s),
         targets=targets,
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_head.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_head.py
@@ -50,8 +50,9 @@
         """
         head = self._monitor.wait(connection.read_head)
         progress.answered_at_s = clock.now_s()
-        responses.check_response_head(head, request, self._context.names)
+        # A refusal tells the load as well.
         target_health.record_load(self._context, self._entry, head)
+        responses.check_response_head(head, request, self._context.names)
         if head.status != 200:
             self._keep_failed_response(head, connection)
             raise target_connection.AttemptError(
--- a/packages/daemon/tests/relay/relay_builders.py
+++ b/packages/daemon/tests/relay/relay_builders.py
@@ -30,6 +30,7 @@
         suspects=suspects.SharedSuspects(f"log of {name}"),
         part_suspects=suspects.PartSuspects(f"log of parts of {name}"),
         fleet=serving.Fleet(name),
+        availability=serving.TargetAvailability(),
         shared_targets=context_lib.SharedTargets(serving.ChangeLog()),
         metrics=relay_metrics.RelayMetrics(),
         log=decision_log.DecisionLog(name),
