--- a/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
@@ -14,6 +14,8 @@
 # Clients return within this part of the time that all targets have asked for,
 # after its end.
 RETURN_SPREAD = 0.25
+# The first refusal may be that of one full target.
+REFUSALS_BEFORE_PAUSE = 2
 
 
 class RequestAttempts:
@@ -23,6 +25,10 @@
         last: Failure kind of the last attempt, or None before the first.
         failed_response: Error response of a target; it is forwarded to the
             client when no other target responds.
+        answer_started: Whether the client has a part of the answer, so that
+            the request keeps trying as long as its client waits.
+        returns_to_tried: Whether the next attempt goes to a target that was
+            tried before, since the route allows no further target.
         denial: Why the last failed attempt was not followed by another one,
             or None.
     """
@@ -55,7 +61,11 @@
         )
         self.last: serving.FailureKind | None = None
         self.failed_response: responses.Response | None = None
+        self.answer_started = False
+        self.returns_to_tried = False
+        self._refusals_in_a_row = 0
         self.denial: serving.RetryDenial | None = None
+        self._has_reserved_retry = False
 
     @property
     def tried_ids(self) -> tuple[str, ...]:
@@ -75,11 +85,29 @@
     @property
     def is_last(self) -> bool:
         """Whether the current attempt is the last that the route allows."""
-        return self._tracker.sent + 1 >= self._tracker.max_attempts
+        return self.left_after_current <= 0
+
+    @property
+    def has_no_connection(self) -> bool:
+        """Whether as many connections have failed as a new request may try."""
+        return self._connect_failures >= self._max_connect_failures
+
+    @property
+    def needs_pause(self) -> bool:
+        """Whether a further attempt at once would probably fail as well."""
+        return (
+            self.has_no_connection
+            or self._refusals_in_a_row >= REFUSALS_BEFORE_PAUSE
+        )
+
+    @property
+    def left_after_current(self) -> int:
+        """Number of attempts that remain after the current one."""
+        return self._tracker.max_attempts - self._tracker.sent - 1
 
     def deadline_s(self) -> float:
         """Returns when the timeout of the client or of the route expires."""
-        return self._admission.deadline_s(self._context.cached_config)
+        return self._admission.deadline_s(self._context)
 
     def record(
         self,
@@ -96,9 +124,13 @@
             progress: How far the attempt has come.
             last_event_id: Id of the last event of the stream, or 0.
         """
-        if error.kind in serving.BAD_VERSION_FAILURES:
+        if self._is_evidence(entry, error.kind):
             self._observe(entry, True, None)
         self.last = error.kind
+        if error.kind is serving.FailureKind.REFUSED:
+            self._refusals_in_a_row += 1
+        else:
+            self._refusals_in_a_row = 0
         self._tracker.record(entry.target_id, error.kind)
         if error.kind in serving.FAILURES_BEFORE_SENDING:
             self._connect_failures += 1
@@ -125,6 +157,17 @@
         """
         self._observe(entry, False, took_s)
 
+    def _is_evidence(
+        self, entry: serving.TargetEntry, kind: serving.FailureKind
+    ) -> bool:
+        """Returns whether a failure is evidence against a version.
+
+        All requests on a silent target see the same silence.
+        """
+        if kind is serving.FailureKind.UNRESPONSIVE:
+            return self._context.silences.is_new(entry.target_id, clock.now_s())
+        return kind in serving.BAD_VERSION_FAILURES
+
     def _observe(
         self, entry: serving.TargetEntry, is_bad: bool, took_s: float | None
     ) -> None:
@@ -158,12 +201,20 @@
         now_s = clock.now_s()
         if now_s >= self.deadline_s():
             return serving.RetryDenial.TIME
-        if self._connect_failures >= self._max_connect_failures:
+        if self.has_no_connection and not self.answer_started:
             return serving.RetryDenial.CONNECT_FAILURES
         denial = self._tracker.send_denial()
+        self.returns_to_tried = (
+            denial is serving.RetryDenial.ATTEMPTS
+            and self.answer_started
+            and self.last is serving.FailureKind.REFUSED
+        )
+        if self.returns_to_tried:
+            denial = None
         if denial is not None or self.last in serving.FAILURES_BEFORE_SENDING:
             return denial
-        if self._window.try_acquire(now_s):
+        if self.reserve_retry():
+            self._has_reserved_retry = False
             return None
         return serving.RetryDenial.RETRY_BUDGET
 
@@ -175,6 +226,19 @@
         back_in_s = shortage.back_in_s or 0.0
         return back_in_s * rng.uniform(1.0, 1.0 + RETURN_SPREAD)
 
+    def reserve_retry(self) -> bool:
+        """Reserves retry budget for the next attempt, unless that is done.
+
+        An attempt that is given up although it may still succeed needs the
+        budget for the next one first.
+
+        Returns:
+            Whether the retry budget allows another attempt.
+        """
+        if not self._has_reserved_retry:
+            self._has_reserved_retry = self._window.try_acquire(clock.now_s())
+        return self._has_reserved_retry
+
     def log_fields(self) -> dict[str, object]:
         """Returns what the log tells about the end of the request."""
         config = self._context.cached_config.config
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/engine_selection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/engine_selection.py
@@ -20,6 +20,8 @@
 MAX_HOLDER_PROBES = 3
 MAX_HOLDER_REPORT_AGE_S = 0.5
 
+ReportedTarget = tuple[serving.TargetEntry, serving.TargetReport]
+
 
 class EngineSelector:
     """Selects engines, and holders of memory copies, by their reports."""
@@ -39,7 +41,6 @@
         placement = self._context.placement
         entries = placement.shortlist(query, MAX_PROBED_TARGETS, clock.now_s())
         reported = self._reports(entries) if len(entries) > 1 else []
-        reported = self._still_available(reported)
         if not reported:
             return placement.choose(query, clock.now_s())
         chosen = placement.choose_by_reports(
@@ -64,13 +65,43 @@
         self, query: serving.PlacementQuery
     ) -> serving.TargetEntry | None:
         """Returns an engine without prompts in prefill or queue, or None."""
-        placement = self._context.placement
-        entries = placement.shortlist(query, MAX_PROBED_TARGETS, clock.now_s())
-        reported = self._still_available(self._reports(entries))
-        idle = [row for row in reported if row[1].prompts == 0]
-        if not idle:
+        reported = self._shortlist_reports(query)
+        return self._choose_after_loss(
+            [row for row in reported if row[1].prompts == 0]
+        )
+
+    def answering_engine(
+        self, query: serving.PlacementQuery
+    ) -> serving.TargetEntry | None:
+        """Returns an engine that answers a probe, or None."""
+        return self._choose_after_loss(self._shortlist_reports(query))
+
+    def choose_among(
+        self, entries: list[serving.TargetEntry]
+    ) -> serving.TargetEntry | None:
+        """Returns one of the engines that answers a probe, or None."""
+        return self._choose_after_loss(self._reports(entries))
+
+    def answers(self, entry: serving.TargetEntry) -> bool:
+        """Returns whether a target answers a probe."""
+        return self._probe(entry, MAX_REPORT_AGE_S) is not None
+
+    def _shortlist_reports(
+        self, query: serving.PlacementQuery
+    ) -> list[ReportedTarget]:
+        entries = self._context.placement.shortlist(
+            query, MAX_PROBED_TARGETS, clock.now_s()
+        )
+        return self._reports(entries)
+
+    def _choose_after_loss(
+        self, reported: list[ReportedTarget]
+    ) -> serving.TargetEntry | None:
+        if not reported:
             return None
-        return placement.choose_by_reports(idle, clock.now_s(), after_loss=True)
+        return self._context.placement.choose_by_reports(
+            reported, clock.now_s(), after_loss=True
+        )
 
     def choose_holder(
         self, pool: str, runs_on: serving.TargetEntry
@@ -93,8 +124,13 @@
 
     def _reports(
         self, entries: list[serving.TargetEntry]
-    ) -> list[tuple[serving.TargetEntry, serving.TargetReport]]:
-        """Probes all entries concurrently; returns those that responded."""
+    ) -> list[ReportedTarget]:
+        """Probes all entries concurrently.
+
+        Returns:
+            Those that responded and still accept requests: a report may say
+            that its target does not.
+        """
         greenlets = {
             entry.target_id: gevent.spawn(self._probe, entry, MAX_REPORT_AGE_S)
             for entry in entries
@@ -107,14 +143,9 @@
             (entry, report)
             for entry in entries
             if (report := greenlets[entry.target_id].value) is not None
+            and self._is_available(entry)
         ]
 
-    def _still_available(
-        self, rows: list[tuple[serving.TargetEntry, serving.TargetReport]]
-    ) -> list[tuple[serving.TargetEntry, serving.TargetReport]]:
-        """Returns the targets that have not refused work with their report."""
-        return [row for row in rows if self._is_available(row[0])]
-
     def _is_available(self, entry: serving.TargetEntry) -> bool:
         availability = self._context.availability
         return availability.reason_of(entry, clock.now_s()) is None
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_plan.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_plan.py
@@ -1,5 +1,6 @@
 """Plans the attempts of a stream: its next target and its memory copies."""
 
+import collections
 import dataclasses
 
 from rattanpulley_core import serving
@@ -8,14 +9,14 @@
 from rattanpulleyd._internal.relay import context as context_lib
 from rattanpulleyd._internal.relay import engine_selection
 from rattanpulleyd._internal.relay import memory_copies
+from rattanpulleyd._internal.relay import stream_departures
 from rattanpulleyd._internal.relay import stream_monitor
 from rattanpulleyd._internal.relay import target_connection
 from rattanpulleyd._internal.relay import wire
 
-# How long a stream waits for a target before it is refused, and how long one
-# that has started waits.
+# How long a stream waits for a target before it is refused. One that has
+# started waits as long as its client.
 NO_TARGET_WAIT_S = 0.5
-NO_TARGET_WAIT_STARTED_S = 2.0
 NO_TARGET_POLL_S = 0.02
 
 
@@ -46,7 +47,7 @@
         context: context_lib.RelayContext,
         admission: context_lib.Admission,
         attempts: attempts_lib.RequestAttempts,
-        queue_transfer: stream_monitor.QueueTransfer,
+        transfer: stream_departures.StreamTransfer,
     ) -> None:
         """Creates a planner that knows no memory copy.
 
@@ -54,12 +55,12 @@
             context: State of the process.
             admission: The request.
             attempts: Attempts of the request.
-            queue_transfer: Shared by all attempts of the request.
+            transfer: Shared by all attempts of the request.
         """
         self._context = context
         self._admission = admission
         self._attempts = attempts
-        self._queue_transfer = queue_transfer
+        self._transfer = transfer
         self._engine_selector = engine_selection.EngineSelector(context)
         self.copy: memory_copies.MemoryCopy | None = None
 
@@ -69,9 +70,9 @@
         Args:
             started: Whether the client has a part of the stream.
         """
-        idle, self._queue_transfer.engine = self._queue_transfer.engine, None
-        if idle is not None:
-            return self._make_plan(idle, None)
+        chosen, self._transfer.next_engine = self._transfer.next_engine, None
+        if chosen is not None:
+            return self._make_plan(chosen, None)
         copy, self.copy = self.copy, None
         if (
             copy is not None
@@ -79,31 +80,69 @@
             is None
             and self._attempts.last in serving.FAILURES_AFTER_START
         ):
-            return self._make_plan(copy.holder, copy.reference)
-        wait_s = NO_TARGET_WAIT_STARTED_S if started else NO_TARGET_WAIT_S
-        until_s = min(clock.now_s() + wait_s, self._attempts.deadline_s())
+            return self._plan_from_copy(copy)
+        until_s = self._attempts.deadline_s()
+        if not started:
+            until_s = min(until_s, clock.now_s() + NO_TARGET_WAIT_S)
         while True:
-            entry = self._engine_selector.choose(
-                stream_monitor.prefill_query(self._admission, self._attempts),
-                self._admission.request.request_id,
-            )
+            entry = self._choose_engine()
             if entry is not None:
                 return self._make_plan(entry, None)
             now_s = clock.now_s()
             shortage = self._context.placement.shortage(
                 self._admission.pool, now_s
             )
-            if started and shortage.back_in_s is not None:
-                until_s = min(
-                    max(until_s, now_s + shortage.back_in_s + wait_s),
-                    self._attempts.deadline_s(),
-                )
-            elif shortage.outlasts(until_s - now_s):
+            if not started and shortage.outlasts(until_s - now_s):
                 return None
             if now_s >= until_s:
                 return None
             target_connection.pause(NO_TARGET_POLL_S)
 
+    def _choose_engine(self) -> serving.TargetEntry | None:
+        """Returns the engine for an attempt without a memory copy, or None."""
+        if not self._attempts.returns_to_tried:
+            return self._engine_selector.choose(
+                self._prefill_query(), self._admission.request.request_id
+            )
+        return self._choose_tried_engine()
+
+    def _choose_tried_engine(self) -> serving.TargetEntry | None:
+        """Returns the engine that was tried least often and answers, or None.
+
+        An engine that was left while it was silent comes before those that
+        have refused the stream again and again.
+        """
+        tries_by_id = collections.Counter(self._attempts.tried_ids)
+        for tries in sorted(set(tries_by_id.values())):
+            entries = [
+                entry
+                for target_id, count in tries_by_id.items()
+                if count == tries
+                and (entry := self._context.targets.entry(target_id))
+            ]
+            engine = self._engine_selector.choose_among(
+                self._context.availability.available(entries, clock.now_s())
+            )
+            if engine is not None:
+                return engine
+        return None
+
+    def _plan_from_copy(self, copy: memory_copies.MemoryCopy) -> AttemptPlan:
+        """Continues from a copy unless its holder is silent and others answer.
+
+        A copy at a silent holder would use up an attempt.
+        """
+        if not self._engine_selector.answers(copy.holder):
+            engine = self._engine_selector.answering_engine(
+                self._prefill_query()
+            )
+            if engine is not None:
+                return self._make_plan(engine, None)
+        return self._make_plan(copy.holder, copy.reference)
+
+    def _prefill_query(self) -> serving.PlacementQuery:
+        return stream_monitor.prefill_query(self._admission, self._attempts)
+
     def _make_plan(
         self, entry: serving.TargetEntry, copy_reference: str | None
     ) -> AttemptPlan:
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
@@ -16,6 +16,7 @@
 from rattanpulleyd._internal.relay import request_crashes
 from rattanpulleyd._internal.relay import responses
 from rattanpulleyd._internal.relay import stream_channel
+from rattanpulleyd._internal.relay import stream_departures
 from rattanpulleyd._internal.relay import stream_head
 from rattanpulleyd._internal.relay import stream_monitor
 from rattanpulleyd._internal.relay import stream_plan
@@ -23,8 +24,11 @@
 from rattanpulleyd._internal.relay import target_health
 from rattanpulleyd._internal.relay import wire
 
-SEND_TIMEOUT_S = 1.0
+# Sound targets may read nothing for a second or so.
+SEND_TIMEOUT_S = 3.0
 MAX_CONNECT_FAILURES = 12
+# Pause of a stream that has started while targets refuse it.
+RETRY_PAUSE_S = 0.2
 # Engines are unavailable for a second or more after a crash.
 RETRY_AFTER_RANGE_S = (0.8, 1.8)
 
@@ -55,9 +59,12 @@
         )
         self._copy_calls = copy_calls
         self._weights: str | None = None
-        self._queue_transfer = stream_monitor.QueueTransfer()
+        self._transfer = stream_departures.StreamTransfer()
+        self._departures = stream_departures.StreamDepartures(
+            context, admission, self.attempts, self._transfer
+        )
         self._planner = stream_plan.StreamPlanner(
-            context, admission, self.attempts, self._queue_transfer
+            context, admission, self.attempts, self._transfer
         )
         self._started = False
         self.report = stream_channel.StreamReport()
@@ -93,6 +100,8 @@
                     )
                 if not self.attempts.can_retry():
                     return self._give_up(str(error))
+                if self._started and self.attempts.needs_pause:
+                    target_connection.pause(RETRY_PAUSE_S)
 
     def _attempt(
         self,
@@ -157,15 +166,16 @@
         progress: attempt_progress.AttemptProgress,
     ) -> None:
         """Validates the response head and forwards the stream to its end."""
+        maintainer = self._make_maintainer(plan)
         monitor = stream_monitor.StreamMonitor(
             self._context,
             self._admission,
             self.attempts,
             plan.entry,
-            plan.copy_holder is not None,
-            self._queue_transfer,
+            maintainer.usable_copy,
+            self._departures,
+            self._transfer,
         )
-        maintainer = self._make_maintainer(plan)
         try:
             head = stream_head.StreamHeadReader(
                 self._context, self.attempts, plan.entry, monitor
@@ -304,6 +314,7 @@
         """Sends the response head unless one was sent."""
         if not self._started:
             self._started = True
+            self.attempts.answer_started = True
             headers = wire.forwarded_headers(head.headers, frozenset())
             self._channel.start_stream(head.status, headers)
 
