--- a/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
@@ -11,6 +11,9 @@
 from rattanpulleyd._internal.relay import target_connection
 from rattanpulleyd._internal.relay import target_health
 
+# Clients return within this part of the time that all targets have asked for,
+# after its end.
+RETURN_SPREAD = 0.25
 # The first refusal may be that of one full target.
 REFUSALS_BEFORE_PAUSE = 2
 
@@ -234,6 +237,14 @@
             return None
         return serving.RetryDenial.RETRY_BUDGET
 
+    def _back_in_s(self, rng: random.Random) -> float:
+        """Returns when a target is back if all have asked for time, else 0."""
+        shortage = self._context.placement.shortage(
+            self._admission.pool, clock.now_s()
+        )
+        back_in_s = shortage.back_in_s or 0.0
+        return back_in_s * rng.uniform(1.0, 1.0 + RETURN_SPREAD)
+
     def reserve_retry(self) -> bool:
         """Reserves retry budget for the next attempt, unless that is done.
 
@@ -277,5 +288,5 @@
         if status == 503:
             retry_after_s = request_crashes.refused_for_s(
                 self._context, self._admission
-            ) or rng.uniform(*retry_after_range_s)
+            ) or self._back_in_s(rng) + rng.uniform(*retry_after_range_s)
         return responses.error_response(status, reason, retry_after_s)
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/engine_selection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/engine_selection.py
@@ -117,14 +117,20 @@
             )
             if holder is None:
                 return None
-            if self._probe(holder, MAX_HOLDER_REPORT_AGE_S) is not None:
+            report = self._probe(holder, MAX_HOLDER_REPORT_AGE_S)
+            if report is not None and self._is_available(holder):
                 return holder
         return None
 
     def _reports(
         self, entries: list[serving.TargetEntry]
     ) -> list[ReportedTarget]:
-        """Probes all entries concurrently; returns those that responded."""
+        """Probes all entries concurrently.
+
+        Returns:
+            Those that responded and still accept requests: a report may say
+            that its target does not.
+        """
         greenlets = {
             entry.target_id: gevent.spawn(self._probe, entry, MAX_REPORT_AGE_S)
             for entry in entries
@@ -137,8 +143,13 @@
             (entry, report)
             for entry in entries
             if (report := greenlets[entry.target_id].value) is not None
+            and self._is_available(entry)
         ]
 
+    def _is_available(self, entry: serving.TargetEntry) -> bool:
+        availability = self._context.availability
+        return availability.reason_of(entry, clock.now_s()) is None
+
     def _probe(
         self, entry: serving.TargetEntry, age_limit_s: float
     ) -> serving.TargetReport | None:
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_plan.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_plan.py
@@ -74,6 +74,8 @@
         copy, self.copy = self.copy, None
         if (
             copy is not None
+            and self._context.availability.reason_of(copy.holder, clock.now_s())
+            is None
             and self._attempts.last in serving.FAILURES_AFTER_START
         ):
             return self._plan_from_copy(copy, chosen)
@@ -86,7 +88,13 @@
             entry = self._choose_engine()
             if entry is not None:
                 return self._make_plan(entry, None)
-            if clock.now_s() >= until_s:
+            now_s = clock.now_s()
+            shortage = self._context.placement.shortage(
+                self._admission.pool, now_s
+            )
+            if not started and shortage.outlasts(until_s - now_s):
+                return None
+            if now_s >= until_s:
                 return None
             target_connection.pause(NO_TARGET_POLL_S)
 
@@ -111,9 +119,10 @@
                 for target_id, count in tries_by_id.items()
                 if count == tries
                 and (entry := self._context.targets.entry(target_id))
-                and not entry.leaving
             ]
-            engine = self._engine_selector.choose_among(entries)
+            engine = self._engine_selector.choose_among(
+                self._context.availability.available(entries, clock.now_s())
+            )
             if engine is not None:
                 return engine
         return None
