--- a/packages/core/src/rattanpulley_core/_internal/serving/target_availability.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/target_availability.py
@@ -91,6 +91,15 @@
     back_in_s: float | None = None
     is_full: bool = False
 
+    @property
+    def reason(self) -> str:
+        """Why the request got no target, for log and response."""
+        if self.is_full:
+            return "the targets that have not asked for time are full"
+        if self.back_in_s is not None:
+            return "all targets have asked for time"
+        return "no target is ready"
+
     def outlasts(self, wait_s: float) -> bool:
         """Returns whether a request that waits so long gets no target."""
         if self.is_full:
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
@@ -218,12 +218,18 @@
             return None
         return serving.RetryDenial.RETRY_BUDGET
 
-    def _back_in_s(self, rng: random.Random) -> float:
-        """Returns when a target is back if all have asked for time, else 0."""
-        shortage = self._context.placement.shortage(
+    def no_target_reason(self) -> str:
+        """Returns why no target was chosen."""
+        return self._shortage().reason
+
+    def _shortage(self) -> serving.Shortage:
+        return self._context.placement.shortage(
             self._admission.pool, clock.now_s()
         )
-        back_in_s = shortage.back_in_s or 0.0
+
+    def _back_in_s(self, rng: random.Random) -> float:
+        """Returns when a target is back if all have asked for time, else 0."""
+        back_in_s = self._shortage().back_in_s or 0.0
         return back_in_s * rng.uniform(1.0, 1.0 + RETURN_SPREAD)
 
     def reserve_retry(self) -> bool:
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
@@ -66,7 +66,7 @@
                 return self._give_up(request_crashes.REFUSAL_REASON)
             entry = self._next_target()
             if entry is None:
-                return self._give_up("no target is ready")
+                return self._give_up(self.attempts.no_target_reason())
             progress = attempt_progress.AttemptProgress(clock.now_s())
             try:
                 return self._attempt(entry, progress)
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
@@ -86,7 +86,7 @@
                 return self._give_up(request_crashes.REFUSAL_REASON)
             plan = self._planner.next_plan(self._started)
             if plan is None:
-                return self._give_up("no target is ready")
+                return self._give_up(self.attempts.no_target_reason())
             progress = attempt_progress.AttemptProgress(clock.now_s())
             try:
                 self._attempt(plan, progress)
