--- a/packages/core/src/rattanpulley_core/_internal/serving/placement.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/placement.py
@@ -218,7 +218,8 @@
         waits_s = [availability.back_in_s(entry, now_s) for entry in entries]
         if not available:
             return target_availability.Shortage(min(waits_s, default=None))
-        is_full = _is_scarce(waits_s) and not any(
+        paused = len(entries) - len(available)
+        is_full = _is_scarce(paused, len(available)) and not any(
             availability.is_ramping(entry, now_s)
             or self._has_room(entry, now_s)
             for entry in available
@@ -229,18 +230,19 @@
         self, pool: str, now_s: float
     ) -> list[target_registry.TargetEntry]:
         """Returns the targets of a pool that may get one more request."""
-        listed = self._targets.in_pool(pool)
         availability = self._availability
-        is_scarce = _is_scarce(
-            [
-                availability.back_in_s(entry, now_s)
-                for entry in listed
-                if not availability.is_draining(entry, now_s)
-            ]
-        )
+        available = []
+        paused = 0
+        for entry in self._targets.in_pool(pool):
+            reason = availability.reason_of(entry, now_s)
+            if reason is None:
+                available.append(entry)
+            elif reason is target_availability.Reason.RETRY_AFTER:
+                paused += 1
+        is_scarce = _is_scarce(paused, len(available))
         return [
             entry
-            for entry in availability.available(listed, now_s)
+            for entry in available
             if not (is_scarce or availability.is_ramping(entry, now_s))
             or self._has_room(entry, now_s)
         ]
@@ -425,11 +427,6 @@
         return load.copies + load.in_flight + FAULT_COST * faults
 
 
-def _is_scarce(waits_s: list[float]) -> bool:
-    """Returns whether at least half of the targets have asked for time.
-
-    Args:
-        waits_s: Rest of the time that each target has asked for.
-    """
-    paused = sum(wait_s > 0.0 for wait_s in waits_s)
-    return 0 < len(waits_s) <= 2 * paused
+def _is_scarce(paused: int, available: int) -> bool:
+    """Returns whether at least half of the targets have asked for time."""
+    return 0 < paused >= available
--- a/packages/core/src/rattanpulley_core/_internal/serving/target_availability.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/target_availability.py
@@ -208,6 +208,10 @@
         self, entry: target_registry.TargetEntry, now_s: float
     ) -> Reason | None:
         """Returns why a target gets no new requests; None if it gets some."""
+        if entry.leaving:
+            return Reason.DRAINING
+        if entry.target_id not in self._starts_by_id:
+            return None
         if self.is_draining(entry, now_s):
             return Reason.DRAINING
         if self.back_in_s(entry, now_s) > 0.0:
@@ -228,6 +232,8 @@
         self, entry: target_registry.TargetEntry, now_s: float
     ) -> bool:
         """Returns whether a target is back since a short time only."""
+        if entry.target_id not in self._starts_by_id:
+            return False
         return self._back_for_s(entry, now_s) < RAMP_S
 
     def own_limit(
