--- a/packages/core/src/rattanpulley_core/_internal/serving/target_availability.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/target_availability.py
@@ -91,6 +91,15 @@
     back_in_s: float | None = None
     is_full: bool = False
 
+    @property
+    def reason(self) -> str:
+        """Why the request got no target, for log and response."""
+        if self.is_full:
+            return "the targets that have not asked for time are full"
+        if self.back_in_s is not None:
+            return "all targets have asked for time"
+        return "no target is ready"
+
     def outlasts(self, wait_s: float) -> bool:
         """Returns whether a request that waits so long gets no target."""
         if self.is_full:
@@ -199,6 +208,10 @@
         self, entry: target_registry.TargetEntry, now_s: float
     ) -> Reason | None:
         """Returns why a target gets no new requests; None if it gets some."""
+        if entry.leaving:
+            return Reason.DRAINING
+        if entry.target_id not in self._starts_by_id:
+            return None
         if self.is_draining(entry, now_s):
             return Reason.DRAINING
         if self.back_in_s(entry, now_s) > 0.0:
@@ -219,6 +232,8 @@
         self, entry: target_registry.TargetEntry, now_s: float
     ) -> bool:
         """Returns whether a target is back since a short time only."""
+        if entry.target_id not in self._starts_by_id:
+            return False
         return self._back_for_s(entry, now_s) < RAMP_S
 
     def own_limit(
