--- a/Makefile
+++ b/Makefile
@@ -69,8 +69,10 @@
 SEED ?= 1
 SEEDS ?= 1
 LENGTH ?= 30
+# For larger runs: SOAK_OPTIONS="--hosts 16 --targets 21 --clients 24".
+SOAK_OPTIONS ?=
 soak: setup
-	PYTHONPATH=$(SRC_PATH):platform/tests $(PY) -m platform_soak --seed $(SEED) --seeds $(SEEDS) --length $(LENGTH)
+	PYTHONPATH=$(SRC_PATH):platform/tests $(PY) -m platform_soak --seed $(SEED) --seeds $(SEEDS) --length $(LENGTH) $(SOAK_OPTIONS)
 
 measure: setup
 	$(PY) -m rattanpulley_standins.measure
