Split load and health of targets from their selection

LoadTable and TargetLoad move to load_table.py without a change; the public names stay. Tests of serving and relay pass.

--- /dev/null
+++ b/packages/core/src/rattanpulley_core/_internal/serving/load_table.py
@@ -0,0 +1,85 @@
+"""Load and health of the targets, as known to one host."""
+
+import dataclasses
+import math
+
+# Time after which the score of a failure has halved.
+FAULT_HALF_LIFE_S = 1.5
+# A report stays useful for about the duration of a short request.
+REPORT_AGE_LIMIT_S = 0.5
+
+
+@dataclasses.dataclass(slots=True)
+class TargetLoad:
+    """Load and health of one target, as known to this host.
+
+    Attributes:
+        in_flight: Attempts of this host that are running.
+        prefills: Attempts of this host whose prompt is in prefill.
+        copies: Runs of this host that keep a copy of their memory there.
+        reported_running: Running requests in the target's last report.
+        reported_at_s: Time of the last report.
+        fault_score: Number of recent failures, with exponential decay.
+        fault_at_s: Time when `fault_score` was last changed.
+        blocked_until_s: Time until which the target gets no new work after it
+            was unreachable.
+    """
+
+    in_flight: int = 0
+    prefills: int = 0
+    copies: int = 0
+    reported_running: int = 0
+    reported_at_s: float = float("-inf")
+    fault_score: float = 0.0
+    fault_at_s: float = 0.0
+    blocked_until_s: float = float("-inf")
+
+
+class LoadTable:
+    """Load and health of each target, by target id."""
+
+    def __init__(self) -> None:
+        self._loads_by_id: dict[str, TargetLoad] = {}
+
+    def load_of(self, target_id: str) -> TargetLoad:
+        """Returns the load of a target; creates it if it is missing."""
+        return self._loads_by_id.setdefault(target_id, TargetLoad())
+
+    def forget(self, target_id: str) -> None:
+        """Removes the load of a target that no longer exists."""
+        self._loads_by_id.pop(target_id, None)
+
+    def record_report(self, target_id: str, running: int, now_s: float) -> None:
+        """Records the number of running requests that a target reports."""
+        load = self.load_of(target_id)
+        load.reported_running = running
+        load.reported_at_s = now_s
+
+    def record_fault(
+        self, target_id: str, now_s: float, blocked_s: float = 0.0
+    ) -> None:
+        """Records a failure.
+
+        Args:
+            target_id: Id of the target.
+            now_s: Current time.
+            blocked_s: Seconds for which the target gets no new work.
+        """
+        load = self.load_of(target_id)
+        load.fault_score = self.faults(target_id, now_s) + 1.0
+        load.fault_at_s = now_s
+        load.blocked_until_s = max(load.blocked_until_s, now_s + blocked_s)
+
+    def record_success(self, target_id: str, now_s: float) -> None:
+        """Records a valid response, which halves the failure score."""
+        load = self.load_of(target_id)
+        load.fault_score = self.faults(target_id, now_s) / 2.0
+        load.fault_at_s = now_s
+        load.blocked_until_s = float("-inf")
+
+    def faults(self, target_id: str, now_s: float) -> float:
+        """Returns the failure score after its decay until now."""
+        load = self.load_of(target_id)
+        age_s = max(0.0, now_s - load.fault_at_s)
+        halvings = age_s / FAULT_HALF_LIFE_S
+        return load.fault_score * math.pow(0.5, halvings)
--- a/packages/core/src/rattanpulley_core/serving.py
+++ b/packages/core/src/rattanpulley_core/serving.py
@@ -5,6 +5,7 @@
 from rattanpulley_core._internal.serving import failure_kinds
 from rattanpulley_core._internal.serving import fingerprints
 from rattanpulley_core._internal.serving import fleet
+from rattanpulley_core._internal.serving import load_table
 from rattanpulley_core._internal.serving import peer_sync
 from rattanpulley_core._internal.serving import placement
 from rattanpulley_core._internal.serving import prefill
@@ -44,8 +45,8 @@
 request_fingerprint = fingerprints.request_fingerprint
 Fleet = fleet.Fleet
 HostEntry = fleet.HostEntry
-LoadTable = placement.LoadTable
-TargetLoad = placement.TargetLoad
+LoadTable = load_table.LoadTable
+TargetLoad = load_table.TargetLoad
 Placement = placement.Placement
 PlacementQuery = placement.PlacementQuery
 PrefillWait = prefill.PrefillWait
