--- a/packages/core/src/rattanpulley_core/_internal/serving/target_availability.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/target_availability.py
@@ -1,7 +1,7 @@
 """What targets say about themselves: draining, and when they want work again.
 
-A word belongs to one start of one target. It stays known when the target is
-removed and listed again, and ends with that start.
+An announcement belongs to one start of one target. It stays known when the
+target is removed and listed again, and ends with that start.
 """
 
 from collections import OrderedDict
@@ -19,8 +19,8 @@
 # How long a target counts as draining if its start is unknown: it may have been
 # restarted under the same id.
 UNKNOWN_START_DRAINING_S = 60.0
-# Targets that are remembered, and starts of each; those without a word for
-# longest go first.
+# Targets that are remembered, and starts of each; those without an announcement
+# for longest go first.
 MAX_REMEMBERED_TARGETS = 4096
 MAX_REMEMBERED_STARTS = 4
 # Time in which a target that is back gets more and more requests.
@@ -131,7 +131,7 @@
     """Which targets accept new requests, by their entries and own answers."""
 
     def __init__(self, max_targets: int = MAX_REMEMBERED_TARGETS) -> None:
-        """Creates a table without words of targets.
+        """Creates a table without announcements of targets.
 
         Args:
             max_targets: Number of targets that are remembered.
@@ -193,7 +193,7 @@
     def is_draining(
         self, entry: target_registry.TargetEntry, now_s: float
     ) -> bool:
-        """Returns whether a target is draining, by its entry or its word."""
+        """Returns whether a target is draining, by its entry or by itself."""
         if entry.leaving:
             return True
         return now_s < self._until_s(entry, Reason.DRAINING)
@@ -276,8 +276,9 @@
     ) -> float:
         """Returns when a time without new requests ends or has ended.
 
-        A word with an unknown start counts for all starts. An entry without a
-        start may be of any of them, so that their words count for a short time.
+        An announcement with an unknown start counts for all starts. An entry
+        without a start may be of any of them, so that their announcements count
+        for a short time.
         """
         starts = self._starts_by_id.get(entry.target_id, {})
         until_s = float("-inf")
@@ -324,15 +325,15 @@
         draining: Values of the header of a draining target.
         retry_after: Values of the Retry-After header.
     """
-    words = [value == "1" for value in draining]
+    flags = [value == "1" for value in draining]
     times_s = [_parse_seconds(value) for value in retry_after]
     if status != 503:
         times_s = []
     readable_s = [time_s for time_s in times_s if time_s is not None]
     return Announcement(
-        draining=any(words),
+        draining=any(flags),
         retry_after_s=max(readable_s, default=0.0),
-        unreadable=words.count(False) + times_s.count(None),
+        unreadable=flags.count(False) + times_s.count(None),
     )
 
 
--- a/packages/core/tests/serving/availability_drive.py
+++ b/packages/core/tests/serving/availability_drive.py
@@ -97,9 +97,9 @@
         served_at_s: When requests were served.
     """
 
-    def __init__(self, seed, hosts, targets, spans, reads_words):
+    def __init__(self, seed, hosts, targets, spans, reads_announcements):
         self.rng = random.Random(seed)
-        self.reads_words = reads_words
+        self.reads_announcements = reads_announcements
         self.events = []
         self.numbers = itertools.count()
         self.targets = [
@@ -181,17 +181,21 @@
 
     def arrive(self, now_s, request, target):
         self.count_arrival(now_s, request.host, target)
-        word = target.announcement(now_s)
-        if word.retry_after_s:
+        announcement = target.announcement(now_s)
+        if announcement.retry_after_s:
             self.rejected["asking"] += 1
-            self.at(now_s + DELAY_S, self.refused, request, target, word)
+            self.at(
+                now_s + DELAY_S, self.refused, request, target, announcement
+            )
         elif target.running < SLOTS:
             self.start(now_s, request, target)
         elif len(target.queue) < SLOTS:
             target.queue.append(request)
         else:
             self.rejected["full"] += 1
-            self.at(now_s + DELAY_S, self.refused, request, target, word)
+            self.at(
+                now_s + DELAY_S, self.refused, request, target, announcement
+            )
 
     def start(self, now_s, request, target):
         target.running += 1
@@ -207,27 +211,27 @@
         self.in_time += now_s <= request.born_s + OBJECTIVE_S
         self.served_at_s.append(now_s)
 
-    def refused(self, now_s, request, target, word):
-        self.hear(now_s, request.host, target, word)
+    def refused(self, now_s, request, target, announcement):
+        self.hear(now_s, request.host, target, announcement)
         request.tried |= {target.entry.target_id}
         if len(request.tried) < MAX_ATTEMPTS:
             self.place(now_s, request)
         else:
             self.refuse(now_s, request)
 
-    def hear(self, now_s, host, target, word):
+    def hear(self, now_s, host, target, announcement):
         target_id = target.entry.target_id
         host.loads.load_of(target_id).in_flight -= 1
         load = target.running + len(target.queue)
         host.loads.record_report(target_id, load, now_s)
         key = (host.number, target_id)
-        if word.retry_after_s:
+        if announcement.retry_after_s:
             ends = self.asked.setdefault(key, [])
-            ends.append((now_s, now_s + word.retry_after_s))
-        if word.draining:
+            ends.append((now_s, now_s + announcement.retry_after_s))
+        if announcement.draining:
             self.drained.setdefault(key, now_s)
-        if self.reads_words:
-            host.availability.record(target.entry, word, now_s)
+        if self.reads_announcements:
+            host.availability.record(target.entry, announcement, now_s)
 
     def count_arrival(self, now_s, host, target):
         key = (host.number, target.entry.target_id)
--- a/packages/core/tests/serving/test_availability_fleet.py
+++ b/packages/core/tests/serving/test_availability_fleet.py
@@ -51,8 +51,10 @@
     """Returns a fleet that reads what targets say, and one that does not."""
     hosts, targets = fleet
     reading, ignoring = (
-        drive_lib.Drive(3, hosts, targets, spans(targets), reads_words).run()
-        for reads_words in (True, False)
+        drive_lib.Drive(
+            3, hosts, targets, spans(targets), reads_announcements
+        ).run()
+        for reads_announcements in (True, False)
     )
     return reading, ignoring
 
--- a/packages/core/tests/serving/test_target_availability.py
+++ b/packages/core/tests/serving/test_target_availability.py
@@ -57,7 +57,7 @@
 
 
 # Guards against a table that grows with each target that has ever drained.
-def test_words_of_the_oldest_targets_are_forgotten() -> None:
+def test_announcements_of_the_oldest_targets_are_forgotten() -> None:
     availability = serving.TargetAvailability(max_targets=2)
     entries = [builders.target(name) for name in "abc"]
     for entry in entries:
@@ -136,7 +136,9 @@
 
 
 @pytest.mark.parametrize("values", [["0"], ["true"], ["1,1"], ["11"]])
-def test_other_words_than_draining_are_left_out(values: list[str]) -> None:
+def test_other_announcements_than_draining_are_left_out(
+    values: list[str],
+) -> None:
     """Guards against a target that is lost by another value."""
     read = serving.parse_announcement(200, values, [])
     assert read == serving.Announcement(unreadable=1)
@@ -145,13 +147,13 @@
 
 # Guards against the last resort of the choice: tried and blocked targets may
 # be used, but not these.
-@pytest.mark.parametrize("word", [DRAINING, _asks(2.0)])
+@pytest.mark.parametrize("announcement", [DRAINING, _asks(2.0)])
 def test_no_kind_of_choice_falls_back_to_unavailable_targets(
-    word: serving.Announcement,
+    announcement: serving.Announcement,
 ) -> None:
     north, south = builders.target("a"), builders.target("b", "south")
     availability, _, placement = _make_placement(north, south)
-    availability.record(north, word, 0.0)
+    availability.record(north, announcement, 0.0)
     query = serving.PlacementQuery("pool", frozenset({"b"}))
     for _ in range(20):
         chosen = placement.choose(query, 1.0)
@@ -159,7 +161,7 @@
         assert chosen.target_id == "b"
     assert placement.shortlist(query, 5, 1.0) == []
     assert placement.choose_copy_holder("pool", south, 1.0) is None
-    availability.record(south, word, 0.0)
+    availability.record(south, announcement, 0.0)
     assert placement.choose(query, 1.0) is None
 
 
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/context.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/context.py
@@ -8,8 +8,8 @@
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import decision_log
 from rattanpulleyd._internal.relay import relay_metrics
+from rattanpulleyd._internal.relay import target_announcements
 from rattanpulleyd._internal.relay import target_prober
-from rattanpulleyd._internal.relay import target_words
 from rattanpulleyd._internal.relay import wire
 
 
@@ -51,7 +51,7 @@
         cached_config: The configuration and its age.
         targets: Targets by id.
         availability: What targets say about themselves.
-        words: Reads it from the answers of targets.
+        announcements: Reads it from the answers of targets.
         shared_targets: Target changes that other hosts can request.
         loads: Load and health by target.
         placement: Selection of targets.
@@ -73,7 +73,7 @@
     cached_config: serving.CachedConfig
     targets: serving.TargetRegistry
     availability: serving.TargetAvailability
-    words: target_words.TargetWords
+    announcements: target_announcements.TargetAnnouncements
     shared_targets: SharedTargets
     loads: serving.LoadTable
     placement: serving.Placement
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/memory_copies.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/memory_copies.py
@@ -178,7 +178,7 @@
                 call.path,
                 call.body,
                 COPY_TIMEOUT_S,
-                self._context.words.record_head,
+                self._context.announcements.record_head,
             )
             if status == HTTP_OK:
                 handle = self._calls.handle_of(body)
@@ -217,7 +217,7 @@
                 call.path,
                 call.body,
                 RELEASE_TIMEOUT_S,
-                self._context.words.record_head,
+                self._context.announcements.record_head,
             )
         except target_connection.AttemptError as error:
             # The engine frees the copy itself when it expires.
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
@@ -106,14 +106,14 @@
         """Sends the request to a target and returns the response."""
         request = self._admission.request
         connection = target_connection.TargetConnection(
-            entry, self._context.words.record_head
+            entry, self._context.announcements.record_head
         )
         load = self._context.loads.load_of(entry.target_id)
         load.in_flight += 1
         self.targets.append(entry.target_id)
         try:
             connection.connect(target_connection.CONNECT_TIMEOUT_S)
-            self._context.words.check(entry)
+            self._context.announcements.check(entry)
             headers = context_lib.outgoing_headers(
                 self._context, self._admission, entry
             )
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
@@ -29,9 +29,9 @@
 from rattanpulleyd._internal.relay import status_report
 from rattanpulleyd._internal.relay import store_refresh
 from rattanpulleyd._internal.relay import suspect_sharing
+from rattanpulleyd._internal.relay import target_announcements
 from rattanpulleyd._internal.relay import target_prober
 from rattanpulleyd._internal.relay import target_reports
-from rattanpulleyd._internal.relay import target_words
 from rattanpulleyd._internal.relay import tasks
 from rattanpulleyd._internal.relay import wire
 
@@ -138,7 +138,7 @@
             targets.run_forever,
             rollouts.run_forever,
             membership.run_forever,
-            self._context.words.run_forever,
+            self._context.announcements.run_forever,
             *(sharing.run_forever for sharing in sharings),
             self._watch_loop_gaps,
             self._watch_settings,
@@ -222,7 +222,9 @@
     log = decision_log.DecisionLog(settings.name)
     targets = serving.TargetRegistry()
     availability = serving.TargetAvailability()
-    words = target_words.TargetWords(availability, targets, names, log, metrics)
+    announcements = target_announcements.TargetAnnouncements(
+        availability, targets, names, log, metrics
+    )
     loads = serving.LoadTable()
     gate = serving.VersionGate()
     fleet = serving.Fleet(settings.name)
@@ -235,7 +237,7 @@
         cached_config=serving.CachedConfig(bounds.key_removal_s),
         targets=targets,
         availability=availability,
-        words=words,
+        announcements=announcements,
         shared_targets=context_lib.SharedTargets(serving.ChangeLog()),
         loads=loads,
         placement=serving.Placement(
@@ -253,7 +255,7 @@
         fleet=fleet,
         names=names,
         prober=target_prober.TargetProber(
-            report_reader, metrics, words.record_head
+            report_reader, metrics, announcements.record_head
         ),
         log=log,
         metrics=metrics,
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/relay_metrics.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/relay_metrics.py
@@ -37,8 +37,8 @@
             "memory_copies", "Copies of a run's memory", ["result"]
         )
         self.probes = self._counter("probes", "Probes of targets", ["result"])
-        self.target_words = self._counter(
-            "target_words", "What targets say of themselves", ["word"]
+        self.target_announcements = self._counter(
+            "target_announcements", "What targets say of themselves", ["kind"]
         )
         self.targets_unavailable = prometheus_client.Gauge(
             "rattanpulley_targets_unavailable",
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
@@ -112,7 +112,7 @@
         request = self._admission.request
         entry = plan.entry
         connection = target_connection.TargetConnection(
-            entry, self._context.words.record_head
+            entry, self._context.announcements.record_head
         )
         load = self._context.loads.load_of(entry.target_id)
         load.in_flight += 1
@@ -124,7 +124,7 @@
         self.report.targets.append(entry.target_id)
         try:
             connection.connect(target_connection.CONNECT_TIMEOUT_S)
-            self._context.words.check(entry)
+            self._context.announcements.check(entry)
             connection.send(
                 request.method,
                 request.target,
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/target_words.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/target_announcements.py
@@ -15,7 +15,7 @@
 UNREADABLE_LOG_INTERVAL_S = 10.0
 
 
-class TargetWords:
+class TargetAnnouncements:
     """Feeds the answers of targets to their availability, and logs changes."""
 
     def __init__(
@@ -33,7 +33,7 @@
             targets: Targets by id.
             names: Header names of the deployment.
             log: Log for changes.
-            metrics: Counts the words.
+            metrics: Counts the announcements.
         """
         self._availability = availability
         self._targets = targets
@@ -78,7 +78,7 @@
     ) -> serving.TargetEntry | None:
         """Returns the target that has answered, or None if it is unknown.
 
-        Another target may have the address; its words are not about this one.
+        Another target may have the address; what it says is not about this one.
         """
         found_id = head.value(self._names.target_id)
         if found_id is None:
@@ -122,21 +122,21 @@
         entry: serving.TargetEntry,
         announcement: serving.Announcement,
     ) -> None:
-        words = self._metrics.target_words
+        announcements = self._metrics.target_announcements
         if announcement.draining:
-            words.labels("draining").inc()
+            announcements.labels("draining").inc()
         if announcement.retry_after_s:
-            words.labels("retry_after").inc()
+            announcements.labels("retry_after").inc()
         if not announcement.unreadable:
             return
-        words.labels("unreadable").inc(announcement.unreadable)
+        announcements.labels("unreadable").inc(announcement.unreadable)
         self._unreadable += announcement.unreadable
         now_s = clock.now_s()
         if now_s - self._unreadable_logged_at_s < UNREADABLE_LOG_INTERVAL_S:
             return
         self._unreadable_logged_at_s = now_s
         self._log.failure(
-            "target.unreadable_word",
+            "target.unreadable_announcement",
             target=entry.target_id,
             values=self._unreadable,
         )
--- a/packages/daemon/tests/relay/relay_builders.py
+++ b/packages/daemon/tests/relay/relay_builders.py
@@ -47,7 +47,7 @@
         host_stop=context_lib.HostStop(),
         fleet=serving.Fleet(name),
         availability=serving.TargetAvailability(),
-        words=types.SimpleNamespace(record_head=None),
+        announcements=types.SimpleNamespace(record_head=None),
         shared_targets=context_lib.SharedTargets(serving.ChangeLog()),
         metrics=relay_metrics.RelayMetrics(),
         log=decision_log.DecisionLog(name),
--- a/packages/daemon/tests/relay/test_target_words.py
+++ b/packages/daemon/tests/relay/test_target_announcements.py
@@ -10,8 +10,8 @@
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import context as context_lib
 from rattanpulleyd._internal.relay import plain_relay
+from rattanpulleyd._internal.relay import target_announcements
 from rattanpulleyd._internal.relay import target_connection
-from rattanpulleyd._internal.relay import target_words
 
 TARGET = relay_builders.target("t")
 OTHER = relay_builders.target("other", port=81)
@@ -24,7 +24,7 @@
     for entry in (TARGET, OTHER):
         context.targets.upsert(entry)
     names = types.SimpleNamespace(draining=b"draining", target_id=b"target")
-    context.words = target_words.TargetWords(
+    context.announcements = target_announcements.TargetAnnouncements(
         context.availability,
         context.targets,
         names,
@@ -39,7 +39,7 @@
     return target_connection.ResponseHead(status, tuple(raw))
 
 
-# Guards against a target that is lost by the word of another at its address.
+# Guards against a target that is lost by what another at its address says.
 @pytest.mark.parametrize(
     ("head", "draining"),
     [
@@ -50,8 +50,10 @@
         (_head(421, draining="1", target="unknown"), set()),
     ],
 )
-def test_word_is_that_of_the_target_that_answers(context, head, draining):
-    context.words.record_head(TARGET, head)
+def test_announcement_is_that_of_the_target_that_answers(
+    context, head, draining
+):
+    context.announcements.record_head(TARGET, head)
     now_s = clock.now_s()
     assert draining == {
         entry.target_id
@@ -60,13 +62,13 @@
     }
 
 
-# Guards against a request that is sent although the word arrived while its
+# Guards against a request that is sent although the target said so while its
 # connection was opened; it has not run, and goes to another target.
 def test_request_is_checked_when_its_connection_is_open(context, monkeypatch):
     sent = []
 
     def connect(_connection, _timeout_s):
-        context.words.record_head(TARGET, _head(200, draining="1"))
+        context.announcements.record_head(TARGET, _head(200, draining="1"))
 
     monkeypatch.setattr(target_connection.TargetConnection, "connect", connect)
     monkeypatch.setattr(
@@ -88,13 +90,15 @@
     )
 
 
-# Guards against a log that grows with each word.
+# Guards against a log that grows with each announcement.
 def test_lines_of_an_interval_are_bounded(context):
     lines = []
     context.log.change = lambda event, **_: lines.append(event)
     for number in range(100):
         entry = relay_builders.target(f"t{number}", port=number)
-        context.words.record_head(entry, _head(503, **{"retry-after": "1"}))
-    assert lines == ["target.retry_after"] * target_words.MAX_LINES
-    context.words.step(clock.now_s() + 2.0)
-    assert lines.count("target.available") == target_words.MAX_LINES
+        context.announcements.record_head(
+            entry, _head(503, **{"retry-after": "1"})
+        )
+    assert lines == ["target.retry_after"] * target_announcements.MAX_LINES
+    context.announcements.step(clock.now_s() + 2.0)
+    assert lines.count("target.available") == target_announcements.MAX_LINES
