Block a silent target at each failure, and count its fault every 2 s

Each further failure within 2 s of the last one renewed the silence, so that it never counted again.

--- a/packages/core/src/rattanpulley_core/_internal/serving/load_table.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/load_table.py
@@ -68,7 +68,12 @@
         load = self.load_of(target_id)
         load.fault_score = self.faults(target_id, now_s) + 1.0
         load.fault_at_s = now_s
-        load.blocked_until_s = max(load.blocked_until_s, now_s + blocked_s)
+        self.block(target_id, now_s, blocked_s)
+
+    def block(self, target_id: str, now_s: float, for_s: float) -> None:
+        """Gives a target no new work for some seconds."""
+        load = self.load_of(target_id)
+        load.blocked_until_s = max(load.blocked_until_s, now_s + for_s)
 
     def record_success(self, target_id: str, now_s: float) -> None:
         """Records a valid response, which halves the failure score."""
--- a/packages/core/src/rattanpulley_core/_internal/serving/silence.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/silence.py
@@ -81,5 +81,6 @@
             if now_s - at_s < SAME_SILENCE_S
         }
         is_new = target_id not in self._left_at_s_by_id
-        self._left_at_s_by_id[target_id] = now_s
+        if is_new:
+            self._left_at_s_by_id[target_id] = now_s
         return is_new
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/target_health.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/target_health.py
@@ -44,9 +44,11 @@
     now_s = clock.now_s()
     rule = serving.RULE_BY_FAILURE[error.kind]
     context.metrics.attempts.labels(error.kind.value).inc()
-    if rule.is_fault and is_new_fault:
+    if rule.is_fault:
         blocked_s = BLOCK_S_BY_FAILURE.get(error.kind, 0.0)
-        context.loads.record_fault(entry.target_id, now_s, blocked_s)
+        context.loads.block(entry.target_id, now_s, blocked_s)
+        if is_new_fault:
+            context.loads.record_fault(entry.target_id, now_s)
     context.log.failure(
         "attempt.ended",
         request=admission.request.request_id,
--- a/packages/daemon/tests/relay/test_attempts.py
+++ b/packages/daemon/tests/relay/test_attempts.py
@@ -103,3 +103,13 @@
     context.host_stop.deadline_s = clock.now_s()
     _record(_attempts(context), serving.FailureKind.TIMED_OUT)
     assert context.observed == []
+
+
+# A target that stayed silent got new work 0.4 s after its first failure, since
+# only that one blocked it.
+def test_each_failure_of_a_silent_target_blocks_it(context):
+    _record(_attempts(context), serving.FailureKind.UNRESPONSIVE)
+    load = context.loads.load_of(TARGET.target_id)
+    load.blocked_until_s = float("-inf")
+    _record(_attempts(context), serving.FailureKind.UNRESPONSIVE)
+    assert load.blocked_until_s > clock.now_s()
