Review: show that one endless answer stops a host

Cause: the relay's read loops check their deadline and yield only when the socket is empty, so that bytes without end from one replica stop the process.

--- /dev/null
+++ b/review/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and the harness of the review's scripts."""
--- /dev/null
+++ b/review/standins/replicas.py
@@ -0,0 +1,63 @@
+"""Starts replicas as separate processes."""
+
+import os
+import subprocess
+import sys
+import threading
+
+from standins import harness
+
+
+class ReplicaProcess:
+    """A replica process.
+
+    Attributes:
+        replica_id: Id of the replica.
+        address: IP address and port.
+        run_ids: Ids of the requests that it has run, in order.
+    """
+
+    def __init__(
+        self, replica_id: str, record: harness.Record, flood: str = ""
+    ) -> None:
+        """Starts the process.
+
+        Args:
+            replica_id: Id of the replica.
+            record: Receives its runs.
+            flood: Where it sends bytes without end: head, body, or empty.
+        """
+        self.replica_id = replica_id
+        self.run_ids: list[str] = []
+        self._record = record
+        self._process = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "standins.replica_process",
+                f"--id={replica_id}",
+                f"--flood={flood}",
+            ],
+            env=dict(os.environ),
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            text=True,
+        )
+        assert self._process.stdout is not None
+        self._output = self._process.stdout
+        self.address = self._output.readline().strip()
+        if not self.address:
+            raise harness.CaseError(f"{replica_id} has not started")
+        threading.Thread(target=self._read, daemon=True).start()
+
+    def _read(self) -> None:
+        for line in self._output:
+            word, _, request_id = line.strip().partition(" ")
+            if word == "run":
+                self.run_ids.append(request_id)
+                self._record.write(f"run {request_id} at {self.replica_id}")
+
+    def close(self) -> None:
+        """Ends the process."""
+        self._process.kill()
+        self._process.wait()
