Review: show that a killed replica's streams end as complete

Cause: the end of a body without a length counts as complete once an event has arrived, also when the replica was killed and its kernel closed the connection.

--- a/review/1/endless_answer.py
+++ b/review/1/endless_answer.py
@@ -65,7 +65,7 @@
         ("kiosk-2", "kiosk", ""),
         ("faulty", faulty_service, flood),
     ):
-        row = replicas.ReplicaProcess(name, record, how)
+        row = replicas.ReplicaProcess(name, record, f"--flood={how}")
         started.append(row)
         entry = harness.replica_entry(row.address, service, "caerdydd")
         store.put("servers", name, entry)
--- a/review/standins/clients.py
+++ b/review/standins/clients.py
@@ -23,6 +23,7 @@
         ended_at_s: When its answer was complete, or None.
         status: Status of the answer, or None.
         error: Why there is no answer.
+        body: Body of the answer.
     """
 
     request_id: str
@@ -32,6 +33,7 @@
     ended_at_s: float | None = None
     status: int | None = None
     error: str = ""
+    body: bytes = b""
 
     def answered_within(self, seconds: float) -> bool:
         """Returns whether the answer was complete by then."""
@@ -87,7 +89,7 @@
         try:
             self._connection.request(method, path, body, sent_headers)
             answer = self._connection.getresponse()
-            answer.read()
+            row.body = answer.read()
             row.status = answer.status
             row.ended_at_s = time.monotonic()
         except (OSError, http.client.HTTPException) as error:
--- a/review/standins/replica_process.py
+++ b/review/standins/replica_process.py
@@ -2,7 +2,8 @@
 
 It is the project's stand-in of a replica, which prints its address and a line
 for each run. A request to a replica that floods is answered with bytes that are
-no answer, without end, until the caller closes or `FLOOD_S` has passed.
+no answer, without end, until the caller closes or `FLOOD_S` has passed. A model
+replica reports what it runs; its streams may have no length.
 """
 
 import argparse
@@ -29,12 +30,26 @@
 
     flood = ""
 
+    def __init__(self, replica_id: str) -> None:
+        """Starts to accept connections."""
+        self._running_ids: set[str] = set()
+        super().__init__(replica_id)
+
     def record_run(self, request: http_wire.ReceivedRequest) -> None:
         """Prints the id of the request that is run."""
         super().record_run(request)
-        sys.stdout.write(f"run {request.headers[replica.REQUEST_ID_HEADER]}\n")
+        request_id = request.headers[replica.REQUEST_ID_HEADER]
+        self._running_ids.add(request_id)
+        sys.stdout.write(f"run {request_id}\n")
         sys.stdout.flush()
 
+    def record_end(self, request: http_wire.ReceivedRequest) -> None:
+        """Forgets a run that has ended."""
+        self._running_ids.discard(request.headers[replica.REQUEST_ID_HEADER])
+
+    def _runs(self) -> dict[str, int]:
+        return dict.fromkeys(list(self._running_ids), 0)
+
     def _run(
         self,
         connection: connections.ReplicaConnection,
@@ -70,9 +85,15 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--id", required=True)
     parser.add_argument("--flood", default="")
+    parser.add_argument("--behaviour", default="good")
+    parser.add_argument("--events", type=int, default=replica.EVENT_COUNT)
+    parser.add_argument("--event-interval-s", type=float, default=0.005)
     arguments = parser.parse_args()
+    replica.EVENT_COUNT = arguments.events
     served = ProcessReplica(arguments.id)
     served.flood = arguments.flood
+    served.behaviour = arguments.behaviour
+    served.event_interval_s = arguments.event_interval_s
     sys.stdout.write(f"{served.address}\n")
     sys.stdout.flush()
     threading.Event().wait()
--- a/review/standins/replicas.py
+++ b/review/standins/replicas.py
@@ -1,6 +1,7 @@
 """Starts replicas as separate processes."""
 
 import os
+import signal
 import subprocess
 import sys
 import threading
@@ -18,14 +19,14 @@
     """
 
     def __init__(
-        self, replica_id: str, record: harness.Record, flood: str = ""
+        self, replica_id: str, record: harness.Record, *options: str
     ) -> None:
         """Starts the process.
 
         Args:
             replica_id: Id of the replica.
             record: Receives its runs.
-            flood: Where it sends bytes without end: head, body, or empty.
+            *options: Further options of `replica_process`.
         """
         self.replica_id = replica_id
         self.run_ids: list[str] = []
@@ -36,7 +37,7 @@
                 "-m",
                 "standins.replica_process",
                 f"--id={replica_id}",
-                f"--flood={flood}",
+                *options,
             ],
             env=dict(os.environ),
             stdout=subprocess.PIPE,
@@ -57,6 +58,10 @@
                 self.run_ids.append(request_id)
                 self._record.write(f"run {request_id} at {self.replica_id}")
 
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal to the process."""
+        self._process.send_signal(number)
+
     def close(self) -> None:
         """Ends the process."""
         self._process.kill()
