--- a/review/standins/replica_process.py
+++ b/review/standins/replica_process.py
@@ -40,7 +40,8 @@
         super().record_run(request)
         request_id = request.headers[replica.REQUEST_ID_HEADER]
         self._running_ids.add(request_id)
-        sys.stdout.write(f"run {request_id}\n")
+        # The clock is the same for all processes of the machine.
+        sys.stdout.write(f"run {request_id} {time.monotonic():.6f}\n")
         sys.stdout.flush()
 
     def record_end(self, request: http_wire.ReceivedRequest) -> None:
--- a/review/standins/replicas.py
+++ b/review/standins/replicas.py
@@ -16,6 +16,7 @@
         replica_id: Id of the replica.
         address: IP address and port.
         run_ids: Ids of the requests that it has run, in order.
+        runs_at_s: When they began, on the monotonic clock.
     """
 
     def __init__(
@@ -30,6 +31,7 @@
         """
         self.replica_id = replica_id
         self.run_ids: list[str] = []
+        self.runs_at_s: list[float] = []
         self._record = record
         self._process = subprocess.Popen(
             [
@@ -53,10 +55,11 @@
 
     def _read(self) -> None:
         for line in self._output:
-            word, _, request_id = line.strip().partition(" ")
-            if word == "run":
-                self.run_ids.append(request_id)
-                self._record.write(f"run {request_id} at {self.replica_id}")
+            words = line.split()
+            if len(words) == 3 and words[0] == "run":
+                self.run_ids.append(words[1])
+                self.runs_at_s.append(float(words[2]))
+                self._record.write(f"run {words[1]} at {self.replica_id}")
 
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal to the process."""
