--- a/review/1/endless_answer.py
+++ b/review/1/endless_answer.py
@@ -3,7 +3,6 @@
 import os
 import pathlib
 import sys
-import tempfile
 import threading
 import time
 
@@ -21,7 +20,6 @@
 TROUBLE_AT_S = 2.0
 ROUTES = [
     harness.Route("/charge/", "unsafe", "kiosk", TIMEOUT_MS, 200, 1),
-    harness.Route("/stock/", "safe", "kiosk", TIMEOUT_MS, 200, 2),
     harness.Route("/advice/", "stream", "assistant", 25000, 4500, 5, True),
     harness.Route("/other/", "unsafe", "helper", 25000, 4500, 1),
 ]
@@ -32,28 +30,11 @@
 ]
 
 
-def main() -> int:
+def _run(case: harness.Case) -> int:
     """Runs the case; returns the exit status of the script."""
-    record = harness.Record(FOLDER / "record.txt")
-    started: list[replicas.ReplicaProcess] = []
+    record = case.record
     hosts: list[harness.Host] = []
-    try:
-        with tempfile.TemporaryDirectory() as folder:
-            return _run(record, pathlib.Path(folder), started, hosts)
-    except harness.CaseError as error:
-        record.write(f"could not run: {error}")
-        return harness.NOT_RUN
-    finally:
-        for row in (*hosts, *started):
-            row.close()
-
-
-def _run(
-    record: harness.Record,
-    folder: pathlib.Path,
-    started: list[replicas.ReplicaProcess],
-    hosts: list[harness.Host],
-) -> int:
+    started: list[replicas.ReplicaProcess] = []
     place = os.environ.get("PLACE", "body")
     flood = place if harness.has_trouble() else ""
     path = "/advice/x" if place == "body" else "/other/x"
@@ -67,12 +48,16 @@
     ):
         row = replicas.ReplicaProcess(name, record, f"--flood={how}")
         started.append(row)
+        case.started.append(row)
         entry = harness.replica_entry(row.address, service, "caerdydd")
         store.put("servers", name, entry)
     for number in (1, 2):
         hosts.append(
-            harness.Host(f"front-{number}", "caerdydd", folder, store.address)
+            harness.Host(
+                f"front-{number}", "caerdydd", case.folder, store.address
+            )
         )
+    case.started.extend(hosts)
     harness.start_hosts(hosts)
     sent = _send_traffic(record, hosts[0], path)
     store.close()
@@ -90,10 +75,8 @@
     ]
 
     def use(number: int) -> None:
-        method = "POST" if number % 2 else "GET"
-        prefix = "/charge/" if number % 2 else "/stock/"
         while time.monotonic() < until_s:
-            kept[number].send(method, f"{prefix}{number}")
+            kept[number].send("POST", f"/charge/{number}")
             time.sleep(REQUEST_INTERVAL_S)
 
     def trouble() -> None:
@@ -131,4 +114,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(harness.run_case(FOLDER, _run))
--- a/review/2/leaving_replicas.py
+++ b/review/2/leaving_replicas.py
@@ -3,7 +3,6 @@
 import dataclasses
 import pathlib
 import sys
-import tempfile
 import threading
 import time
 
@@ -79,43 +78,31 @@
         threading.Timer(SERVES_S, self._end, (row,)).start()
         return leaving
 
+    def close(self) -> None:
+        """Ends all replicas."""
+        for row in self.replicas:
+            row.close()
+
     def _end(self, row: replicas.ReplicaProcess) -> None:
         self._store.delete("servers", row.replica_id)
         row.close()
 
 
-def main() -> int:
+def _run(case: harness.Case) -> int:
     """Runs the case; returns the exit status of the script."""
-    record = harness.Record(FOLDER / "record.txt")
-    pools: list[Pool] = []
+    record = case.record
     hosts: list[harness.Host] = []
-    try:
-        with tempfile.TemporaryDirectory() as folder:
-            return _run(record, pathlib.Path(folder), pools, hosts)
-    except harness.CaseError as error:
-        record.write(f"could not run: {error}")
-        return harness.NOT_RUN
-    finally:
-        for host in hosts:
-            host.close()
-        for row in (row for pool in pools for row in pool.replicas):
-            row.close()
-
-
-def _run(
-    record: harness.Record,
-    folder: pathlib.Path,
-    pools: list[Pool],
-    hosts: list[harness.Host],
-) -> int:
     store = harness.new_store()
     store.put("config", "main", harness.config(1, ROUTES, SERVICES))
     pool = Pool(store, record)
-    pools.append(pool)
+    case.started.append(pool)
     path_to_store = proxy.Proxy(store.address)
     for number, zone in enumerate(ZONES, 1):
         address = path_to_store.address if number == 1 else store.address
-        hosts.append(harness.Host(f"front-{number}", zone, folder, address))
+        hosts.append(
+            harness.Host(f"front-{number}", zone, case.folder, address)
+        )
+    case.started.extend(hosts)
     harness.start_hosts(hosts)
     leaving: list[Leaving] = []
     threads = _client_threads(record, hosts[1:])
@@ -184,4 +171,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(harness.run_case(FOLDER, _run))
