--- a/review/2/leaving_replicas.py
+++ b/review/2/leaving_replicas.py
@@ -1,4 +1,4 @@
-"""Replicas leave while one of three machines is cut off from the store."""
+"""Replicas leave while one of six machines is cut off from the store."""
 
 import dataclasses
 import pathlib
@@ -17,7 +17,8 @@
 TIMEOUT_MS = 2000
 PATIENCE_MS = 2500
 DRAIN_S = harness.BOUNDS["drain_ms"] / 1000
-CLIENTS_OF_A_HOST = 8
+HOSTS = 6
+CLIENTS_OF_A_HOST = 4
 REQUEST_INTERVAL_S = 0.05
 CYCLES = 12
 CYCLE_S = 6.0
@@ -97,7 +98,8 @@
     pool = Pool(store, record)
     case.started.append(pool)
     path_to_store = proxy.Proxy(store.address)
-    for number, zone in enumerate(ZONES, 1):
+    for number in range(1, HOSTS + 1):
+        zone = ZONES[number % len(ZONES)]
         address = path_to_store.address if number == 1 else store.address
         hosts.append(
             harness.Host(f"front-{number}", zone, case.folder, address)
--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -14,6 +14,7 @@
 import shlex
 import signal
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -294,6 +295,8 @@
         The exit status; `NOT_RUN` if anything unexpected happens.
     """
     record = Record(folder / "record.txt")
+    # Lets the script end what it has started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     with tempfile.TemporaryDirectory() as temporary:
         case = Case(record, pathlib.Path(temporary))
         try:
