--- a/review/1/endless_answer.py
+++ b/review/1/endless_answer.py
@@ -18,6 +18,7 @@
 REQUEST_INTERVAL_S = 0.25
 TRAFFIC_S = 10.0
 TROUBLE_AT_S = 2.0
+MAX_TRIES = 20
 ROUTES = [
     harness.Route("/charge/", "unsafe", "kiosk", TIMEOUT_MS, 200, 1),
     harness.Route("/advice/", "stream", "assistant", 25000, 4500, 5, True),
@@ -41,10 +42,13 @@
     faulty_service = "assistant" if place == "body" else "helper"
     store = harness.new_store()
     store.put("config", "main", harness.config(1, ROUTES, SERVICES))
+    prefix = "engine" if place == "body" else "helper"
     for name, service, how in (
+        (f"{prefix}-1", faulty_service, flood),
+        (f"{prefix}-2", faulty_service, ""),
+        (f"{prefix}-3", faulty_service, ""),
         ("kiosk-1", "kiosk", ""),
         ("kiosk-2", "kiosk", ""),
-        ("faulty", faulty_service, flood),
     ):
         row = replicas.ReplicaProcess(name, record, f"--flood={how}")
         started.append(row)
@@ -61,6 +65,8 @@
     harness.start_hosts(hosts)
     sent = _send_traffic(record, hosts[0], path)
     store.close()
+    if not started[0].run_ids:
+        raise harness.CaseError("no request has reached the faulty replica")
     return _judge(record, sent, {i for row in started for i in row.run_ids})
 
 
@@ -82,7 +88,9 @@
     def trouble() -> None:
         time.sleep(TROUBLE_AT_S)
         other = clients.KeptConnection(host, record, 25000)
-        other.send("POST", path, b"prompt")
+        # Until one of them reaches the replica whose answer has no end.
+        for _ in range(MAX_TRIES):
+            other.send("POST", path, b"prompt")
 
     threading.Thread(target=trouble, daemon=True).start()
     clients.run_threads(
--- a/review/2/leaving_replicas.py
+++ b/review/2/leaving_replicas.py
@@ -50,19 +50,24 @@
     """The replicas of the service, which are replaced one after the other."""
 
     def __init__(self, store: store_lib.Store, record: harness.Record) -> None:
-        """Starts the first replicas."""
+        """Creates a pool without replicas."""
         self._store = store
         self._record = record
         self._started = 0
+        self._lock = threading.Lock()
+        self._closed = False
         self.replicas: list[replicas.ReplicaProcess] = []
-        for _ in range(REPLICAS):
-            self.add()
 
     def add(self) -> None:
-        """Starts a replica and registers it."""
-        self._started += 1
-        row = replicas.ReplicaProcess(f"kiosk-{self._started}", self._record)
-        self.replicas.append(row)
+        """Starts a replica and registers it, unless the pool is closed."""
+        with self._lock:
+            if self._closed:
+                return
+            self._started += 1
+            row = replicas.ReplicaProcess(
+                f"kiosk-{self._started}", self._record
+            )
+            self.replicas.append(row)
         self._write(row, "ready")
 
     def _write(self, row: replicas.ReplicaProcess, state: str) -> None:
@@ -76,13 +81,17 @@
         self._write(row, "draining")
         leaving = Leaving(row, time.monotonic())
         self._record.write(f"{row.replica_id} is draining: acked by the store")
-        threading.Timer(SERVES_S, self._end, (row,)).start()
+        timer = threading.Timer(SERVES_S, self._end, (row,))
+        timer.daemon = True
+        timer.start()
         return leaving
 
     def close(self) -> None:
         """Ends all replicas."""
-        for row in self.replicas:
-            row.close()
+        with self._lock:
+            self._closed = True
+            for row in self.replicas:
+                row.close()
 
     def _end(self, row: replicas.ReplicaProcess) -> None:
         self._store.delete("servers", row.replica_id)
@@ -97,6 +106,8 @@
     store.put("config", "main", harness.config(1, ROUTES, SERVICES))
     pool = Pool(store, record)
     case.started.append(pool)
+    for _ in range(REPLICAS):
+        pool.add()
     path_to_store = proxy.Proxy(store.address)
     for number in range(1, HOSTS + 1):
         zone = ZONES[number % len(ZONES)]
--- a/review/standins/clients.py
+++ b/review/standins/clients.py
@@ -110,6 +110,8 @@
 def run_threads(threads: list[threading.Thread]) -> None:
     """Starts threads and waits for their end."""
     for thread in threads:
+        # A script that fails does not wait for them.
+        thread.daemon = True
         thread.start()
     for thread in threads:
         thread.join()
--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -30,6 +30,7 @@
 API_KEY = "key-of-account"
 READY_TIMEOUT_S = 20.0
 POLL_INTERVAL_S = 0.02
+LONGEST_RUN_S = 110
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 # The bounds of the small installations, in the platform's format.
 BOUNDS = {
@@ -295,8 +296,10 @@
         The exit status; `NOT_RUN` if anything unexpected happens.
     """
     record = Record(folder / "record.txt")
-    # Lets the script end what it has started.
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
+    # Lets the script end what it has started, also when it takes too long.
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, lambda *_: sys.exit(NOT_RUN))
+    signal.alarm(LONGEST_RUN_S)
     with tempfile.TemporaryDirectory() as temporary:
         case = Case(record, pathlib.Path(temporary))
         try:
@@ -306,7 +309,8 @@
             return NOT_RUN
         finally:
             for row in case.started:
-                row.close()
+                with contextlib.suppress(OSError):
+                    row.close()
 
 
 def wait_until(condition: Any, timeout_s: float, what: str) -> None:
--- a/review/standins/replicas.py
+++ b/review/standins/replicas.py
@@ -50,6 +50,7 @@
         self._output = self._process.stdout
         self.address = self._output.readline().strip()
         if not self.address:
+            self.close()
             raise harness.CaseError(f"{replica_id} has not started")
         threading.Thread(target=self._read, daemon=True).start()
 
