End answers of targets by time and bytes while bytes keep arriving

Cause: gevent switches greenlets only when a socket is empty, and the read loops of the relay checked their time limit only then. So a target that sends as fast as this process parses (1.7 MB/s here) holds the only thread. Three dumps of the stopped process, one second apart, show the same greenlet in EventParser.feed below StreamRelay._forward_events, with 57 to 66 % of a core used and 44 to 46 MB of memory; so it is neither memory nor the network. Interim responses without end do the same in TargetConnection.read_head.

Change: a reader that has not waited for 2 ms lets the others run (ReadTurn); time limits hold while bytes arrive, with 0.2 s for what is there already (LateReads); bytes besides the body are limited (FramingLimit), as are bytes without a new event (1 MB); a read takes 16 KB at most; blank lines are skipped, not parsed; bodies are collected in one buffer.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/event_frames.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/event_frames.py
@@ -5,7 +5,12 @@
 
 # One event holds a few tokens; a working engine sends no larger one.
 MAX_EVENT_BYTES = 256 * 1024
+# Comments, blank lines and repeated events between two new events.
+MAX_BYTES_WITHOUT_PROGRESS = 1024 * 1024
 _END = re.compile(rb"\r?\n\r?\n")
+# The longest end of an event may be split after all but its last byte.
+_END_BYTES = 4
+_BLANK_LINES = re.compile(rb"(?:\r?\n)*")
 _ID = re.compile(rb"(?:^|\n)id: ?([0-9]{1,18})\r?(?=\n|$)")
 
 
@@ -30,7 +35,9 @@
     """Incremental parser that buffers bytes until an event is complete."""
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
+        # No event ends before this position.
+        self._searched = 0
 
     @property
     def incomplete(self) -> bool:
@@ -43,18 +50,30 @@
         Raises:
             MalformedEventError: An event is too long or has more than one id.
         """
-        data = self._buffer + data
+        buffer = self._buffer
+        buffer += data
         frames: list[EventFrame] = []
-        start = 0
-        for match in _END.finditer(data):
-            frames.append(_parse_frame(data[start : match.end()]))
-            start = match.end()
-        self._buffer = data[start:]
-        if len(self._buffer) > MAX_EVENT_BYTES:
+        start = _skip_blank_lines(buffer, 0)
+        position = max(start, self._searched)
+        while match := _END.search(buffer, position):
+            frames.append(_parse_frame(bytes(buffer[start : match.end()])))
+            start = position = _skip_blank_lines(buffer, match.end())
+        del buffer[:start]
+        self._searched = max(0, len(buffer) - (_END_BYTES - 1))
+        if len(buffer) > MAX_EVENT_BYTES:
             raise MalformedEventError("an event is too long")
         return frames
 
 
+def _skip_blank_lines(data: bytearray, start: int) -> int:
+    """Returns where the blank lines from `start` on end.
+
+    They belong to no event, and a peer in trouble may send nothing else.
+    """
+    match = _BLANK_LINES.match(data, start)
+    return match.end() if match else start
+
+
 def _parse_frame(data: bytes) -> EventFrame:
     ids = _ID.findall(data)
     if len(ids) > 1:
@@ -103,3 +122,27 @@
                 )
         self.last_id = frame.event_id
         return True
+
+
+class ProgressLimit:
+    """Limits the bytes of one attempt that bring no new event."""
+
+    def __init__(self, sequence: EventSequence) -> None:
+        """Creates a limit that counts from the last event of a sequence."""
+        self._sequence = sequence
+        self._last_id = sequence.last_id
+        self._idle_bytes = 0
+
+    def check(self, size_bytes: int) -> None:
+        """Counts bytes that the sequence has admitted.
+
+        Raises:
+            MalformedEventError: No new event was among too many bytes.
+        """
+        if self._sequence.last_id != self._last_id:
+            self._last_id = self._sequence.last_id
+            self._idle_bytes = 0
+            return
+        self._idle_bytes += size_bytes
+        if self._idle_bytes > MAX_BYTES_WITHOUT_PROGRESS:
+            raise MalformedEventError("many bytes without a new event")
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
@@ -18,6 +18,7 @@
 from rattanpulleyd._internal.relay import target_connection
 from rattanpulleyd._internal.relay import target_health
 from rattanpulleyd._internal.relay import wire
+from rattanpulleyd._internal.sockets import late_reads
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Failed connections put no load on a target but take time.
@@ -58,6 +59,7 @@
         )
         self.targets: list[str] = []
         self._keeps_target = False
+        self._late_reads = late_reads.LateReads()
 
     def run(self) -> responses.Response:
         """Returns the response for the client."""
@@ -173,35 +175,33 @@
         connection: target_connection.TargetConnection,
         sent_at_s: float,
     ) -> bytes:
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         while True:
             part = self._wait(connection.read_data, sent_at_s)
             if part is None:
-                return b"".join(parts)
-            size += len(part)
-            if size > MAX_RESPONSE_BYTES:
+                return bytes(body)
+            body += part
+            if len(body) > MAX_RESPONSE_BYTES:
                 raise target_connection.AttemptError(
                     serving.FailureKind.CORRUPT, "the answer is too long"
                 )
-            parts.append(part)
 
     def _wait(self, read: Callable[[float], _Part], sent_at_s: float) -> _Part:
         """Reads until bytes arrive or the time limit of the attempt expires."""
         while True:
-            until_s = min(
-                self.attempts.deadline_s(), self._attempt_deadline_s(sent_at_s)
-            )
-            step_s = min(until_s, clock.now_s() + MAX_READ_WAIT_S)
+            now_s = clock.now_s()
+            deadline_s = self.attempts.deadline_s()
+            if self._late_reads.are_over(now_s, deadline_s):
+                raise _timed_out()
+            until_s = min(deadline_s, self._attempt_deadline_s(sent_at_s))
+            step_s = min(until_s, now_s + MAX_READ_WAIT_S)
             try:
                 return read(step_s)
             except target_connection.ReadWaitExpired:
                 if clock.now_s() < until_s:
                     continue
             if until_s >= self.attempts.deadline_s():
-                raise target_connection.AttemptError(
-                    serving.FailureKind.TIMED_OUT, "no answer in time"
-                )
+                raise _timed_out()
             if self._leaves_target():
                 raise target_connection.AttemptError(
                     serving.FailureKind.UNRESPONSIVE,
@@ -240,3 +240,9 @@
         return self.attempts.final_response(
             reason, RETRY_AFTER_RANGE_S, self._context.rng
         )
+
+
+def _timed_out() -> target_connection.AttemptError:
+    return target_connection.AttemptError(
+        serving.FailureKind.TIMED_OUT, "no answer in time"
+    )
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_head.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_head.py
@@ -73,7 +73,7 @@
         connection: target_connection.TargetConnection,
     ) -> None:
         """Stores a target's error response in case no other target succeeds."""
-        body = b""
+        body = bytearray()
         while len(body) <= MAX_FAILED_RESPONSE_BYTES:
             part = self._monitor.wait(connection.read_data)
             if part is None:
@@ -81,7 +81,7 @@
                 self._attempts.failed_response = responses.Response(
                     head.status,
                     headers,
-                    body,
+                    bytes(body),
                     responses.TARGET_ERROR,
                     f"response of {self._entry.target_id}",
                 )
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_monitor.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_monitor.py
@@ -13,6 +13,7 @@
 from rattanpulleyd._internal.relay import stall_detector
 from rattanpulleyd._internal.relay import stream_departures
 from rattanpulleyd._internal.relay import target_connection
+from rattanpulleyd._internal.sockets import late_reads
 
 # A waiting stream applies a changed timeout within this time.
 MAX_READ_WAIT_S = 0.25
@@ -61,6 +62,7 @@
         self._departures = departures
         self._transfer = transfer
         self._logged_stay = False
+        self._late_reads = late_reads.LateReads()
         self.run_started = False
         self.detector = stall_detector.StallDetector(
             admission.route.longest_pause_s,
@@ -79,9 +81,12 @@
         detector = self.detector
         while True:
             wait_started_s = clock.now_s()
+            deadline_s = self._attempts.deadline_s()
+            if self._late_reads.are_over(wait_started_s, deadline_s):
+                raise _timed_out()
             until_s = min(
                 detector.check_at_s,
-                self._attempts.deadline_s(),
+                deadline_s,
                 wait_started_s + MAX_READ_WAIT_S,
             )
             try:
@@ -89,10 +94,7 @@
             except target_connection.ReadWaitExpired:
                 now_s = clock.now_s()
             if now_s >= self._attempts.deadline_s():
-                raise target_connection.AttemptError(
-                    serving.FailureKind.TIMED_OUT,
-                    "the time of the request is over",
-                )
+                raise _timed_out()
             self._withdraw_if_refused()
             if (
                 now_s - max(until_s, wait_started_s)
@@ -282,3 +284,9 @@
     return target_connection.AttemptError(
         serving.FailureKind.UNRESPONSIVE, reason
     )
+
+
+def _timed_out() -> target_connection.AttemptError:
+    return target_connection.AttemptError(
+        serving.FailureKind.TIMED_OUT, "the time of the request is over"
+    )
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
@@ -216,6 +216,7 @@
     ) -> None:
         """Forwards the events of one attempt until the body is complete."""
         frames = event_frames.EventParser()
+        progress_limit = event_frames.ProgressLimit(self._events)
         while True:
             data = monitor.wait(connection.read_data)
             if data is None:
@@ -223,6 +224,7 @@
             try:
                 events = frames.feed(data)
                 passed = self._events.admit(events)
+                progress_limit.check(len(data))
             except event_frames.MalformedEventError as error:
                 raise target_connection.AttemptError(
                     serving.FailureKind.CORRUPT, str(error)
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/target_connection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/target_connection.py
@@ -16,11 +16,14 @@
 from rattanpulley_core import serving
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import wire
+from rattanpulleyd._internal.sockets import framing_limit
+from rattanpulleyd._internal.sockets import read_turn
 
 # Reachable targets accept within a few milliseconds. A lost packet is
 # retransmitted only after a second; another target responds sooner.
 CONNECT_TIMEOUT_S = 0.12
-READ_BYTES = 64 * 1024
+# Bounds the work on one read, during which no other greenlet runs.
+READ_BYTES = 16 * 1024
 MAX_HEAD_BYTES = 64 * 1024
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 # Responses to calls of the relay itself, such as reports.
@@ -98,6 +101,8 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self._socket: socket.socket | None = None
+        self._turn = read_turn.ReadTurn()
+        self._framing = framing_limit.FramingLimit()
         self.sent = False
 
     def connect(self, timeout_s: float) -> None:
@@ -167,7 +172,7 @@
 
         Raises:
             AttemptError: The connection ended or the response is malformed.
-            ReadWaitExpired: Nothing arrived until `until_s`.
+            ReadWaitExpired: No complete head arrived until `until_s`.
         """
         while True:
             event = self._next_event(until_s)
@@ -181,16 +186,22 @@
                 raise AttemptError(
                     serving.FailureKind.CORRUPT, "no head in the answer"
                 )
+            if clock.now_s() >= until_s:
+                raise ReadWaitExpired
 
     def read_data(self, until_s: float) -> bytes | None:
         """Returns the next part of the body, or None after a complete body.
 
+        Parts that have arrived are returned after `until_s` as well, so that
+        the caller of a loop checks its own time limit.
+
         Raises:
             AttemptError: The connection ended early or the body is malformed.
-            ReadWaitExpired: Nothing arrived until `until_s`.
+            ReadWaitExpired: No part arrived until `until_s`.
         """
         event = self._next_event(until_s)
         if isinstance(event, h11.Data):
+            self._framing.record_content(len(event.data))
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             return None
@@ -212,27 +223,38 @@
 
     def _next_event(self, until_s: float) -> object:
         """Returns the next h11 event, reading from the socket as needed."""
+        has_received = False
         while True:
+            self._turn.yield_if_long()
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
                 raise self._protocol_error(error) from error
             if event is not h11.NEED_DATA:
                 return event
+            if has_received and clock.now_s() >= until_s:
+                raise ReadWaitExpired
             self._http.receive_data(self._receive(until_s))
+            has_received = True
 
     def _receive(self, until_s: float) -> bytes:
         """Returns received bytes; empty at the end of the connection."""
         sock = self._open_socket
         sock.settimeout(max(0.0, until_s - clock.now_s()) or 1e-6)
         try:
-            return bytes(sock.recv(READ_BYTES))
+            data = bytes(sock.recv(READ_BYTES))
         except (TimeoutError, BlockingIOError) as error:
             raise ReadWaitExpired from error
         except OSError as error:
             raise AttemptError(
                 serving.FailureKind.CONNECTION_LOST, f"read: {error}"
             ) from error
+        self._framing.record_received(len(data))
+        if self._framing.is_exceeded():
+            raise AttemptError(
+                serving.FailureKind.CORRUPT, "too many bytes besides the body"
+            )
+        return data
 
     def _protocol_error(self, error: Exception) -> AttemptError:
         """Distinguishes a lost connection from a malformed response."""
@@ -279,18 +301,16 @@
 
 def _read_call_body(connection: TargetConnection, until_s: float) -> bytes:
     """Returns the body of a response to a call of the relay itself."""
-    parts: list[bytes] = []
-    size = 0
+    body = bytearray()
     while (part := connection.read_data(until_s)) is not None:
-        parts.append(part)
-        size += len(part)
-        if size > MAX_CALL_RESPONSE_BYTES:
+        body += part
+        if len(body) > MAX_CALL_RESPONSE_BYTES:
             raise AttemptError(
                 serving.FailureKind.CORRUPT, "the response is too long"
             )
         if clock.now_s() > until_s:
             raise ReadWaitExpired
-    return b"".join(parts)
+    return bytes(body)
 
 
 def pause(seconds: float) -> None:
--- /dev/null
+++ b/packages/daemon/src/rattanpulleyd/_internal/sockets/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets whose reads share the process with all other connections."""
--- a/packages/daemon/tests/relay/test_event_frames.py
+++ b/packages/daemon/tests/relay/test_event_frames.py
@@ -60,3 +60,35 @@
         event_frames.EventSequence(0).admit(
             event_frames.EventParser().feed(data)
         )
+
+
+@given(st.lists(st.integers(0, 40)), st.sampled_from([b"\n", b"\r\n"]))
+@settings(derandomize=True, deadline=None)
+def test_blank_lines_belong_to_no_event(
+    splits: list[int], blank: bytes
+) -> None:
+    """Guards against the work of an event for each blank line."""
+    events = [b"id: 1\ndata: t1\n\n", b"id: 2\ndata: t2\n\n"]
+    data = blank * 3 + events[0] + blank * 5 + events[1] + blank
+    bounds = [0, *sorted(splits), len(data)]
+    frames = event_frames.EventParser()
+    found = [
+        frame.data
+        for start, end in itertools.pairwise(bounds)
+        for frame in frames.feed(data[start:end])
+    ]
+    assert found == events
+    assert not frames.incomplete
+
+
+def test_bytes_without_a_new_event_are_limited() -> None:
+    """Guards against comments and repeated events without end."""
+    sequence = event_frames.EventSequence(0)
+    limit = event_frames.ProgressLimit(sequence)
+    most = event_frames.MAX_BYTES_WITHOUT_PROGRESS
+    limit.check(most)
+    sequence.last_id = 1
+    limit.check(most)
+    limit.check(most)
+    with pytest.raises(event_frames.MalformedEventError):
+        limit.check(1)
--- a/packages/daemon/tests/relay/test_stream_monitor.py
+++ b/packages/daemon/tests/relay/test_stream_monitor.py
@@ -97,3 +97,36 @@
 
     assert monitor.wait(_read) == b"data"
     assert cancelled
+
+
+# A target that sent all the time kept its request beyond every time limit.
+def test_bytes_all_the_time_end_at_the_deadline(monitor_of, monkeypatch):
+    now = [100.0]
+    monkeypatch.setattr(clock, "now_s", lambda: now[0])
+    monitor = monitor_of(serving.TargetReport({}))
+    monitor._attempts.deadline_s = lambda: 110.0
+
+    def _read(_until_s: float) -> object:
+        now[0] += 0.01
+        return b"\n"
+
+    def _read_all() -> None:
+        for _ in range(3000):
+            monitor.wait(_read)
+
+    with pytest.raises(target_connection.AttemptError) as raised:
+        _read_all()
+    assert raised.value.kind is serving.FailureKind.TIMED_OUT
+    assert now[0] < 110.5
+
+
+# An answer that waited in the kernel while this host stalled is delivered.
+def test_end_of_an_answer_is_read_after_the_deadline(monitor_of, monkeypatch):
+    now = [100.0]
+    monkeypatch.setattr(clock, "now_s", lambda: now[0])
+    monitor = monitor_of(serving.TargetReport({}))
+    monitor._attempts.deadline_s = lambda: 110.0
+    now[0] = 115.0
+    parts = [b"event", None]
+    assert monitor.wait(lambda _until_s: parts.pop(0)) == b"event"
+    assert monitor.wait(lambda _until_s: parts.pop(0)) is None
