Read requests in small chunks beside others, and at the cost of their bytes

Cause: as for the answers of targets, the loop over the body let others run, and checked its time limit, only when the socket was empty. Beside that the parser takes some 10 us for each chunk, so that such a body costs by its chunks.

Change: the loop takes turns and keeps its time limit; small chunks that arrive in one read reach the parser as one (ChunkJoiner), whatever is not a plain chunk as it is; bytes besides the body are limited; the body is one buffer. Decoding of the headers and the limits of the body have modules of their own.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/client_connection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/client_connection.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterator
 import contextlib
-import re
 import socket as socket_lib
 
 import gevent
@@ -10,12 +9,17 @@
 import h11
 
 from rattanpulley_core import serving
+from rattanpulleyd._internal.relay import chunk_joiner
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import context as context_lib
+from rattanpulleyd._internal.relay import request_body
+from rattanpulleyd._internal.relay import request_fields
 from rattanpulleyd._internal.relay import responses
 from rattanpulleyd._internal.relay import wire
+from rattanpulleyd._internal.sockets import read_turn
 
-READ_BYTES = 64 * 1024
+# Bounds the work on one read, during which no other greenlet runs.
+READ_BYTES = 16 * 1024
 # h11 applies the limit of the head to its buffer, which also holds bytes that
 # follow the head in the same read.
 HEAD_SLACK_BYTES = 1024
@@ -27,10 +31,6 @@
 # A client that accepts no bytes for this long counts as disconnected.
 WRITE_TIMEOUT_S = 5.0
 USER_TIMEOUT_MS = 5000
-DEFAULT_TIME_LEFT_S = 30.0
-# Bounds the log lines of a request; prompts have a few parts.
-MAX_SHARED_PARTS = 16
-_PART_ID = re.compile(r"[0-9a-f]{1,64}")
 
 
 class ConnectionEndedError(Exception):
@@ -59,6 +59,8 @@
         self._limits = limits
         self._names = names
         self._http = self._new_parser()
+        self._turn = read_turn.ReadTurn()
+        self._joiner: chunk_joiner.ChunkJoiner | None = None
         self.busy = False
         self.closes = False
         self.closing = False
@@ -94,8 +96,12 @@
         self._limits = limits
         head = self._read_head()
         received_at_s = clock.now_s()
+        if wire.header_values(head.headers.raw_items(), b"transfer-encoding"):
+            parsed = self._http.trailing_data[0]
+            self._joiner = chunk_joiner.ChunkJoiner(parsed)
         body = self._read_body()
-        return self._decode(head, body, received_at_s)
+        self._joiner = None
+        return request_fields.decode(head, body, received_at_s, self._names)
 
     def _read_head(self) -> h11.Request:
         timeout_s = self._limits.idle_timeout_s
@@ -127,27 +133,27 @@
 
     def _read_body(self) -> bytes:
         self.busy = True
-        parts: list[bytes] = []
-        size = 0
-        until_s = clock.now_s() + BODY_TIMEOUT_S
+        body = request_body.RequestBody(
+            self._limits.max_body_bytes, clock.now_s() + BODY_TIMEOUT_S
+        )
         if self._http.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             self._send(self._http.send(interim))
         while True:
             event = self._parse()
             if isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > self._limits.max_body_bytes:
-                    raise wire.MalformedRequestError(413, "body too long")
-                parts.append(bytes(event.data))
+                body.add(event.data)
             elif isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
+                return body.content()
             elif event is h11.NEED_DATA:
-                self._receive(until_s, mid_request=True)
+                body.check_time(clock.now_s())
+                size = self._receive(body.until_s, mid_request=True)
+                body.record_received(size)
             else:
                 raise ConnectionEndedError
 
     def _parse(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        self._turn.yield_if_long()
         try:
             return self._http.next_event()
         except h11.RemoteProtocolError as error:
@@ -157,64 +163,24 @@
                 error.error_status_hint, str(error)
             ) from error
 
-    def _receive(self, until_s: float, mid_request: bool) -> None:
+    def _receive(self, until_s: float, mid_request: bool) -> int:
+        """Feeds bytes to the parser; returns their number."""
         self._socket.settimeout(max(1e-6, until_s - clock.now_s()))
         try:
-            self._http.receive_data(self._socket.recv(READ_BYTES))
+            data = self._socket.recv(READ_BYTES)
         except (TimeoutError, BlockingIOError) as error:
             if mid_request:
-                raise wire.MalformedRequestError(
-                    408, "the request did not arrive in time"
-                ) from error
+                raise request_body.late_request() from error
             raise ConnectionEndedError from error
         except OSError as error:
             raise ConnectionEndedError from error
-
-    def _decode(
-        self, head: h11.Request, body: bytes, received_at_s: float
-    ) -> wire.ClientRequest:
-        """Validates a request and decodes its headers.
-
-        Raises:
-            wire.MalformedRequestError: The request is invalid.
-        """
-        headers = tuple(head.headers.raw_items())
-        names = self._names
-        if wire.header_values(
-            headers, b"transfer-encoding"
-        ) and wire.header_values(headers, b"content-length"):
-            raise wire.MalformedRequestError(400, "two lengths of the body")
-        if not head.target.startswith(b"/"):
-            raise wire.MalformedRequestError(400, "the path has no slash")
-        request_id = wire.single_header_value(headers, names.request_id)
-        if not request_id:
-            raise wire.MalformedRequestError(400, "no single request id")
-        host = wire.single_header_value(headers, b"host") or ""
-        left_ms = wire.parse_unsigned_int(
-            wire.single_header_value(headers, names.time_left_ms)
-        )
-        return wire.ClientRequest(
-            method=head.method,
-            target=head.target,
-            host=host.partition(":")[0].lower(),
-            request_id=request_id,
-            key=wire.single_header_value(headers, names.key) or "",
-            time_left_s=(
-                DEFAULT_TIME_LEFT_S if left_ms is None else left_ms / 1000
-            ),
-            last_event_id=wire.parse_unsigned_int(
-                wire.single_header_value(headers, wire.LAST_EVENT_ID)
-            ),
-            prompt_tokens=_prompt_tokens(
-                wire.single_header_value(headers, names.token_counts)
-            ),
-            shared_parts=_shared_parts(
-                wire.single_header_value(headers, names.prompt_parts)
-            ),
-            headers=wire.forwarded_headers(headers, names.set_by_relay),
-            body=body,
-            received_at_s=received_at_s,
-        )
+        passed = data
+        if self._joiner is not None:
+            passed = self._joiner.feed(data)
+        # Empty bytes would tell the parser that the connection has ended.
+        if passed or not data:
+            self._http.receive_data(passed)
+        return len(data)
 
     @contextlib.contextmanager
     def cancelling_on_disconnect(self) -> Iterator[None]:
@@ -341,25 +307,8 @@
                 self._socket.settimeout(max(1e-6, until_s - clock.now_s()))
                 if not self._socket.recv(READ_BYTES):
                     return
+                self._turn.yield_if_long()
 
     def close(self) -> None:
         """Closes the connection."""
         self._socket.close()
-
-
-def _prompt_tokens(text: str | None) -> int:
-    """Returns the first of two comma-separated counts, or 0."""
-    first = (text or "").partition(",")[0].strip()
-    return wire.parse_unsigned_int(first) or 0
-
-
-def _shared_parts(text: str | None) -> tuple[str, ...]:
-    """Returns the ids of a list of ID:TOKENS entries, but for the last one.
-
-    Ids that are not hexadecimal, repeated ones and those beyond
-    `MAX_SHARED_PARTS` are left out.
-    """
-    entries = (text or "").split(",")[:-1]
-    ids = (entry.partition(":")[0].strip().lower() for entry in entries)
-    by_id = dict.fromkeys(part for part in ids if _PART_ID.fullmatch(part))
-    return tuple(by_id)[:MAX_SHARED_PARTS]
--- /dev/null
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/request_fields.py
@@ -0,0 +1,85 @@
+"""Decodes the headers of a client's request."""
+
+import re
+
+import h11
+
+from rattanpulleyd._internal.relay import wire
+
+DEFAULT_TIME_LEFT_S = 30.0
+# Bounds the log lines of a request; prompts have a few parts.
+MAX_SHARED_PARTS = 16
+_PART_ID = re.compile(r"[0-9a-f]{1,64}")
+
+
+def decode(
+    head: h11.Request,
+    body: bytes,
+    received_at_s: float,
+    names: wire.HeaderNames,
+) -> wire.ClientRequest:
+    """Validates a request and decodes its headers.
+
+    Args:
+        head: Request line and headers.
+        body: The complete body.
+        received_at_s: When the head was complete, on `clock.now_s`.
+        names: Names of the headers.
+
+    Raises:
+        wire.MalformedRequestError: The request is invalid.
+    """
+    headers = tuple(head.headers.raw_items())
+    if wire.header_values(headers, b"transfer-encoding") and wire.header_values(
+        headers, b"content-length"
+    ):
+        raise wire.MalformedRequestError(400, "two lengths of the body")
+    if not head.target.startswith(b"/"):
+        raise wire.MalformedRequestError(400, "the path has no slash")
+    request_id = wire.single_header_value(headers, names.request_id)
+    if not request_id:
+        raise wire.MalformedRequestError(400, "no single request id")
+    host = wire.single_header_value(headers, b"host") or ""
+    left_ms = wire.parse_unsigned_int(
+        wire.single_header_value(headers, names.time_left_ms)
+    )
+    return wire.ClientRequest(
+        method=head.method,
+        target=head.target,
+        host=host.partition(":")[0].lower(),
+        request_id=request_id,
+        key=wire.single_header_value(headers, names.key) or "",
+        time_left_s=(
+            DEFAULT_TIME_LEFT_S if left_ms is None else left_ms / 1000
+        ),
+        last_event_id=wire.parse_unsigned_int(
+            wire.single_header_value(headers, wire.LAST_EVENT_ID)
+        ),
+        prompt_tokens=_prompt_tokens(
+            wire.single_header_value(headers, names.token_counts)
+        ),
+        shared_parts=_shared_parts(
+            wire.single_header_value(headers, names.prompt_parts)
+        ),
+        headers=wire.forwarded_headers(headers, names.set_by_relay),
+        body=body,
+        received_at_s=received_at_s,
+    )
+
+
+def _prompt_tokens(text: str | None) -> int:
+    """Returns the first of two comma-separated counts, or 0."""
+    first = (text or "").partition(",")[0].strip()
+    return wire.parse_unsigned_int(first) or 0
+
+
+def _shared_parts(text: str | None) -> tuple[str, ...]:
+    """Returns the ids of a list of ID:TOKENS entries, but for the last one.
+
+    Ids that are not hexadecimal, repeated ones and those beyond
+    `MAX_SHARED_PARTS` are left out.
+    """
+    entries = (text or "").split(",")[:-1]
+    ids = (entry.partition(":")[0].strip().lower() for entry in entries)
+    by_id = dict.fromkeys(part for part in ids if _PART_ID.fullmatch(part))
+    return tuple(by_id)[:MAX_SHARED_PARTS]
--- a/packages/daemon/tests/relay/test_listener.py
+++ b/packages/daemon/tests/relay/test_listener.py
@@ -8,6 +8,7 @@
 import relay_builders
 
 from rattanpulleyd._internal.relay import listener as listener_lib
+from rattanpulleyd._internal.relay import request_fields
 from rattanpulleyd._internal.relay import settings
 
 REQUEST = b"POST /a HTTP/1.1\r\nHost: h\r\nX-Request-Id: 1\r\n\r\n"
@@ -91,11 +92,10 @@
 
 def test_request_that_cannot_be_read_is_answered(context, client, monkeypatch):
     # Guards against headers that close the connection without an answer.
-    def decode(self, head, body, received_at_s):
+    def decode(*_arguments):
         raise OverflowError
 
-    connection = listener_lib.client_connection.ClientConnection
-    monkeypatch.setattr(connection, "_decode", decode)
+    monkeypatch.setattr(request_fields, "decode", decode)
     client.sendall(REQUEST)
     received = read_until(client, b"never")
     assert received.startswith(b"HTTP/1.1 502 ")
