Let others run while the store, other hosts and libraries are read

A store or another host that sends interim responses, trailers or tiny chunks faster than they are parsed stops the host; its timer, which ends the call, does not run either.

Cause: the same as for answers of targets, in code of libraries. http.client reads interim responses until another one comes, urllib3 reads trailers until an empty line, and pywsgi reads chunks until they end; none switches greenlets while bytes are there. The timeout of a read starts anew with each read.

Change: FairSocket lets others run after 2 ms of reads without a wait. The calls to the store, to other hosts, to engines and services of the own interface use it, and the servers for readiness, metrics, other hosts and the own API. The heads of calls have a time limit as a whole; a query of another host, with its body, has 0.25 s in all. A service's answer ends at the time limit of its call, and a connection with unread bytes is closed before it is pooled again. A crash report of another host is read up to 1 MB; bottle stored it first.

Evidence: the three cases of test_bytes_without_a_pause_end_at_their_time fail on: "others ran" is printed after the call, or never until 64 MB were sent.

--- a/packages/daemon/src/rattanpulleyd/_internal/engine/connection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/engine/connection.py
@@ -16,6 +16,7 @@
 import urllib3.connection
 
 from rattanpulleyd._internal.engine import engine_requests
+from rattanpulleyd._internal.sockets import fair_socket
 
 CONNECT_TIMEOUT_S = 0.25
 # Longest wait for the headers of a stream. The generation core detects stalls
@@ -51,14 +52,16 @@
     return connection
 
 
-def _open_socket(host: str, port: int, timeout_s: float) -> socket.socket:
+def _open_socket(
+    host: str, port: int, timeout_s: float
+) -> fair_socket.FairSocket:
     """Opens a socket without resolving a name.
 
     `urllib3` also resolves numeric addresses, and gevent does that in a thread
     that has to wait for the global interpreter lock.
     """
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    opened = socket.socket(family, socket.SOCK_STREAM)
+    opened = fair_socket.FairSocket(family, socket.SOCK_STREAM)
     try:
         opened.settimeout(timeout_s)
         opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/packages/daemon/src/rattanpulleyd/_internal/peers/tcp_streams.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/peers/tcp_streams.py
@@ -13,6 +13,7 @@
 from rattanpulley_adapters import peer_codec
 from rattanpulley_core import interfaces
 from rattanpulley_core import peers
+from rattanpulleyd._internal.sockets import read_turn
 
 CONNECT_TIMEOUT_S = 1.0
 READ_BYTES = 65_536
@@ -124,12 +125,14 @@
 
     def _receive_messages(self, stream: _Stream) -> None:
         unpacker = peer_codec.make_unpacker()
+        turn = read_turn.ReadTurn()
         try:
             while data := stream.connection.recv(READ_BYTES):
                 self.counters.received_bytes += len(data)
                 unpacker.feed(data)
                 for value in unpacker:
                     self._handle_message(stream, value)
+                    turn.yield_if_long()
         except (OSError, ValueError, peer_codec.MalformedMessageError):
             # msgpack raises ValueError for format and buffer errors.
             self.counters.broken_streams += 1
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/pages.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/pages.py
@@ -9,6 +9,7 @@
 
 from rattanpulleyd._internal.relay import relay_metrics
 from rattanpulleyd._internal.relay import settings
+from rattanpulleyd._internal.sockets import fair_socket
 
 
 def readiness_server(
@@ -65,4 +66,5 @@
         app,
         log=None,
         error_log=logging.getLogger("rattanpulleyd.pages"),
+        handler_class=fair_socket.FairHandler,
     )
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/state_exchange.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/state_exchange.py
@@ -21,6 +21,7 @@
 from rattanpulleyd._internal.relay import bounded_http
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import context as context_lib
+from rattanpulleyd._internal.sockets import fair_socket
 
 CONFIG_PATH = "/beliefs/config"
 TARGETS_PATH = "/beliefs/targets"
@@ -30,8 +31,10 @@
 REQUEST_TIMEOUT_S = 0.25
 # Several times the changes that a host keeps for others.
 MAX_RESPONSE_BYTES = 1024 * 1024
+MAX_REQUEST_BYTES = 1024 * 1024
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
+HTTP_TOO_LARGE = 413
 
 
 # Time that reports need to another host. A slower transfer makes a crash look
@@ -175,9 +178,8 @@
 
     def _add_crashes(self, kind: suspects.SuspectKind) -> Any:
         """Adds the crash reports of another host."""
-        body = bottle.request.body.read(MAX_RESPONSE_BYTES)
         try:
-            batch = _decode_batch(json.loads(body), kind)
+            batch = _decode_batch(json.loads(_read_request_body()), kind)
         except _UNREADABLE:
             raise bottle.HTTPError(400) from None
         known = context_lib.known_crashes(self._context, kind)
@@ -190,6 +192,22 @@
         return {"log": known.log.log_id}
 
 
+def _read_request_body() -> bytes:
+    """Returns the body of the current request.
+
+    bottle would store a body without a length first, however long it is.
+    """
+    length = bottle.request.content_length
+    if length < 0:
+        length = MAX_REQUEST_BYTES + 1
+    if length > MAX_REQUEST_BYTES and bottle.request.content_length >= 0:
+        raise bottle.HTTPError(HTTP_TOO_LARGE)
+    body: bytes = bottle.request.environ["wsgi.input"].read(length)
+    if len(body) > MAX_REQUEST_BYTES:
+        raise bottle.HTTPError(HTTP_TOO_LARGE)
+    return body
+
+
 class PeerClient:
     """Requests state from other hosts."""
 
@@ -280,19 +298,17 @@
         path: str,
         content: dict[str, Any] | None = None,
     ) -> dict[str, Any]:
+        until_s = clock.now_s() + REQUEST_TIMEOUT_S
         try:
-            response = self._pool(entry.address).request(
+            response = bounded_http.open_response(
+                self._pool(entry.address),
                 method,
                 path,
+                urllib3.Timeout(REQUEST_TIMEOUT_S),
+                REQUEST_TIMEOUT_S,
                 body=None if content is None else json.dumps(content).encode(),
-                timeout=REQUEST_TIMEOUT_S,
-                preload_content=False,
-            )
-            body = bounded_http.read_body(
-                response,
-                MAX_RESPONSE_BYTES,
-                clock.now_s() + REQUEST_TIMEOUT_S,
             )
+            body = bounded_http.read_body(response, MAX_RESPONSE_BYTES, until_s)
             if response.status == HTTP_NOT_FOUND:
                 raise ReportNotFoundError(f"{path} is not found")
             if response.status != HTTP_OK:
@@ -314,7 +330,7 @@
         pool = self._pools.get(address)
         if pool is None:
             host, _, port = address.rpartition(":")
-            pool = urllib3.HTTPConnectionPool(
+            pool = fair_socket.FairConnectionPool(
                 host, int(port), maxsize=2, retries=False
             )
             self._pools[address] = pool
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/http_server.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/http_server.py
@@ -7,6 +7,7 @@
 from gevent import pywsgi
 
 from rattanpulleyd._internal.settings import model
+from rattanpulleyd._internal.sockets import fair_socket
 
 LISTEN_BACKLOG = 1024
 # Connections that neither send nor receive for this time are closed. Otherwise
@@ -17,7 +18,7 @@
 IN_FLIGHT_KEY = "rattanpulleyd.in_flight"
 
 
-class _ConnectionHandler(pywsgi.WSGIHandler):
+class _ConnectionHandler(fair_socket.FairHandler):
     """Sets the socket timeout and exposes the connection in the environ."""
 
     def handle(self) -> None:
--- a/packages/daemon/src/rattanpulleyd/_internal/services/http_service.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/services/http_service.py
@@ -3,13 +3,19 @@
 from http import client
 import urllib.parse
 
+import gevent
 import urllib3
 
 from rattanpulley_core import interfaces
 from rattanpulleyd._internal.engine import connection as connections
+from rattanpulleyd._internal.sockets import fair_socket
+from rattanpulleyd._internal.sockets import read_turn
 
 CONNECT_TIMEOUT_S = 0.25
+# The timeouts of connect and read expire first if a target is only silent.
+ANSWER_MARGIN_S = 0.1
 POOL_CONNECTIONS = 16
+READ_BYTES = 64 * 1024
 # Answers are buffered in memory until they are forwarded.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
@@ -43,9 +49,15 @@
         self, request: interfaces.ServiceRequest
     ) -> interfaces.ServiceAnswer:
         """Makes the call; see the base class."""
+        # The timeout of a read does not end an answer that never stops.
+        limit_s = CONNECT_TIMEOUT_S + request.timeout_s + ANSWER_MARGIN_S
+        late = interfaces.ServiceOutcomeUnknownError("LateAnswer")
         if request.fresh_connection:
-            return self._call_on_fresh_connection(request)
-        return self._call_on_pool(request)
+            with gevent.Timeout(limit_s, late):
+                return self._call_on_fresh_connection(request)
+        # The call may first wait for a connection.
+        with gevent.Timeout(limit_s + request.timeout_s, late):
+            return self._call_on_pool(request)
 
     def _call_on_fresh_connection(
         self, request: interfaces.ServiceRequest
@@ -97,6 +109,10 @@
             )
             try:
                 return _read_answer(response)
+            except BaseException:
+                # Unread bytes would answer the next call of the connection.
+                response.close()
+                raise
             finally:
                 response.release_conn()
         except (
@@ -115,7 +131,7 @@
         pool = self._pools_by_url.get(url)
         if pool is None:
             parts = urllib.parse.urlsplit(url)
-            pool = urllib3.HTTPConnectionPool(
+            pool = fair_socket.FairConnectionPool(
                 parts.hostname or "",
                 parts.port or 80,
                 maxsize=POOL_CONNECTIONS,
@@ -139,13 +155,16 @@
         urllib3.exceptions.HTTPError: The answer is longer than
             `MAX_ANSWER_BYTES`, or the connection failed.
     """
-    body = response.read(MAX_ANSWER_BYTES + 1)
-    if len(body) > MAX_ANSWER_BYTES:
-        response.close()
-        raise urllib3.exceptions.HTTPError("the answer is too large")
+    body = bytearray()
+    turn = read_turn.ReadTurn()
+    while part := response.read1(READ_BYTES):
+        body += part
+        if len(body) > MAX_ANSWER_BYTES:
+            raise urllib3.exceptions.HTTPError("the answer is too large")
+        turn.yield_if_long()
     headers = tuple(
         (name, value)
         for name, value in response.headers.items()
         if name.lower() not in _DROPPED_HEADERS
     )
-    return interfaces.ServiceAnswer(response.status, headers, body)
+    return interfaces.ServiceAnswer(response.status, headers, bytes(body))
--- /dev/null
+++ b/packages/daemon/src/rattanpulleyd/_internal/sockets/fair_socket.py
@@ -0,0 +1,63 @@
+"""Sockets for libraries that read in loops of their own.
+
+`http.client`, `urllib3` and `pywsgi` read interim responses, chunks and
+trailers until a message is complete, and never switch greenlets while bytes
+arrive.
+"""
+
+from typing import Any
+
+from gevent import pywsgi
+from gevent import socket
+import urllib3
+import urllib3.connection
+
+from rattanpulleyd._internal.sockets import read_turn
+
+
+class FairSocket(socket.socket):
+    """A socket whose reads let other greenlets run now and then."""
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self._turn = read_turn.ReadTurn()
+
+    def recv(self, *args: Any) -> bytes:
+        """Reads as the base class does."""
+        data: bytes = super().recv(*args)
+        self._turn.yield_if_long()
+        return data
+
+    def recv_into(self, *args: Any) -> int:
+        """Reads as the base class does."""
+        size: int = super().recv_into(*args)
+        self._turn.yield_if_long()
+        return size
+
+
+def make_fair(plain: Any) -> FairSocket:
+    """Returns a fair socket for a connection; closes the given object."""
+    timeout_s = plain.gettimeout()
+    fair = FairSocket(plain.family, plain.type, plain.proto, plain.detach())
+    fair.settimeout(timeout_s)
+    return fair
+
+
+class FairConnection(urllib3.connection.HTTPConnection):
+    """A connection of a pool that reads from a fair socket."""
+
+    def _new_conn(self) -> FairSocket:
+        return make_fair(super()._new_conn())
+
+
+class FairConnectionPool(urllib3.HTTPConnectionPool):
+    """A pool of connections that read from fair sockets."""
+
+    ConnectionCls = FairConnection
+
+
+class FairHandler(pywsgi.WSGIHandler):
+    """Handler of a server's connection that reads from a fair socket."""
+
+    def __init__(self, sock: Any, address: Any, server: Any) -> None:
+        super().__init__(make_fair(sock), address, server)
--- a/packages/daemon/src/rattanpulleyd/relay.py
+++ b/packages/daemon/src/rattanpulleyd/relay.py
@@ -7,15 +7,19 @@
 from rattanpulleyd._internal.relay import settings
 from rattanpulleyd._internal.relay import target_reports
 from rattanpulleyd._internal.relay import wire
+from rattanpulleyd._internal.sockets import fair_socket
 
 Endpoint = settings.Endpoint
 ResponseBoundsError = bounded_http.ResponseBoundsError
+LateHeadError = bounded_http.LateHeadError
 now_s = clock.now_s
+open_response = bounded_http.open_response
 read_body = bounded_http.read_body
 HeaderNames = wire.HeaderNames
 MemoryCopyCalls = memory_copies.MemoryCopyCalls
 TargetCall = memory_copies.TargetCall
 RelayBounds = settings.RelayBounds
+FairConnectionPool = fair_socket.FairConnectionPool
 RelayProgram = program.RelayProgram
 Store = program.Store
 RelaySettings = settings.RelaySettings
--- a/packages/daemon/tests/relay/test_bounded_http.py
+++ b/packages/daemon/tests/relay/test_bounded_http.py
@@ -155,12 +155,14 @@
 
 
 # Runs in a process of its own, since only a patched one can interrupt a read.
-READ_TRAILERS = """
+FETCH_CONFIG = """
 from gevent import monkey
 monkey.patch_all()
 import sys
+import gevent
 from rattanpulley_core import serving
 from rattanpulleyd._internal.relay import state_exchange
+others = gevent.spawn(lambda: gevent.sleep(0.05) or print("others ran"))
 entry = serving.HostEntry("a", "north", sys.argv[1])
 try:
     state_exchange.PeerClient().fetch_config(entry)
@@ -169,23 +171,45 @@
 """
 
 
-def test_endless_trailers_end_at_their_time(start_peer):
-    # Guards against a call that never returns, because the parser reads
-    # trailers until the first empty line.
-    peer = start_peer(
-        HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\n",
-        b"a: b\r\n",
-        gap_s=0.01,
-    )
+def fetch_config(peer: EndlessPeer) -> str:
+    """Returns what a patched process that queries a peer prints."""
     completed = subprocess.run(
-        [sys.executable, "-c", READ_TRAILERS, peer.address],
+        [sys.executable, "-c", FETCH_CONFIG, peer.address],
         capture_output=True,
         text=True,
         check=True,
         env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
     )
-    assert "not complete in time" in completed.stdout
+    return completed.stdout
+
+
+TRAILERS = HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\n"
+
+
+def test_endless_trailers_end_at_their_time(start_peer):
+    # Guards against a call that never returns, because the parser reads
+    # trailers until the first empty line.
+    peer = start_peer(TRAILERS, b"a: b\r\n", gap_s=0.01)
+    assert "not complete in time" in fetch_config(peer)
+    assert peer.ended.wait(10.0)
+
+
+@pytest.mark.parametrize(
+    ("first", "rest"),
+    [
+        (TRAILERS, b"a: b\r\n" * 9999),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 999),
+        (HEAD + b"Transfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n" * 9999),
+    ],
+    ids=["trailers", "interim responses", "small chunks"],
+)
+def test_bytes_without_a_pause_end_at_their_time(start_peer, first, rest):
+    # Guards against a host that stops while the store or another host sends
+    # faster than it reads: no timer ran, and no other greenlet.
+    peer = start_peer(first, rest)
+    assert fetch_config(peer).splitlines()[0] == "others ran"
     assert peer.ended.wait(10.0)
+    assert peer.sent < MANY_BYTES
 
 
 def test_complete_body_leaves_the_connection_usable():
