--- a/packages/daemon/src/rattanpulleyd/_internal/relay/target_connection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/target_connection.py
@@ -223,9 +223,9 @@
 
     def _next_event(self, until_s: float) -> object:
         """Returns the next h11 event, reading from the socket as needed."""
+        self._turn.yield_if_long()
         has_received = False
         while True:
-            self._turn.yield_if_long()
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
--- a/packages/daemon/tests/services/test_http_service.py
+++ b/packages/daemon/tests/services/test_http_service.py
@@ -1,5 +1,6 @@
 """Tests for the service client against a scripted server."""
 
+import dataclasses
 import socket
 import threading
 
@@ -85,3 +86,54 @@
     service.stop()
     with pytest.raises(interfaces.ServiceNotSentError):
         http_service.HttpServiceApi().call(_service_request(service.url, fresh))
+
+
+class EndlessService:
+    """Server that repeats bytes until the caller closes the connection."""
+
+    def __init__(self, first: bytes, rest: bytes) -> None:
+        self._first = first
+        self._rest = rest
+        self.is_closed_by_caller = threading.Event()
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.url = f"http://127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self) -> None:
+        connection, _ = self._listener.accept()
+        with connection:
+            connection.recv(65536)
+            try:
+                connection.sendall(self._first)
+                while True:
+                    connection.sendall(self._rest)
+            except OSError:
+                self.is_closed_by_caller.set()
+        self._listener.close()
+
+
+# Bytes that came all the time kept a call beyond its time limit, and stopped
+# the daemon.
+@pytest.mark.parametrize(
+    ("first", "rest"),
+    [
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 999),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"1\r\nx\r\n" * 999,
+        ),
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 65536),
+    ],
+    ids=["interim responses", "small chunks", "content"],
+)
+def test_endless_answer_ends_with_its_call(
+    fresh: bool, first: bytes, rest: bytes
+) -> None:
+    """Guards against calls without end; their outcome is unknown."""
+    service = EndlessService(first, rest)
+    request = dataclasses.replace(
+        _service_request(service.url, fresh), timeout_s=0.5
+    )
+    with pytest.raises(interfaces.ServiceOutcomeUnknownError):
+        http_service.HttpServiceApi().call(request)
+    assert service.is_closed_by_caller.wait(10.0)
