Leave targets in time whatever the age of another host's word

A target exits a little after the bound; a request that may not be repeated is lost then.

Cause: a host took the targets of another one up to an age of 3.3 s, kept them for a pause of 0.7 s, and took "I am behind you" as a confirmation of its own for 2.5 s: more than the whole bound in each case. Nothing added the age, the pause, the next read and the sending up. A stale host was found only by the read of the configuration, which accepts 0.92 s.

Change: TargetFreshness in the core holds the sum: the age at the start of a read, the read (one host that does not answer, then the store), and the sending are the leaving bound at most. So older states are not taken, old ones are read again earlier, a host that is ahead relies on its own read as briefly, and one timeout is followed by the store. For that the host that reads the store watches for a quarter of the bound. A confirmation that is older than the own is no step back. The log says from whom a change came and how old the state is.

Same cause elsewhere: the configuration's sum was 2.16 s of 2 s with two hosts that do not answer in a row; 1.89 s now. Keys, crash reports and orders: no.

--- a/packages/core/src/rattanpulley_core/serving.py
+++ b/packages/core/src/rattanpulley_core/serving.py
@@ -17,6 +17,7 @@
 from rattanpulley_core._internal.serving import silence
 from rattanpulley_core._internal.serving import sources
 from rattanpulley_core._internal.serving import target_availability
+from rattanpulley_core._internal.serving import target_freshness
 from rattanpulley_core._internal.serving import target_registry
 from rattanpulley_core._internal.serving import trial_table
 from rattanpulley_core._internal.serving import versions
@@ -74,6 +75,7 @@
 ConfigReport = peer_sync.ConfigReport
 PeerSelector = peer_sync.PeerSelector
 TargetsReport = peer_sync.TargetsReport
+TargetFreshness = target_freshness.TargetFreshness
 VersionStatus = versions.VersionStatus
 VersionGate = versions.VersionGate
 Announcement = target_availability.Announcement
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/peer_reader.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/peer_reader.py
@@ -12,9 +12,9 @@
 from rattanpulleyd._internal.relay import context as context_lib
 from rattanpulleyd._internal.relay import state_exchange
 
-# Maximum age of a report: two waits of a shared watch and the pause after a
-# change.
-MAX_TARGETS_AGE_S = 3.3
+# A host that answers does so within a few milliseconds. After this time no
+# further host is queried, since the store answers as well.
+MAX_QUERY_S = 0.1
 
 _Report = TypeVar("_Report", serving.ConfigReport, serving.TargetsReport)
 
@@ -72,12 +72,13 @@
         return sent_at_s - report.age_s
 
     def fetch_target_changes(
-        self, position: int
+        self, position: int, max_age_s: float
     ) -> tuple[serving.TargetsReport, float] | None:
         """Returns the target changes after a position from another host.
 
         Args:
             position: Store position of the last change that is known.
+            max_age_s: Maximum age of another host's state.
 
         Returns:
             The report and when it was confirmed, on
@@ -87,7 +88,7 @@
         report = self._fetch(
             lambda entry: self._fetch_targets(entry, position),
             self._entries(any_host=False),
-            MAX_TARGETS_AGE_S,
+            max_age_s,
         )
         if report is None:
             return None
@@ -168,6 +169,7 @@
         other hosts itself; it is skipped for a while.
         """
         metrics = self._context.metrics.peer_calls
+        started_s = clock.now_s()
         for entry in entries:
             reason = ""
             try:
@@ -179,6 +181,8 @@
             except state_exchange.PeerReportError as error:
                 reason = str(error)
             self._pass_over(entry, reason)
+            if clock.now_s() - started_s >= MAX_QUERY_S:
+                break
         return None
 
     def _pass_over(self, entry: serving.HostEntry, reason: str) -> None:
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/store_refresh.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/store_refresh.py
@@ -21,16 +21,6 @@
 MAX_RETRY_S = 0.9
 RETRY_GROWTH = 1.4
 WATCH_WAIT_S = 2.5
-# A watch confirms the state at its sending, so the age that other hosts receive
-# is up to two waits.
-SHARED_WATCH_WAIT_S = 1.2
-# Every change of any target ends a watch. The next one starts after this
-# fraction of the time in which a leaving target must be left, so that it
-# returns several changes at once.
-WATCH_PAUSE_FRACTION = 0.35
-MAX_WATCH_PAUSE_S = 1.0
-# Members of a domain learn of a change one pause after their leader.
-LEADER_PAUSE_S = 0.5
 # Wait while entries are missing, so that missing entries expire on time.
 SHORT_WATCH_WAIT_S = 0.5
 LIST_TIMEOUT_S = 0.9
@@ -213,8 +203,9 @@
         self._context = context
         self._source = source
         self._peers = peers
-        self._pause_s = min(leave_s * WATCH_PAUSE_FRACTION, MAX_WATCH_PAUSE_S)
+        self._freshness = serving.TargetFreshness(leave_s)
         self._position: int | None = None
+        self._read_from = "store"
         self._outage_since_s: float | None = None
         self._failing = False
         self._unreadable_logged_at_s = float("-inf")
@@ -244,15 +235,32 @@
                 raise
             self._backoff.reset()
             self._record_success(changes)
-            pause_s = self._pause_s
-            if self._peers.periods() is serving.DOMAIN_LEADER_PERIODS:
-                pause_s = min(pause_s, LEADER_PAUSE_S)
-            gevent.sleep(max(0.0, started_s + pause_s - clock.now_s()))
+            gevent.sleep(
+                self._freshness.next_read_in_s(
+                    self._pause_s(), clock.now_s() - started_s, self._age_s()
+                )
+            )
+
+    def _pause_s(self) -> float:
+        """Returns the time between the starts of two reads."""
+        freshness = self._freshness
+        pause_s = freshness.pause_s
+        if self._peers.periods() is serving.DOMAIN_LEADER_PERIODS:
+            pause_s = min(pause_s, freshness.leader_pause_s)
+        if self._context.fleet.has_peers and not self._peers.queries_peers:
+            pause_s = min(pause_s, freshness.shared_watch_s)
+        return pause_s
+
+    def _age_s(self) -> float:
+        """Returns the age of this host's targets."""
+        confirmed_at_s = self._context.shared_targets.confirmed_at_s
+        return clock.suspend_aware_now_s() - confirmed_at_s
 
     def _read(self) -> list[serving.RegistryChange]:
         targets = self._context.targets
         now_s = clock.now_s
         sent_at_s = clock.suspend_aware_now_s()
+        self._read_from = "store"
         if self._position is None:
             listing = self._source.list_targets(LIST_TIMEOUT_S)
             interrupted = (
@@ -266,16 +274,21 @@
             self._context.shared_targets.confirmed_at_s = sent_at_s
             self._record_unreadable(listing.unreadable)
             return changes
-        reported = self._peers.fetch_target_changes(self._position)
+        reported = self._peers.fetch_target_changes(
+            self._position, self._freshness.max_age_s
+        )
         if reported is not None:
             report, confirmed_at_s = reported
             if report.changes is not None:
+                self._read_from = "host"
                 return self._apply(report.changes, confirmed_at_s)
-            if self._confirmed_recently():
+            # A host that has watched the store itself is a little ahead of
+            # the others until their next watch returns.
+            if self._age_s() <= self._freshness.max_age_s:
                 return []
         wait_s = WATCH_WAIT_S
         if self._context.fleet.has_peers:
-            wait_s = SHARED_WATCH_WAIT_S
+            wait_s = self._freshness.shared_watch_s
         if targets.has_missing_entries():
             wait_s = SHORT_WATCH_WAIT_S
         sent_at_s = clock.suspend_aware_now_s()
@@ -294,15 +307,6 @@
             self._unreadable_logged_at_s = now_s
             self._context.log.failure("targets.unreadable", entries=entries)
 
-    def _confirmed_recently(self) -> bool:
-        """Returns whether this host's targets are as recent as after a watch.
-
-        A host that has watched the store itself is a little ahead of the
-        others until their next watch returns.
-        """
-        confirmed_at_s = self._context.shared_targets.confirmed_at_s
-        return clock.suspend_aware_now_s() - confirmed_at_s < WATCH_WAIT_S
-
     def _apply(
         self, update: serving.TargetChanges, confirmed_at_s: float
     ) -> list[serving.RegistryChange]:
@@ -315,7 +319,9 @@
             changes += targets.upsert(entry)
         self._position = update.position
         self._context.shared_targets.log.append(update)
-        self._context.shared_targets.confirmed_at_s = confirmed_at_s
+        # Another host may have read the store earlier than this one.
+        shared = self._context.shared_targets
+        shared.confirmed_at_s = max(shared.confirmed_at_s, confirmed_at_s)
         return changes
 
     def _record_success(self, changes: list[serving.RegistryChange]) -> None:
@@ -336,6 +342,8 @@
                 target=change.target_id,
                 version=entry.version if entry else None,
                 position=self._position,
+                read_from=self._read_from,
+                age_s=round(self._age_s(), 3),
             )
 
     def _record_failure(
--- a/packages/daemon/tests/relay/test_odd_peers.py
+++ b/packages/daemon/tests/relay/test_odd_peers.py
@@ -63,7 +63,7 @@
         )
         monkeypatch.setattr(bounded_http, "read_body", lambda *_a: body)
     confirmed = peer_reader.PeerReader(context, OWN).config_confirmed_at_s(9.0)
-    changes = peer_reader.PeerReader(context, OWN).fetch_target_changes(1)
+    changes = peer_reader.PeerReader(context, OWN).fetch_target_changes(1, 9.0)
     return confirmed, changes
 
 
--- a/packages/daemon/tests/relay/test_peer_reader.py
+++ b/packages/daemon/tests/relay/test_peer_reader.py
@@ -14,6 +14,9 @@
 from rattanpulleyd._internal.relay import peer_reader
 from rattanpulleyd._internal.relay import state_exchange
 
+# What a host accepts where targets must be left within 3 s.
+MAX_AGE_S = serving.TargetFreshness(3.0).max_age_s
+
 
 class QuietHandler(simple_server.WSGIRequestHandler):
     """Suppresses the request log."""
@@ -92,7 +95,7 @@
 def test_target_changes_are_forwarded(leader, follower):
     update = serving.TargetChanges((relay_builders.target("t"),), ("u",), 12)
     leader.shared_targets.log.append(update)
-    reported = follower.peers.fetch_target_changes(10)
+    reported = follower.peers.fetch_target_changes(10, MAX_AGE_S)
     assert reported is not None
     assert reported[0].changes == update
     assert reported[1] <= clock.suspend_aware_now_s() - 1.0
@@ -101,7 +104,7 @@
 def test_host_that_is_behind_reports_no_changes(leader, follower):
     # Guards against hosts that all watch the store because each is ahead of
     # the others by one target's heartbeat.
-    reported = follower.peers.fetch_target_changes(11)
+    reported = follower.peers.fetch_target_changes(11, MAX_AGE_S)
     assert reported is not None
     assert reported[0].changes is None
 
@@ -109,19 +112,46 @@
 def test_host_with_outdated_state_is_skipped(leader, follower):
     # Guards against a leader that is disconnected from the store.
     leader.shared_targets.confirmed_at_s -= 5.0
-    assert follower.peers.fetch_target_changes(10) is None
+    assert follower.peers.fetch_target_changes(10, MAX_AGE_S) is None
     leader.shared_targets.confirmed_at_s += 5.0
-    assert follower.peers.fetch_target_changes(10) is None
+    assert follower.peers.fetch_target_changes(10, MAX_AGE_S) is None
     follower.fake_now[0] += 3.1
-    assert follower.peers.fetch_target_changes(10) is not None
+    assert follower.peers.fetch_target_changes(10, MAX_AGE_S) is not None
+
+
+# Requests reached leaving targets for up to 3.3 s on the word of a host that
+# had lost the store, although this one could have asked the store.
+def test_state_that_would_be_used_for_too_long_is_not_taken(leader, follower):
+    freshness = serving.TargetFreshness(2.0)
+    leader.shared_targets.confirmed_at_s -= 0.5
+    reported = follower.peers.fetch_target_changes(10, freshness.max_age_s)
+    assert reported is None
+
+
+def test_store_is_asked_after_a_host_that_did_not_answer(follower, monkeypatch):
+    # Guards against one timeout after the other, while targets leave.
+    asked = []
+
+    def time_out(_client, entry, *_arguments):
+        asked.append(entry.name)
+        follower.fake_now[0] += state_exchange.REQUEST_TIMEOUT_S
+        raise state_exchange.PeerReportError("no head in time")
+
+    monkeypatch.setattr(state_exchange.PeerClient, "fetch_targets", time_out)
+    follower.fleet.replace_all(
+        serving.HostEntry(name, "north", "127.0.0.1:1")
+        for name in ("a1", "a2", "b")
+    )
+    assert follower.peers.fetch_target_changes(10, MAX_AGE_S) is None
+    assert asked == ["a1"]
 
 
 def test_unresponsive_host_is_queried_once(leader, follower):
     # Guards against a refresh that waits for an unreachable host each time.
     gone = serving.HostEntry("a", "north", "127.0.0.1:1")
     follower.fleet.replace_all([gone, serving.HostEntry("b", "north", "")])
-    assert follower.peers.fetch_target_changes(10) is None
-    assert follower.peers.fetch_target_changes(10) is None
+    assert follower.peers.fetch_target_changes(10, MAX_AGE_S) is None
+    assert follower.peers.fetch_target_changes(10, MAX_AGE_S) is None
     text = follower.metrics.text().decode()
     assert 'rattanpulley_peer_calls_total{result="failed"} 1.0' in text
 
@@ -135,7 +165,7 @@
     now_s = clock.suspend_aware_now_s()
     _crash(leader, "t1", now_s - 3.0)
     _crash(follower, "t2", now_s - 2.0)
-    assert follower.peers.fetch_target_changes(10) is not None
+    assert follower.peers.fetch_target_changes(10, MAX_AGE_S) is not None
     batch = follower.suspects.log.missing_upstream(now_s)
     assert [row.target for row in batch.reports] == ["t2"]
     assert follower.peers.send_crashes(batch)
@@ -154,7 +184,7 @@
     now_s = clock.suspend_aware_now_s()
     _part_crash(leader, "t1", now_s - 3.0)
     _part_crash(follower, "t2", now_s - 2.0)
-    assert follower.peers.fetch_target_changes(10) is not None
+    assert follower.peers.fetch_target_changes(10, MAX_AGE_S) is not None
     batch = follower.part_suspects.log.missing_upstream(now_s)
     assert {row.target for row in batch.reports} == {"t2"}
     assert batch.reports[0].companions == ("pool.aa", "pool.bb")
@@ -176,7 +206,7 @@
     unknown = dataclasses.replace(channels[kind], path="/beliefs/unknown")
     monkeypatch.setitem(channels, kind, unknown)
     assert not follower.peers.send_crashes(batch)
-    assert follower.peers.fetch_target_changes(10) is not None
+    assert follower.peers.fetch_target_changes(10, MAX_AGE_S) is not None
 
 
 def test_restarted_leader_gets_all_crash_reports_again(leader, follower):
@@ -188,7 +218,7 @@
     follower.suspects.log.mark_upstream(batch)
     assert not follower.suspects.log.missing_upstream(now_s).reports
     leader.suspects = suspects.SharedSuspects("log of the next process")
-    follower.peers.fetch_target_changes(10)
+    follower.peers.fetch_target_changes(10, MAX_AGE_S)
     assert follower.suspects.log.missing_upstream(now_s).reports
 
 
--- a/packages/daemon/tests/relay/test_store_refresh.py
+++ b/packages/daemon/tests/relay/test_store_refresh.py
@@ -10,7 +10,6 @@
 
 from rattanpulley_core import serving
 from rattanpulleyd._internal.relay import clock
-from rattanpulleyd._internal.relay import peer_reader
 from rattanpulleyd._internal.relay import store_refresh
 
 LEAVE_S = 2.0
@@ -47,7 +46,9 @@
 ) -> types.SimpleNamespace:
     """Returns the other hosts as a refresh sees them."""
     return types.SimpleNamespace(
-        fetch_target_changes=fetch_target_changes, periods=lambda: periods
+        fetch_target_changes=fetch_target_changes,
+        periods=lambda: periods,
+        queries_peers=True,
     )
 
 
@@ -70,7 +71,7 @@
     # constantly caused five calls per second from each of 87 hosts.
     context = relay_builders.make_context("a")
     context.targets = serving.TargetRegistry()
-    peers = make_peers(lambda position: None)
+    peers = make_peers(lambda position, max_age_s: None)
     source = Source(fake_clock)
     refresh = store_refresh.TargetRefresh(context, source, peers, LEAVE_S)
     with pytest.raises(EndOfTestError):
@@ -87,7 +88,7 @@
     context.targets = serving.TargetRegistry()
     reported = []
 
-    def targets(position):
+    def targets(position, max_age_s):
         reported.append(position)
         if len(reported) > 5:
             raise EndOfTestError
@@ -108,12 +109,13 @@
 
 def test_host_ahead_of_the_others_waits_for_their_next_watch(fake_clock):
     # Guards against a fleet in which every host watches the store because
-    # each is ahead of another one.
+    # each is ahead of another one, and against one that stays on its own state
+    # for longer than targets may be used that leave.
     context = relay_builders.make_context("b")
     context.targets = serving.TargetRegistry()
     asked = []
 
-    def targets(position):
+    def targets(position, max_age_s):
         asked.append(fake_clock.now)
         if len(asked) > 40:
             raise EndOfTestError
@@ -126,8 +128,9 @@
         refresh.run_forever()
     watches = [at for name, at in source.calls if name == "watch"]
     gaps = [late - early for early, late in itertools.pairwise(watches)]
-    assert min(gaps) >= store_refresh.WATCH_WAIT_S
-    assert max(gaps) <= store_refresh.WATCH_WAIT_S + LEAVE_S / 2
+    freshness = serving.TargetFreshness(LEAVE_S)
+    assert min(gaps) >= freshness.max_age_s
+    assert max(gaps) <= freshness.limit_s + 0.001
 
 
 def test_unreachable_store_is_called_less_often(fake_clock):
@@ -160,13 +163,60 @@
                 raise EndOfTestError
             return serving.TargetChanges((), (), position + 1)
 
-    peers = make_peers(lambda position: None)
+    peers = make_peers(lambda position, max_age_s: None)
+    peers.queries_peers = False
     refresh = store_refresh.TargetRefresh(
         context, IdleSource(fake_clock), peers, LEAVE_S
     )
     with pytest.raises(EndOfTestError):
         refresh.run_forever()
-    assert max(ages) < peer_reader.MAX_TARGETS_AGE_S
+    assert max(ages) < serving.TargetFreshness(LEAVE_S).max_age_s
+
+
+# A host that took an old state from another one kept it for a whole pause.
+def test_old_state_of_another_host_is_read_again_early(fake_clock):
+    context = relay_builders.make_context("b")
+    context.targets = serving.TargetRegistry()
+    freshness = serving.TargetFreshness(LEAVE_S)
+    asked = []
+
+    def targets(position, max_age_s):
+        asked.append(fake_clock.now)
+        if len(asked) > 5:
+            raise EndOfTestError
+        changes = serving.TargetChanges((), (), position + 1)
+        report = serving.TargetsReport(changes, max_age_s)
+        return report, fake_clock.now - max_age_s
+
+    # A host's own confirmation of its first list is more recent.
+    refresh = store_refresh.TargetRefresh(
+        context, Source(fake_clock), make_peers(targets), LEAVE_S
+    )
+    with pytest.raises(EndOfTestError):
+        refresh.run_forever()
+    gaps = [late - early for early, late in itertools.pairwise(asked)]
+    assert max(gaps[2:]) <= freshness.limit_s - freshness.max_age_s + 0.001
+
+
+def test_report_that_is_older_than_the_own_read_is_no_step_back(fake_clock):
+    # Guards against needless reads of the store.
+    context = relay_builders.make_context("b")
+    context.targets = serving.TargetRegistry()
+    ages = []
+
+    def targets(position, max_age_s):
+        ages.append(fake_clock.now - context.shared_targets.confirmed_at_s)
+        if len(ages) > 1:
+            raise EndOfTestError
+        changes = serving.TargetChanges((), (), position + 1)
+        return serving.TargetsReport(changes, 1.2), fake_clock.now - 1.2
+
+    refresh = store_refresh.TargetRefresh(
+        context, Source(fake_clock), make_peers(targets), LEAVE_S
+    )
+    with pytest.raises(EndOfTestError):
+        refresh.run_forever()
+    assert ages[1] <= 2 * serving.TargetFreshness(LEAVE_S).pause_s + 0.001
 
 
 def test_domain_leader_passes_changes_on_early(fake_clock):
@@ -176,7 +226,7 @@
     context.targets = serving.TargetRegistry()
     asked = []
 
-    def targets(position):
+    def targets(position, max_age_s):
         asked.append(fake_clock.now)
         if len(asked) > 5:
             raise EndOfTestError
@@ -192,7 +242,7 @@
     with pytest.raises(EndOfTestError):
         refresh.run_forever()
     gaps = [late - early for early, late in itertools.pairwise(asked)]
-    assert max(gaps) <= store_refresh.LEADER_PAUSE_S
+    assert max(gaps) <= 0.5
 
 
 class ConfigStore:
@@ -233,7 +283,7 @@
     context.prober = types.SimpleNamespace(forget=lambda target_id: None)
     source = Source(fake_clock)
     refresh = store_refresh.TargetRefresh(
-        context, source, make_peers(lambda position: None), LEAVE_S
+        context, source, make_peers(lambda position, max_age_s: None), LEAVE_S
     )
     for _ in range(2):
         with pytest.raises(EndOfTestError):
@@ -261,7 +311,7 @@
 
     monkeypatch.setattr(source, "watch_targets", watch_odd)
     refresh = store_refresh.TargetRefresh(
-        context, source, make_peers(lambda position: None), LEAVE_S
+        context, source, make_peers(lambda position, max_age_s: None), LEAVE_S
     )
     with pytest.raises(EndOfTestError):
         refresh.run_forever()
