Yield only on busy connections, ask every host where the store serves nobody

Cause: a client's connection could let others run while its parser held bytes of a request and it did not count as busy yet. A stop closes idle connections, so that the request would have ended without an answer. And a host that the store turns away asked no second host after one timeout, so that keys could lapse. Change: the turn is taken in the body only, where the connection is busy; the limit of a query holds only where the store can be asked instead.

--- a/packages/core/tests/claims/test_settlement.py
+++ b/packages/core/tests/claims/test_settlement.py
@@ -60,7 +60,12 @@
 
 
 @pytest.mark.parametrize(
-    "state", set(claims.ClaimState) - {RECORD.state, claims.ClaimState.UNKNOWN}
+    "state",
+    [
+        state
+        for state in claims.ClaimState
+        if state not in (RECORD.state, claims.ClaimState.UNKNOWN)
+    ],
 )
 def test_known_outcome_is_not_settled(state):
     # Guards against an operator overwriting a known outcome.
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/client_connection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/client_connection.py
@@ -140,6 +140,9 @@
             interim = h11.InformationalResponse(status_code=100, headers=[])
             self._send(self._http.send(interim))
         while True:
+            # Not while the head is read: until the connection is busy, a stop
+            # would close it with the bytes that the parser holds.
+            self._turn.yield_if_long()
             event = self._parse()
             if isinstance(event, h11.Data):
                 body.add(event.data)
@@ -153,7 +156,6 @@
                 raise ConnectionEndedError
 
     def _parse(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
-        self._turn.yield_if_long()
         try:
             return self._http.next_event()
         except h11.RemoteProtocolError as error:
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/peer_reader.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/peer_reader.py
@@ -12,8 +12,8 @@
 from rattanpulleyd._internal.relay import context as context_lib
 from rattanpulleyd._internal.relay import state_exchange
 
-# A host that answers does so within a few milliseconds. After this time no
-# further host is queried, since the store answers as well.
+# A host that answers does so within a few milliseconds. After this time the
+# store is asked instead of a further host.
 MAX_QUERY_S = 0.1
 
 _Report = TypeVar("_Report", serving.ConfigReport, serving.TargetsReport)
@@ -62,7 +62,11 @@
             return None
         sent_at_s = clock.suspend_aware_now_s()
         entries = self._entries(any_host)
-        report = self._fetch(self._client.fetch_config, entries, age_limit_s)
+        # Without the store, each host that may answer is queried.
+        query_limit_s = float("inf") if any_host else MAX_QUERY_S
+        report = self._fetch(
+            self._client.fetch_config, entries, age_limit_s, query_limit_s
+        )
         if report is None:
             return None
         if report.version != config.version:
@@ -162,6 +166,7 @@
         fetch: Callable[[serving.HostEntry], _Report],
         entries: list[serving.HostEntry],
         age_limit_s: float,
+        query_limit_s: float = MAX_QUERY_S,
     ) -> _Report | None:
         """Returns the first report that is recent enough, or None.
 
@@ -181,7 +186,7 @@
             except state_exchange.PeerReportError as error:
                 reason = str(error)
             self._pass_over(entry, reason)
-            if clock.now_s() - started_s >= MAX_QUERY_S:
+            if clock.now_s() - started_s >= query_limit_s:
                 break
         return None
 
--- a/packages/daemon/tests/relay/test_peer_reader.py
+++ b/packages/daemon/tests/relay/test_peer_reader.py
@@ -241,3 +241,24 @@
     assert http.request("POST", path, body=body).status == 400
     assert len(leader.suspects) == 0
     assert len(leader.part_suspects) == 0
+
+
+def test_all_hosts_are_asked_where_the_store_serves_nobody(
+    follower, monkeypatch
+):
+    # Guards against keys that lapse because the first host is dark as well.
+    follower.cached_config.accept(relay_builders.config(7), 0.0)
+    asked = []
+
+    def time_out(_client, entry, *_arguments):
+        asked.append(entry.name)
+        follower.fake_now[0] += state_exchange.REQUEST_TIMEOUT_S
+        raise state_exchange.PeerReportError("no head in time")
+
+    monkeypatch.setattr(state_exchange.PeerClient, "fetch_config", time_out)
+    follower.fleet.replace_all(
+        serving.HostEntry(name, "north", "127.0.0.1:1")
+        for name in ("a1", "a2", "b")
+    )
+    assert follower.peers.config_confirmed_at_s(2.0, any_host=True) is None
+    assert sorted(asked) == ["a1", "a2"]
