--- a/packages/daemon/tests/relay/test_peer_reader.py
+++ b/packages/daemon/tests/relay/test_peer_reader.py
@@ -128,8 +128,8 @@
     assert reported is None
 
 
-def test_store_is_asked_after_a_host_that_did_not_answer(follower, monkeypatch):
-    # Guards against one timeout after the other, while targets leave.
+def let_hosts_time_out(follower, monkeypatch, method) -> list[str]:
+    """Lets both other hosts answer nothing; returns whom the follower asks."""
     asked = []
 
     def time_out(_client, entry, *_arguments):
@@ -137,11 +137,17 @@
         follower.fake_now[0] += state_exchange.REQUEST_TIMEOUT_S
         raise state_exchange.PeerReportError("no head in time")
 
-    monkeypatch.setattr(state_exchange.PeerClient, "fetch_targets", time_out)
+    monkeypatch.setattr(state_exchange.PeerClient, method, time_out)
     follower.fleet.replace_all(
         serving.HostEntry(name, "north", "127.0.0.1:1")
         for name in ("a1", "a2", "b")
     )
+    return asked
+
+
+def test_store_is_asked_after_a_host_that_did_not_answer(follower, monkeypatch):
+    # Guards against one timeout after the other, while targets leave.
+    asked = let_hosts_time_out(follower, monkeypatch, "fetch_targets")
     assert follower.peers.fetch_target_changes(10, MAX_AGE_S) is None
     assert asked == ["a1"]
 
@@ -248,17 +254,6 @@
 ):
     # Guards against keys that lapse because the first host is dark as well.
     follower.cached_config.accept(relay_builders.config(7), 0.0)
-    asked = []
-
-    def time_out(_client, entry, *_arguments):
-        asked.append(entry.name)
-        follower.fake_now[0] += state_exchange.REQUEST_TIMEOUT_S
-        raise state_exchange.PeerReportError("no head in time")
-
-    monkeypatch.setattr(state_exchange.PeerClient, "fetch_config", time_out)
-    follower.fleet.replace_all(
-        serving.HostEntry(name, "north", "127.0.0.1:1")
-        for name in ("a1", "a2", "b")
-    )
+    asked = let_hosts_time_out(follower, monkeypatch, "fetch_config")
     assert follower.peers.config_confirmed_at_s(2.0, any_host=True) is None
     assert sorted(asked) == ["a1", "a2"]
