Limit the head of a call in one place, and the calls of the object API

What callers would see: a daemon of the own interface that waits for ever for the object API or the host list, or stands still, while interim responses or a body come without end.

Change: the pool's connections limit the head by the read timeout as a whole, so that callers need no limit of their own; the daemon gives the adapters this pool, and a body has 10 s in all.

--- a/packages/adapters/src/rattanpulley_adapters/_internal/platform/host_list.py
+++ b/packages/adapters/src/rattanpulley_adapters/_internal/platform/host_list.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+import urllib3
+
 from rattanpulley_adapters._internal.platform import http_json
 from rattanpulley_core import interfaces
 
@@ -16,16 +18,23 @@
     entity tag of the last response, so that an unchanged list is not sent.
     """
 
-    def __init__(self, base_url: str) -> None:
+    def __init__(
+        self,
+        base_url: str,
+        pool_class: type[urllib3.HTTPConnectionPool] = (
+            urllib3.HTTPConnectionPool
+        ),
+    ) -> None:
         """Creates the client.
 
         Args:
             base_url: URL of the platform, http://ADDRESS:PORT.
+            pool_class: Class of the connections.
 
         Raises:
             exceptions.InvalidUrlError: The URL does not have this form.
         """
-        self._client = http_json.JsonClient(base_url)
+        self._client = http_json.JsonClient(base_url, pool_class=pool_class)
         self._entity_tag = ""
         self._entries: list[interfaces.HostEntry] = []
 
--- a/packages/adapters/src/rattanpulley_adapters/_internal/platform/http_json.py
+++ b/packages/adapters/src/rattanpulley_adapters/_internal/platform/http_json.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import time
 from typing import Any
 import urllib.parse
 
@@ -12,6 +13,9 @@
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 3.0
+# The timeout of a read does not end a body that never stops.
+BODY_TIMEOUT_S = 10.0
+READ_BYTES = 64 * 1024
 # One connection waits for changes. The others serve claims while the store is
 # slow.
 MAX_CONNECTIONS = 16
@@ -46,6 +50,9 @@
         base_url: str,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         read_timeout_s: float = READ_TIMEOUT_S,
+        pool_class: type[urllib3.HTTPConnectionPool] = (
+            urllib3.HTTPConnectionPool
+        ),
     ) -> None:
         """Creates the connection pool; the first requests open connections.
 
@@ -53,6 +60,7 @@
             base_url: URL of the form http://ADDRESS:PORT.
             connect_timeout_s: Timeout for opening a connection.
             read_timeout_s: Maximum time without data of the response.
+            pool_class: Class of the connections.
 
         Raises:
             exceptions.InvalidUrlError: The URL does not have this form.
@@ -64,7 +72,7 @@
             raise exceptions.InvalidUrlError(base_url)
         self._connect_timeout_s = connect_timeout_s
         self._read_timeout_s = read_timeout_s
-        self._pool = urllib3.HTTPConnectionPool(
+        self._pool = pool_class(
             parts.hostname,
             parts.port or 80,
             maxsize=MAX_CONNECTIONS,
@@ -133,18 +141,29 @@
     """Reads the body and releases the connection to the pool.
 
     Raises:
-        interfaces.StoreUnavailableError: The body exceeds `MAX_RESPONSE_BYTES`.
+        interfaces.StoreUnavailableError: The body exceeds `MAX_RESPONSE_BYTES`
+            or takes longer than `BODY_TIMEOUT_S`.
     """
+    until_s = time.monotonic() + BODY_TIMEOUT_S
+    body = bytearray()
     try:
-        response_body = response.read(MAX_RESPONSE_BYTES + 1)
-        if len(response_body) > MAX_RESPONSE_BYTES:
-            response.close()
-            raise interfaces.StoreUnavailableError(
-                "the response body is too large"
-            )
-        return response_body
+        while part := response.read1(READ_BYTES):
+            body += part
+            if len(body) > MAX_RESPONSE_BYTES:
+                raise interfaces.StoreUnavailableError(
+                    "the response body is too large"
+                )
+            if time.monotonic() > until_s:
+                raise interfaces.StoreUnavailableError(
+                    "the response body is not complete in time"
+                )
+    except BaseException:
+        # Unread bytes would answer the next request of the connection.
+        response.close()
+        raise
     finally:
         response.release_conn()
+    return bytes(body)
 
 
 def _decode_json(response_body: bytes) -> Any:
--- a/packages/adapters/src/rattanpulley_adapters/_internal/platform/object_store.py
+++ b/packages/adapters/src/rattanpulley_adapters/_internal/platform/object_store.py
@@ -3,6 +3,8 @@
 from typing import Any
 import urllib.parse
 
+import urllib3
+
 from rattanpulley_adapters._internal.platform import http_json
 from rattanpulley_core import interfaces
 
@@ -10,16 +12,23 @@
 class HttpObjectStore(interfaces.ObjectStore):
     """Sends the requests of the object API (design 4.1), without retries."""
 
-    def __init__(self, base_url: str) -> None:
+    def __init__(
+        self,
+        base_url: str,
+        pool_class: type[urllib3.HTTPConnectionPool] = (
+            urllib3.HTTPConnectionPool
+        ),
+    ) -> None:
         """Creates the client.
 
         Args:
             base_url: URL of the platform, http://ADDRESS:PORT.
+            pool_class: Class of the connections.
 
         Raises:
             exceptions.InvalidUrlError: The URL does not have this form.
         """
-        self._client = http_json.JsonClient(base_url)
+        self._client = http_json.JsonClient(base_url, pool_class=pool_class)
 
     def get(self, key: str) -> interfaces.StoredObject | None:
         """Returns the object, or None; see the base class."""
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/bounded_http.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/bounded_http.py
@@ -4,8 +4,6 @@
 timeout of a read does not end such a response, since each read succeeds.
 """
 
-from collections.abc import Mapping
-
 import gevent
 import urllib3
 
@@ -19,46 +17,6 @@
     """A response is larger or takes longer than allowed."""
 
 
-class LateHeadError(ResponseBoundsError):
-    """The head of a response was not complete in time."""
-
-
-def open_response(
-    pool: urllib3.HTTPConnectionPool,
-    method: str,
-    path: str,
-    timeout: urllib3.Timeout,
-    limit_s: float,
-    body: bytes | None = None,
-    headers: Mapping[str, str] | None = None,
-) -> urllib3.BaseHTTPResponse:
-    """Sends a request and returns the response, whose body is not read.
-
-    Args:
-        pool: Connections to the peer.
-        method: HTTP method.
-        path: Path and query.
-        timeout: Timeouts of a silent peer.
-        limit_s: Time in which the head must be complete.
-        body: Body of the request.
-        headers: Headers of the request.
-
-    Raises:
-        LateHeadError: The head was not complete in time.
-        urllib3.exceptions.HTTPError: The connection failed.
-    """
-    # The parser reads interim responses until another one comes.
-    with gevent.Timeout(limit_s, LateHeadError("no head in time")):
-        return pool.request(
-            method,
-            path,
-            body=body,
-            headers=headers,
-            timeout=timeout,
-            preload_content=False,
-        )
-
-
 def read_body(
     response: urllib3.BaseHTTPResponse, max_bytes: int, until_s: float
 ) -> bytes:
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/state_exchange.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/state_exchange.py
@@ -300,13 +300,12 @@
     ) -> dict[str, Any]:
         until_s = clock.now_s() + REQUEST_TIMEOUT_S
         try:
-            response = bounded_http.open_response(
-                self._pool(entry.address),
+            response = self._pool(entry.address).request(
                 method,
                 path,
-                urllib3.Timeout(REQUEST_TIMEOUT_S),
-                REQUEST_TIMEOUT_S,
                 body=None if content is None else json.dumps(content).encode(),
+                timeout=REQUEST_TIMEOUT_S,
+                preload_content=False,
             )
             body = bounded_http.read_body(response, MAX_RESPONSE_BYTES, until_s)
             if response.status == HTTP_NOT_FOUND:
--- a/packages/daemon/src/rattanpulleyd/_internal/runtime/components.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/runtime/components.py
@@ -25,6 +25,7 @@
 from rattanpulleyd._internal.runtime import runtime as runtime_lib
 from rattanpulleyd._internal.services import http_service
 from rattanpulleyd._internal.settings import model
+from rattanpulleyd._internal.sockets import fair_socket
 from rattanpulleyd._internal.telemetry import counters
 
 _Choice = model.TargetChoice
@@ -50,7 +51,9 @@
         self._settings = settings
         self.counts = counters.Counters(settings.statsd)
         self._clock = clock_lib.SystemClock()
-        self._store = platform.HttpObjectStore(settings.platform.url)
+        self._store = platform.HttpObjectStore(
+            settings.platform.url, fair_socket.FairConnectionPool
+        )
         signer = resume_token.Signer(settings.resume_keys)
         self._suspect_table = suspects.SuspectTable()
         self._target_table = targets.TargetTable(settings.failure_domain)
@@ -127,7 +130,9 @@
     def _build_host_poll(self) -> host_poll.HostPoll:
         """Builds the poll of the platform's host list."""
         return host_poll.HostPoll(
-            platform.HttpHostList(self._settings.platform.url),
+            platform.HttpHostList(
+                self._settings.platform.url, fair_socket.FairConnectionPool
+            ),
             self.counts,
             self.runtime.apply_hosts,
             self._rng,
--- a/packages/daemon/src/rattanpulleyd/_internal/sockets/fair_socket.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/sockets/fair_socket.py
@@ -7,6 +7,7 @@
 
 from typing import Any
 
+import gevent
 from gevent import pywsgi
 from gevent import socket
 import urllib3
@@ -14,6 +15,9 @@
 
 from rattanpulleyd._internal.sockets import read_turn
 
+# The timeout of a read expires first if a peer is only silent.
+HEAD_MARGIN_S = 0.05
+
 
 class FairSocket(socket.socket):
     """A socket whose reads let other greenlets run now and then."""
@@ -44,11 +48,27 @@
 
 
 class FairConnection(urllib3.connection.HTTPConnection):
-    """A connection of a pool that reads from a fair socket."""
+    """A connection of a pool that reads from a fair socket.
+
+    The read timeout limits the head as a whole. The parser reads interim
+    responses until another one comes, each of them within the timeout.
+    """
 
     def _new_conn(self) -> FairSocket:
         return make_fair(super()._new_conn())
 
+    def getresponse(self) -> Any:
+        """Returns the response once its head is complete.
+
+        Raises:
+            TimeoutError: It is not complete in time.
+        """
+        limit_s = None
+        if isinstance(self.timeout, int | float):
+            limit_s = self.timeout + HEAD_MARGIN_S
+        with gevent.Timeout(limit_s, TimeoutError("no head in time")):
+            return super().getresponse()
+
 
 class FairConnectionPool(urllib3.HTTPConnectionPool):
     """A pool of connections that read from fair sockets."""
--- a/packages/daemon/src/rattanpulleyd/relay.py
+++ b/packages/daemon/src/rattanpulleyd/relay.py
@@ -11,9 +11,7 @@
 
 Endpoint = settings.Endpoint
 ResponseBoundsError = bounded_http.ResponseBoundsError
-LateHeadError = bounded_http.LateHeadError
 now_s = clock.now_s
-open_response = bounded_http.open_response
 read_body = bounded_http.read_body
 HeaderNames = wire.HeaderNames
 MemoryCopyCalls = memory_copies.MemoryCopyCalls
