--- a/Makefile
+++ b/Makefile
@@ -34,13 +34,16 @@
 # Tests that KNOWN-RED.txt lists are printed and passed over.
 KNOWN_RED = $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null)
 
+# Processes that run tests side by side; 0 runs them in one, in their order.
+TEST_JOBS ?= 4
+
 test: setup
 	$(VENV)/bin/ruff format --check $(SOURCES)
 	$(VENV)/bin/ruff check $(SOURCES)
 	$(VENV)/bin/mypy $(wildcard packages/*/src) platform/src
 	$(VENV)/bin/lint-imports
 	@if [ -e KNOWN-RED.txt ]; then echo "Known red, not run:"; cat KNOWN-RED.txt; fi
-	$(PY) -m pytest $(addprefix --deselect=,$(KNOWN_RED))
+	$(PY) -m pytest -n $(TEST_JOBS) --dist worksteal $(addprefix --deselect=,$(KNOWN_RED))
 
 # The users' bench, which is not part of the repository, and the deployments that
 # are played before a landing. `make score SITES=large/cledwyn-fleet-large` plays one.
