Log and count how much retry budget a request met

A stream that was aborted for want of retry budget left only the reason in the log, not how many retries its host had made and might make, so that a share that is too small could not be told from a pool that fails. request.ended has both figures now, and a counter has the denials by reason and by whether the client had a part of the answer. No decision changes.

--- a/packages/core/src/rattanpulley_core/_internal/serving/retries.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/retries.py
@@ -6,12 +6,26 @@
 """
 
 from collections import deque
+import dataclasses
 
 # Fraction of the allowed ratio that is used. The margin is needed because the
 # windows slide, and a request counts in the window in which its client sent it.
 USED_RATIO_FRACTION = 0.6
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryUse:
+    """Use of a retry window at one moment.
+
+    Attributes:
+        used: Retries in the window.
+        allowed: Retries that this host may make in it.
+    """
+
+    used: int
+    allowed: float
+
+
 class RetryWindow:
     """Retries and requests of one pool in a sliding window.
 
@@ -44,13 +58,18 @@
 
     def try_acquire(self, now_s: float) -> bool:
         """Acquires one retry and returns whether the budget allows it."""
-        self._drop_old(now_s)
-        allowed = self.slack + self._ratio * len(self._requests)
-        if len(self._retries) + 1 > allowed:
+        use = self.use(now_s)
+        if use.used + 1 > use.allowed:
             return False
         self._retries.append(now_s)
         return True
 
+    def use(self, now_s: float) -> RetryUse:
+        """Returns how many retries were made and how many are allowed."""
+        self._drop_old(now_s)
+        allowed = self.slack + self._ratio * len(self._requests)
+        return RetryUse(len(self._retries), allowed)
+
     def release(self) -> None:
         """Returns the retry that was acquired last, which is not made."""
         if self._retries:
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
@@ -218,6 +218,10 @@
         """Returns whether the request may be retried at another target."""
         self.denial = self._retry_denial()
         self.release_retry()
+        if self.denial is not None:
+            self._context.metrics.retries_denied.labels(
+                self.denial.value, "yes" if self.answer_started else "no"
+            ).inc()
         return self.denial is None
 
     def release_retry(self) -> None:
@@ -279,9 +283,11 @@
     def log_fields(self) -> dict[str, object]:
         """Returns what the log tells about the end of the request."""
         config = self._context.cached_config.config
+        use = self._window.use(clock.now_s())
         return {
             "attempts": self._tracker.sent,
             "not_retried": self.denial.value if self.denial else None,
+            "retries": [use.used, round(use.allowed, 1)],
             "admitted_version": self._admission.config_version,
             "config_version": config.version if config else None,
         }
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/relay_metrics.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/relay_metrics.py
@@ -35,6 +35,11 @@
         self.attempts = self._counter(
             "attempts", "Attempts on targets by ending", ["ending"]
         )
+        self.retries_denied = self._counter(
+            "retries_denied",
+            "Failed attempts that no other attempt followed",
+            ["reason", "answered"],
+        )
         self.resumes = self._counter(
             "resumes", "Streams continued on another target", ["source"]
         )
