Let begun streams wait for retry budget instead of cutting them

Callers saw a stream that had begun end without its last event, with most of its time left.

Cause: a denial for want of retry budget was final, although the budget comes back as its window slides.

A begun stream now waits for a retry as long as its client, its timeout and the host last; those that have waited longest come first, and later requests leave the retries to them. Requests without a part of the answer are answered at once as before, since their clients can return to another host. A copy of a run's memory is not used after such a wait, since engines drop it and the refusal would cost another retry.

--- a/packages/core/src/rattanpulley_core/_internal/serving/retries.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/retries.py
@@ -6,6 +6,8 @@
 """
 
 from collections import deque
+from collections.abc import Iterator
+import contextlib
 import dataclasses
 
 # Fraction of the allowed ratio that is used. The margin is needed because the
@@ -43,6 +45,7 @@
         """
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
+        self._waiters: deque[object] = deque()
         self.set_bounds(window_s, ratio, slack)
 
     def set_bounds(self, window_s: float, ratio: float, slack: float) -> None:
@@ -56,10 +59,29 @@
         self._requests.append(now_s)
         self._drop_old(now_s)
 
-    def try_acquire(self, now_s: float) -> bool:
-        """Acquires one retry and returns whether the budget allows it."""
+    @contextlib.contextmanager
+    def waiting(self, waiter: object) -> Iterator[None]:
+        """Puts an answer that has begun into the queue for the next retry."""
+        self._waiters.append(waiter)
+        try:
+            yield
+        finally:
+            self._waiters.remove(waiter)
+
+    def try_acquire(self, now_s: float, waiter: object = None) -> bool:
+        """Acquires one retry and returns whether the budget allows it.
+
+        Args:
+            now_s: Current time.
+            waiter: An answer that waits for it, or None. Retries are kept for
+                the answers that have waited for longer.
+        """
         use = self.use(now_s)
-        if use.used + 1 > use.allowed:
+        is_waiting = waiter in self._waiters
+        ahead = (
+            self._waiters.index(waiter) if is_waiting else len(self._waiters)
+        )
+        if use.used + ahead + 1 > use.allowed:
             return False
         self._retries.append(now_s)
         return True
--- a/packages/core/tests/serving/test_retries.py
+++ b/packages/core/tests/serving/test_retries.py
@@ -51,3 +51,19 @@
     budget.set_bounds(10.0, 0.0, 2.0)
     assert window.try_acquire(0.2)
     assert not window.try_acquire(0.3)
+
+
+# A stream that had begun was cut while later requests took the retries.
+def test_retries_go_first_to_answers_that_wait() -> None:
+    """Guards against streams that wait while new requests retry."""
+    window = serving.RetryWindow(WINDOW_S, 0.0, 2.0)
+    assert window.try_acquire(0.0)
+    assert window.try_acquire(1.0)
+    with window.waiting("first"), window.waiting("second"):
+        assert not window.try_acquire(9.0, "first")
+        # One retry is free again, and both are waited for.
+        assert not window.try_acquire(10.0)
+        assert not window.try_acquire(10.0, "second")
+        assert window.try_acquire(10.0, "first")
+    assert not window.try_acquire(10.5)
+    assert window.try_acquire(11.0)
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
@@ -16,6 +16,8 @@
 RETURN_SPREAD = 0.25
 # The first refusal may be that of one full target.
 REFUSALS_BEFORE_PAUSE = 2
+# An answer that waits for retry budget asks for it at this interval.
+RETRY_BUDGET_POLL_S = 0.05
 
 
 class RequestAttempts:
@@ -66,6 +68,7 @@
         self._refusals_in_a_row = 0
         self.denial: serving.RetryDenial | None = None
         self._has_reserved_retry = False
+        self._budget_wait_s = 0.0
 
     @property
     def tried_ids(self) -> tuple[str, ...]:
@@ -215,8 +218,14 @@
         return refused_for_s > 0
 
     def can_retry(self) -> bool:
-        """Returns whether the request may be retried at another target."""
+        """Returns whether the request may be retried at another target.
+
+        An answer that has begun waits for retry budget as long as its client
+        does.
+        """
         self.denial = self._retry_denial()
+        if self._outlasts_denial():
+            self._wait_for_budget()
         self.release_retry()
         if self.denial is not None:
             self._context.metrics.retries_denied.labels(
@@ -224,6 +233,28 @@
             ).inc()
         return self.denial is None
 
+    def _outlasts_denial(self) -> bool:
+        """Returns whether the request waits for a retry.
+
+        Others get their answer at once, so that their clients can return.
+        """
+        is_short = self.denial is serving.RetryDenial.RETRY_BUDGET
+        return is_short and self.answer_started
+
+    def _wait_for_budget(self) -> None:
+        """Waits until the retry budget allows an attempt or none is possible.
+
+        The budget comes back as its window slides.
+        """
+        started_s = clock.now_s()
+        with self._window.waiting(self):
+            while self._outlasts_denial():
+                target_connection.pause(RETRY_BUDGET_POLL_S)
+                self.denial = self._retry_denial()
+        waited_s = clock.now_s() - started_s
+        self._budget_wait_s += waited_s
+        self._context.metrics.retry_waits.observe(waited_s)
+
     def release_retry(self) -> None:
         """Returns a reserved retry that is not made."""
         if self._has_reserved_retry:
@@ -277,7 +308,9 @@
             Whether the retry budget allows another attempt.
         """
         if not self._has_reserved_retry:
-            self._has_reserved_retry = self._window.try_acquire(clock.now_s())
+            self._has_reserved_retry = self._window.try_acquire(
+                clock.now_s(), self
+            )
         return self._has_reserved_retry
 
     def log_fields(self) -> dict[str, object]:
@@ -288,6 +321,7 @@
             "attempts": self._tracker.sent,
             "not_retried": self.denial.value if self.denial else None,
             "retries": [use.used, round(use.allowed, 1)],
+            "budget_wait_s": round(self._budget_wait_s, 3),
             "admitted_version": self._admission.config_version,
             "config_version": config.version if config else None,
         }
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/relay_metrics.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/relay_metrics.py
@@ -71,6 +71,9 @@
         self.pause_seconds = self._histogram(
             "pause_seconds", "Longest pause of each stream", []
         )
+        self.retry_waits = self._histogram(
+            "retry_wait_seconds", "Wait of begun streams for a retry", []
+        )
         self.loop_gap_seconds = prometheus_client.Gauge(
             "rattanpulley_loop_gap_seconds",
             "Longest time in which no greenlet ran",
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_plan.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_plan.py
@@ -18,6 +18,8 @@
 # started waits as long as its client.
 NO_TARGET_WAIT_S = 0.5
 NO_TARGET_POLL_S = 0.02
+# Engines keep the memory of a run that has ended for a few seconds.
+MAX_COPY_AGE_S = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,11 +38,7 @@
 
 
 class StreamPlanner:
-    """Chooses the targets of one stream.
-
-    Attributes:
-        copy: Memory copy that the last attempt has left, or None.
-    """
+    """Chooses the targets of one stream."""
 
     def __init__(
         self,
@@ -62,7 +60,13 @@
         self._attempts = attempts
         self._transfer = transfer
         self._engine_selector = engine_selection.EngineSelector(context)
-        self.copy: memory_copies.MemoryCopy | None = None
+        self._copy: memory_copies.MemoryCopy | None = None
+        self._copy_left_at_s = 0.0
+
+    def leave_copy(self, copy: memory_copies.MemoryCopy | None) -> None:
+        """Keeps the memory copy that an attempt has left for the next one."""
+        self._copy = copy
+        self._copy_left_at_s = clock.now_s()
 
     def next_plan(self, started: bool) -> AttemptPlan | None:
         """Returns the next attempt, or None if none is possible in time.
@@ -71,9 +75,11 @@
             started: Whether the client has a part of the stream.
         """
         chosen, self._transfer.next_engine = self._transfer.next_engine, None
-        copy, self.copy = self.copy, None
+        copy, self._copy = self._copy, None
+        age_s = clock.now_s() - self._copy_left_at_s
         if (
             copy is not None
+            and age_s <= MAX_COPY_AGE_S
             and self._context.availability.reason_of(copy.holder, clock.now_s())
             is None
             and self._attempts.last in serving.FAILURES_AFTER_START
--- a/packages/daemon/tests/relay/test_attempts.py
+++ b/packages/daemon/tests/relay/test_attempts.py
@@ -9,6 +9,7 @@
 from rattanpulleyd._internal.relay import attempt_progress
 from rattanpulleyd._internal.relay import attempts as attempts_lib
 from rattanpulleyd._internal.relay import clock
+from rattanpulleyd._internal.relay import context as context_lib
 from rattanpulleyd._internal.relay import target_connection
 
 TARGET = relay_builders.target("t")
@@ -188,3 +189,89 @@
     relay_builders.accept_routes(context, 2, relay_builders.route())
     fields = attempts.log_fields()
     assert (fields["admitted_version"], fields["config_version"]) == (1, 2)
+
+
+@pytest.fixture
+def short_budget(context, monkeypatch):
+    """A host that may retry once in ten seconds; waits move the clock."""
+    context.retry_budget = serving.PoolRetryBudget(10.0, 0.0, 1.0)
+    assert context.retry_budget.window_of("pool").try_acquire(clock.now_s())
+    waits = types.SimpleNamespace(passed_s=0.0, on_wait=lambda: None)
+    start_s = clock.now_s()
+
+    def pause(seconds: float) -> None:
+        waits.passed_s += seconds
+        waits.on_wait()
+
+    monkeypatch.setattr(clock, "now_s", lambda: start_s + waits.passed_s)
+    monkeypatch.setattr(target_connection, "pause", pause)
+    return waits
+
+
+def _begun(context) -> attempts_lib.RequestAttempts:
+    attempts = _attempts(context)
+    attempts.answer_started = True
+    _record(attempts, serving.FailureKind.UNRESPONSIVE)
+    return attempts
+
+
+# Streams were cut with most of their time left while the host had no budget.
+def test_begun_answer_waits_for_retry_budget(context, short_budget):
+    attempts = _begun(context)
+    assert attempts.can_retry()
+    assert 9.5 < short_budget.passed_s < 10.5
+    assert attempts.log_fields()["budget_wait_s"] == pytest.approx(
+        short_budget.passed_s, abs=0.01
+    )
+
+
+# A client without a part of the answer can return to another host.
+def test_request_without_an_answer_does_not_wait_for_budget(
+    context, short_budget
+):
+    attempts = _attempts(context)
+    _record(attempts, serving.FailureKind.UNRESPONSIVE)
+    assert not attempts.can_retry()
+    assert short_budget.passed_s == 0.0
+
+
+@pytest.mark.parametrize(
+    ("denial", "change"),
+    [
+        (
+            serving.RetryDenial.TIME,
+            lambda context: setattr(context.host_stop, "deadline_s", 0.0),
+        ),
+        (
+            serving.RetryDenial.MAY_HAVE_RUN,
+            lambda context: relay_builders.accept_routes(
+                context,
+                2,
+                relay_builders.route(serving.RouteKind.UNSAFE, timeout_s=60.0),
+            ),
+        ),
+    ],
+)
+def test_wait_for_budget_ends_when_no_attempt_is_possible(
+    context, short_budget, denial, change
+):
+    """A stop, or a change of the route, ends the wait."""
+    attempts = _begun(context)
+    short_budget.on_wait = lambda: change(context)
+    assert not attempts.can_retry()
+    assert attempts.denial is denial
+    assert short_budget.passed_s < 1.0
+
+
+# A wait that its client had left kept a retry from all other requests.
+def test_wait_that_its_client_leaves_holds_no_retry(context, short_budget):
+    attempts = _begun(context)
+
+    def leave() -> None:
+        raise context_lib.ClientDisconnectedError
+
+    short_budget.on_wait = leave
+    with pytest.raises(context_lib.ClientDisconnectedError):
+        attempts.can_retry()
+    short_budget.passed_s = 10.0
+    assert _attempts(context).reserve_retry()
--- a/packages/daemon/tests/relay/test_stream_plan.py
+++ b/packages/daemon/tests/relay/test_stream_plan.py
@@ -9,6 +9,7 @@
 from rattanpulley_core import serving
 from rattanpulleyd._internal.relay import attempts as attempts_lib
 from rattanpulleyd._internal.relay import clock
+from rattanpulleyd._internal.relay import memory_copies
 from rattanpulleyd._internal.relay import stream_departures
 from rattanpulleyd._internal.relay import stream_plan
 from rattanpulleyd._internal.relay import target_connection
@@ -118,3 +119,23 @@
     assert plan.entry is entry
     context.targets.upsert(dataclasses.replace(entry, pool="other"))
     assert planner.next_plan(started=True) is None
+
+
+# After a wait for retry budget, the next attempt went to the holder of a copy
+# that engines drop within seconds, and its refusal cost another retry.
+@pytest.mark.parametrize(("waited_s", "is_used"), [(0.5, True), (5.0, False)])
+def test_stream_goes_on_from_recent_copies_only(
+    context, now, waited_s, is_used
+):
+    engine, holder = relay_builders.target("t"), relay_builders.target("holder")
+    context.placement.choose = lambda *_: engine
+    context.prober = types.SimpleNamespace(
+        probe=lambda *_: serving.TargetReport({})
+    )
+    planner = _planner(context)
+    planner._attempts.last = serving.FailureKind.CONNECTION_LOST
+    planner.leave_copy(memory_copies.MemoryCopy(holder, "10.0.0.1:80/id"))
+    now[0] += waited_s
+    plan = planner.next_plan(started=True)
+    assert plan is not None
+    assert plan.entry is (holder if is_used else engine)
