Do not take the report of a restarted engine for that of the earlier start

Cause: a probe of an engine that has started again is answered by its new start, whose memory of runs is gone and which has another id. The host took the answer for that of the start it knew: it left silent targets for copies that no longer existed, and preferred idle restarted engines, each of which turned the request away and cost a retry. The report says when the engine was started; nothing compared it.

A report of another start now counts as none where a stream looks for a copy, for a holder of one, or for an engine to leave for. A new prompt goes to such an engine only if no other answers, since its refusal tells the new id.

Evidence: test_engine_selection.py, of which the cases of departures, choice and holders failed before.

--- a/packages/core/src/rattanpulley_core/_internal/serving/reports.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/reports.py
@@ -29,3 +29,13 @@
     def prompts(self) -> int:
         """Number of prompts that wait or are in prefill."""
         return self.waiting + max(0, self.running - len(self.events_by_run))
+
+    def is_of_start(self, started_ms: int) -> bool:
+        """Returns whether the target has not restarted since a known start.
+
+        Args:
+            started_ms: The known start in Unix milliseconds, or 0.
+        """
+        return 0 in (self.started_ms, started_ms) or (
+            self.started_ms == started_ms
+        )
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/engine_selection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/engine_selection.py
@@ -43,6 +43,8 @@
         reported = self._reports(entries) if len(entries) > 1 else []
         if not reported:
             return placement.choose(query, clock.now_s())
+        # Of one that has started again, a request at least learns the new id.
+        reported = _of_same_start(reported) or reported
         chosen = placement.choose_by_reports(
             reported, clock.now_s(), after_loss=bool(query.excluded_ids)
         )
@@ -80,11 +82,12 @@
         self, entries: list[serving.TargetEntry]
     ) -> serving.TargetEntry | None:
         """Returns one of the engines that answers a probe, or None."""
-        return self._choose_after_loss(self._reports(entries))
+        return self._choose_after_loss(_of_same_start(self._reports(entries)))
 
     def answers(self, entry: serving.TargetEntry) -> bool:
-        """Returns whether a target answers a probe."""
-        return self._probe(entry, MAX_REPORT_AGE_S) is not None
+        """Returns whether a target answers a probe, and has not restarted."""
+        report = self._probe(entry, MAX_REPORT_AGE_S)
+        return report is not None and report.is_of_start(entry.started_ms)
 
     def _shortlist_reports(
         self, query: serving.PlacementQuery
@@ -92,7 +95,7 @@
         entries = self._context.placement.shortlist(
             query, MAX_PROBED_TARGETS, clock.now_s()
         )
-        return self._reports(entries)
+        return _of_same_start(self._reports(entries))
 
     def _choose_after_loss(
         self, reported: list[ReportedTarget]
@@ -118,7 +121,11 @@
             if holder is None:
                 return None
             report = self._probe(holder, MAX_HOLDER_REPORT_AGE_S)
-            if report is not None and self._is_available(holder):
+            if (
+                report is not None
+                and report.is_of_start(holder.started_ms)
+                and self._is_available(holder)
+            ):
                 return holder
         return None
 
@@ -160,3 +167,16 @@
                 entry.target_id, clock.now_s(), UNRESPONSIVE_BLOCK_S
             )
         return report
+
+
+def _of_same_start(reported: list[ReportedTarget]) -> list[ReportedTarget]:
+    """Returns the targets that have not started again since they were listed.
+
+    One that has would answer that another target has the address, and holds no
+    memory of before.
+    """
+    return [
+        (entry, report)
+        for entry, report in reported
+        if report.is_of_start(entry.started_ms)
+    ]
--- /dev/null
+++ b/packages/daemon/tests/relay/test_engine_selection.py
@@ -0,0 +1,87 @@
+"""Choice of engines by their reports, some of which have started again."""
+
+import dataclasses
+import random
+import types
+
+import pytest
+import relay_builders
+
+from rattanpulley_core import serving
+from rattanpulleyd._internal.relay import engine_selection
+from rattanpulleyd._internal.relay import memory_copies
+from rattanpulleyd._internal.relay import stream_departures
+
+RESTARTED = dataclasses.replace(relay_builders.target("old"), started_ms=1)
+CURRENT = dataclasses.replace(
+    relay_builders.target("current", port=81), started_ms=1
+)
+SILENT = relay_builders.target("silent", port=82)
+QUERY = serving.PlacementQuery("pool", frozenset(), needs_prefill=True)
+
+
+@pytest.fixture
+def context():
+    """State of a host that has not heard of a restart."""
+    context = relay_builders.make_context("a")
+    context.targets = serving.TargetRegistry()
+    gate = serving.VersionGate()
+    gate.apply_orders((), [("pool", "v1")])
+    context.placement = serving.Placement(
+        context.targets, context.loads, "north", random.Random(1), gate
+    )
+    reports = {
+        # The restarted one is idle and would be preferred.
+        RESTARTED.target_id: serving.TargetReport({}, started_ms=2),
+        CURRENT.target_id: serving.TargetReport({}, running=1, started_ms=1),
+    }
+    context.prober = types.SimpleNamespace(
+        probe=lambda entry, *_: reports.get(entry.target_id)
+    )
+    context.targets.upsert(RESTARTED)
+    return context
+
+
+# The holder had started again without the copy. A stream left its silent
+# target for it, was refused, and the refusal cost another retry.
+def test_stream_does_not_leave_for_a_copy_that_a_restart_has_lost(context):
+    attempts = types.SimpleNamespace(
+        left_after_current=2, reserve_retry=lambda: True
+    )
+    admission = types.SimpleNamespace(pool="pool")
+    departures = stream_departures.StreamDepartures(
+        context, admission, attempts, stream_departures.StreamTransfer()
+    )
+    copy = memory_copies.MemoryCopy(RESTARTED, "10.0.0.1:80/id")
+    assert departures.prepare(SILENT, 1.0, copy) == "no other target answers"
+
+
+# Each request to an engine that had started again under another id was turned
+# away and cost a retry, while others could take it.
+def test_restarted_engine_is_chosen_last(context):
+    context.targets.upsert(CURRENT)
+    selector = engine_selection.EngineSelector(context)
+    assert selector.choose(QUERY, "id") is CURRENT
+    assert selector.answering_engine(QUERY) is CURRENT
+
+
+# Guards against a host that sends nothing to a pool which has restarted: the
+# refusal tells it the new id.
+def test_restarted_engine_is_chosen_if_there_is_no_other(context):
+    context.targets.upsert(dataclasses.replace(RESTARTED, target_id="other"))
+    selector = engine_selection.EngineSelector(context)
+    assert selector.choose(QUERY, "id") is not None
+
+
+# Guards against a check that rejects targets whose start is not known.
+@pytest.mark.parametrize(("reported_ms", "known_ms"), [(0, 1), (1, 0), (0, 0)])
+def test_unknown_start_is_no_restart(reported_ms, known_ms):
+    report = serving.TargetReport({}, started_ms=reported_ms)
+    assert report.is_of_start(known_ms)
+
+
+# Memory was copied to an engine whose id the host did not know.
+def test_restarted_engine_holds_no_copy(context):
+    selector = engine_selection.EngineSelector(context)
+    runs_on = dataclasses.replace(SILENT, domain="south")
+    assert selector.choose_holder("pool", runs_on) is None
