Refuse requests that get no socket as not run

Callers saw: on a host that had used up its descriptors, 502 'program error' for requests of which nothing had been sent, and streams that were cut. Cause: the socket of an attempt was opened outside the handling of connect errors, so that EMFILE left the attempt as a plain OSError. Change: the error ends the attempt as UNAVAILABLE, which is no fault of the target, sends nothing and may be followed by another attempt.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/target_connection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/target_connection.py
@@ -114,7 +114,7 @@
         Raises:
             AttemptError: The target could not be reached; nothing was sent.
         """
-        sock = socket.socket(socket_lib.AF_INET, socket_lib.SOCK_STREAM)
+        sock = _new_socket()
         self._socket = sock
         sock.settimeout(timeout_s)
         try:
@@ -268,6 +268,21 @@
         return AttemptError(serving.FailureKind.CORRUPT, str(error))
 
 
+def _new_socket() -> socket.socket:
+    """Returns a socket.
+
+    Raises:
+        AttemptError: The process has no descriptor left. This is no fault of
+            the target, which `NOT_CONNECTED` would count against it.
+    """
+    try:
+        return socket.socket(socket_lib.AF_INET, socket_lib.SOCK_STREAM)
+    except OSError as error:
+        raise AttemptError(
+            serving.FailureKind.UNAVAILABLE, f"no socket: {error}"
+        ) from error
+
+
 def call_target(
     entry: serving.TargetEntry,
     method: bytes,
