Add failing tests of clients that use up the descriptors

Idle connections hold all descriptors of a host, so that further requests wait in the accept queue until an idle timeout: 17.3 s measured with 64 descriptors, beyond the clients' time limit of 6 s.

--- a/packages/daemon/tests/relay/test_listener.py
+++ b/packages/daemon/tests/relay/test_listener.py
@@ -1,4 +1,6 @@
-"""Tests of requests that a program error interrupts."""
+"""Tests of program errors during requests, and of the number of clients."""
+
+import resource
 
 import gevent
 from gevent import socket
@@ -8,6 +10,7 @@
 from rattanpulleyd._internal.relay import connection_handler
 from rattanpulleyd._internal.relay import listener as listener_lib
 from rattanpulleyd._internal.relay import request_fields
+from rattanpulleyd._internal.relay import responses
 from rattanpulleyd._internal.relay import settings
 
 REQUEST = b"POST /a HTTP/1.1\r\nHost: h\r\nX-Request-Id: 1\r\n\r\n"
@@ -133,3 +136,65 @@
     assert len(listener._connections) >= len(waiting)
     for connection in waiting:
         connection.close()
+
+
+class Answering:
+    """Answers each request at once."""
+
+    def serve(self, connection, request, closes, shutdown):
+        response = responses.error_response(503, "none")
+        connection.send_response(response, closes=False)
+
+
+@pytest.fixture
+def few_descriptors(context, monkeypatch):
+    """A listener of a process with few descriptors; returns its address."""
+    monkeypatch.setattr(resource, "getrlimit", lambda _: (64, 64))
+    context.log.change = lambda event, **fields: context.lines.append(
+        (event, fields)
+    )
+    endpoint = settings.Endpoint("127.0.0.1", 0)
+    context.listener = listener_lib.Listener(context, endpoint, None)
+    context.listener._handler._gateway = Answering()
+    context.listener.start()
+    server = context.listener._server
+    yield ("127.0.0.1", server.server_port)
+    server.close()
+
+
+# Idle connections held all descriptors, so that the requests of other clients
+# waited in the accept queue until the idle timeout of a connection.
+def test_number_of_kept_connections_is_limited(context, few_descriptors):
+    clients = [socket.create_connection(few_descriptors) for _ in range(64)]
+    kept = 0
+    for client in clients:
+        client.settimeout(10)
+        client.sendall(REQUEST)
+        head = read_until(client, b"none\n").lower()
+        assert head.startswith(b"http/1.1 503 ")
+        is_kept = b"connection: close" not in head
+        kept += is_kept
+        if not is_kept:
+            client.close()
+    assert 0 < kept <= 32
+    for client in clients:
+        client.close()
+
+
+# Clients took the descriptors of the attempts of accepted requests.
+def test_number_of_open_connections_is_limited(context, few_descriptors):
+    clients = [socket.create_connection(few_descriptors) for _ in range(64)]
+    # The last one waits in the socket until others leave.
+    relay_builders.wait_for(lambda: len(context.listener._connections) >= 16)
+    gevent.sleep(0)
+    assert len(context.listener._connections) <= 32
+    last = clients.pop()
+    last.sendall(REQUEST)
+    for client in clients:
+        client.close()
+    last.settimeout(10)
+    assert read_until(last, b"none\n").startswith(b"HTTP/1.1 503 ")
+    last.close()
+    relay_builders.wait_for(lambda: not context.listener._connections)
+    names = [name for name, _ in context.lines]
+    assert names.count("clients.limit_reached") == 1
