Limit client connections by the descriptors of the process

Callers saw: while idle clients held all descriptors of a host, requests of others waited in the accept queue until an idle timeout, beyond their own time limit, with neither an answer nor a refusal. Cause: the listener accepted without a limit and kept every connection. Change: a quarter of the descriptors stays free for targets; further clients wait in the socket. Beyond half of them, responses announce the close of their connection, which loses no request, so that the others do not wait for an idle timeout. Reaching the limit is logged.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/listener.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/listener.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import gevent
+from gevent import pool
 from gevent import server
 from gevent import socket
 
@@ -15,6 +16,7 @@
 from rattanpulleyd._internal.relay import client_limits
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import connection_handler
+from rattanpulleyd._internal.relay import connection_limits
 from rattanpulleyd._internal.relay import context as context_lib
 from rattanpulleyd._internal.relay import gateway
 from rattanpulleyd._internal.relay import memory_copies
@@ -52,8 +54,14 @@
         self._handler = connection_handler.ConnectionHandler(
             context, gateway.Gateway(context, copy_calls)
         )
+        self._open_limits = connection_limits.limits_of_process()
+        self._is_limited = False
+        # Further connections wait in the socket.
         self._server = server.StreamServer(
-            (endpoint.host, endpoint.port), self._handle, backlog=BACKLOG
+            (endpoint.host, endpoint.port),
+            self._handle,
+            backlog=BACKLOG,
+            spawn=pool.Pool(self._open_limits.max_open),
         )
 
     @property
@@ -139,10 +147,29 @@
         connection = client_connection.ClientConnection(
             sock, self._limits, self._context.names
         )
-        connection.closes = self.stopping
         self._connections.add(connection)
+        connection.closes = self.stopping or self._check_limits()
         try:
             self._handler.handle(connection)
         finally:
             self._connections.remove(connection)
             connection.close()
+            self._check_limits()
+
+    def _check_limits(self) -> bool:
+        """Returns whether a new connection is closed after its response."""
+        count = len(self._connections)
+        limits = self._open_limits
+        is_above = count > limits.max_kept
+        is_full = limits.max_open is not None and count >= limits.max_open
+        if is_full and not self._is_limited:
+            self._is_limited = True
+            self._context.log.change(
+                "clients.limit_reached",
+                open=count,
+                max_kept=limits.max_kept,
+            )
+        elif self._is_limited and not is_above:
+            self._is_limited = False
+            self._context.log.change("clients.limit_left", open=count)
+        return is_above
