Give an incomplete configuration more time to arrive

Callers saw: after a change to a large configuration, hosts on slow links refused all requests with 503 and never applied the change. Cause: each read of the configuration had 0.9 s for the whole body, which is 560 KB at 5 Mbit/s; the store allows objects of 1 MB. Change: the read after an incomplete one has twice the time, up to 3.6 s. A store that does not answer is waited for as before.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/config_refresh.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/config_refresh.py
@@ -16,6 +16,9 @@
 MAX_CONFIG_PERIOD_S = 1.8
 PEER_AGE_MARGIN_S = 0.2
 CONFIG_TIMEOUT_S = 0.9
+# A configuration of 1 MB takes 1.6 s on a link of 5 Mbit/s.
+MAX_CONFIG_TIMEOUT_S = 4 * CONFIG_TIMEOUT_S
+TIMEOUT_GROWTH = 2
 MAX_LOGGED_ROUTES = 10
 
 
@@ -57,6 +60,7 @@
         self._peers = peers
         self.set_activation(activation_s)
         self._failing = False
+        self._timeout_s = CONFIG_TIMEOUT_S
         self._backoff = store_backoff.RetryBackoff()
 
     def set_activation(self, activation_s: float) -> None:
@@ -116,9 +120,11 @@
         """Reads the store; returns whether that confirmed the configuration."""
         context = self._context
         sent_at_s = clock.suspend_aware_now_s()
+        started_s = clock.now_s()
         try:
-            config = self._source.read_config(CONFIG_TIMEOUT_S)
+            config = self._source.read_config(self._timeout_s)
         except serving.SourceError as error:
+            self._adapt_timeout(error, clock.now_s() - started_s)
             self._record_failure(error, sent_at_s)
             return False
         context.metrics.store_calls.labels("config", "ok").inc()
@@ -146,6 +152,18 @@
             serving.Acceptance.CONFIRMED,
         )
 
+    def _adapt_timeout(self, error: serving.SourceError, took_s: float) -> None:
+        """Gives the next read more time if an answer was not complete.
+
+        A store that does not answer is not waited for any longer.
+        """
+        if isinstance(error, serving.SourceTimeoutError):
+            self._timeout_s = CONFIG_TIMEOUT_S
+        elif took_s >= self._timeout_s:
+            self._timeout_s = min(
+                self._timeout_s * TIMEOUT_GROWTH, MAX_CONFIG_TIMEOUT_S
+            )
+
     def _record_failure(self, error: serving.SourceError, now_s: float) -> None:
         self._context.metrics.store_calls.labels("config", "failed").inc()
         if not self._failing:
