Leave stalls of the host out of the patience of a lookup

Callers saw: after a stall of their host, lookups were sent to a further target, or refused an answer that came a little later. All lookups of the host did so at once, which used the retry budget and counted as silence of sound targets.

Cause: the patience of an attempt was counted by the clock alone. A process that stood still while it connected, while the head arrived or in a wait found its patience over although its target had had no time to answer, as far as this host could see.

Change: what a wait ends too late by, if that is more than HOST_STALL_S, is added to the patience of the attempt. The deadline of the request stays. A head of interim responses without end makes waits end late, too, by LATE_READ_S at most; such a target is left within twice the patience.

Evidence, before the change: test_stall_of_the_host_uses_up_no_patience and test_stall_before_the_body_uses_up_no_patience[connect], [head] failed with "AttemptError: no answer within the patience"; test_patience_goes_on_after_a_stall left at 103.25 instead of 104.2; test_request_of_a_stalled_host_ends_at_its_deadline ended UNRESPONSIVE instead of TIMED_OUT. test_target_that_sends_heads_without_end_is_left guards the change and passed before.

Result: these pass, and the tests of daemon/tests/relay and sockets, test_plain_requests, test_endless_answers and test_target_silence.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
@@ -15,6 +15,7 @@
 from rattanpulleyd._internal.relay import context as context_lib
 from rattanpulleyd._internal.relay import request_crashes
 from rattanpulleyd._internal.relay import responses
+from rattanpulleyd._internal.relay import stall_detector
 from rattanpulleyd._internal.relay import target_connection
 from rattanpulleyd._internal.relay import target_health
 from rattanpulleyd._internal.relay import wire
@@ -60,6 +61,7 @@
         self.targets: list[str] = []
         self._keeps_target = False
         self._late_reads = late_reads.LateReads()
+        self._stalls = stall_detector.HostStalls()
 
     def run(self) -> responses.Response:
         """Returns the response for the client."""
@@ -114,8 +116,9 @@
         load = self._context.loads.load_of(entry.target_id)
         load.in_flight += 1
         self.targets.append(entry.target_id)
+        self._stalls = stall_detector.HostStalls()
         try:
-            connection.connect(target_connection.CONNECT_TIMEOUT_S)
+            self._connect(connection)
             self._context.announcements.check(entry)
             headers = context_lib.outgoing_headers(
                 self._context, self._admission, entry
@@ -132,6 +135,13 @@
             load.in_flight -= 1
             connection.close()
 
+    def _connect(self, connection: target_connection.TargetConnection) -> None:
+        """Opens the connection of an attempt."""
+        timeout_s = target_connection.CONNECT_TIMEOUT_S
+        expires_at_s = clock.now_s() + timeout_s
+        connection.connect(timeout_s)
+        self._stalls.record_wait(expires_at_s, clock.now_s())
+
     def _read_response(
         self,
         entry: serving.TargetEntry,
@@ -197,7 +207,7 @@
             until_s = min(deadline_s, self._attempt_deadline_s(sent_at_s))
             step_s = min(until_s, now_s + MAX_READ_WAIT_S)
             try:
-                return read(step_s)
+                return self._read(read, max(step_s, now_s))
             except target_connection.ReadWaitExpired:
                 now_s = clock.now_s()
             # Both limits may have changed during the read.
@@ -211,8 +221,19 @@
                     "no answer within the patience",
                 )
 
+    def _read(self, read: Callable[[float], _Part], until_s: float) -> _Part:
+        """Reads until bytes arrive or `until_s` has passed."""
+        try:
+            return read(until_s)
+        finally:
+            self._stalls.record_wait(until_s, clock.now_s())
+
     def _attempt_deadline_s(self, sent_at_s: float) -> float:
-        """Returns when an attempt of an idempotent request is abandoned."""
+        """Returns when an attempt of an idempotent request is abandoned.
+
+        The time during which this host was stalled says nothing about the
+        target and does not count.
+        """
         if not self.attempts.may_repeat:
             return float("inf")
         share = (
@@ -220,7 +241,8 @@
             if self._is_final_attempt
             else ATTEMPT_LIMIT_FACTOR
         )
-        return sent_at_s + self._admission.route.objective_s * share
+        limit_s = self._admission.route.objective_s * share
+        return sent_at_s + limit_s + self._stalls.total_s
 
     @property
     def _is_final_attempt(self) -> bool:
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stall_detector.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stall_detector.py
@@ -21,6 +21,28 @@
 HOST_STALL_S = 0.1
 
 
+class HostStalls:
+    """The stalls of this host during one attempt.
+
+    Attributes:
+        total_s: Sum of the stalls, in seconds.
+    """
+
+    def __init__(self) -> None:
+        self.total_s = 0.0
+
+    def record_wait(self, expires_at_s: float, now_s: float) -> None:
+        """Counts a wait that ended too late as a stall.
+
+        Args:
+            expires_at_s: When the wait should have ended at the latest.
+            now_s: When it ended.
+        """
+        late_s = now_s - expires_at_s
+        if late_s > HOST_STALL_S:
+            self.total_s += late_s
+
+
 @dataclasses.dataclass(slots=True)
 class StallDetector:
     """Tracks the time without events of one attempt.
--- a/packages/daemon/tests/relay/test_plain_relay.py
+++ b/packages/daemon/tests/relay/test_plain_relay.py
@@ -11,6 +11,7 @@
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import plain_relay
 from rattanpulleyd._internal.relay import target_connection
+from rattanpulleyd._internal.sockets import late_reads
 
 STARTED_S = 100.0
 
@@ -134,3 +135,128 @@
     assert raised.value.kind is serving.FailureKind.UNRESPONSIVE
     limit_s = plain_relay.ATTEMPT_LIMIT_FACTOR * route.objective_s
     assert now[0] == pytest.approx(STARTED_S + limit_s)
+
+
+STALL_S = 3.0
+
+
+def _stalled_once(
+    now: list[float], answer_at_s: float
+) -> Callable[[float], bytes]:
+    """Returns a read of which the first one ends late by `STALL_S`."""
+    stalls_s = [STALL_S]
+
+    def _read(until_s: float) -> bytes:
+        now[0] = min(until_s, answer_at_s)
+        if until_s >= answer_at_s:
+            return b"answer"
+        now[0] += stalls_s.pop() if stalls_s else 0.0
+        raise target_connection.ReadWaitExpired
+
+    return _read
+
+
+# A lookup left its target after a stall of this host, although its patience was
+# not over by the time that this host had waited.
+def test_stall_of_the_host_uses_up_no_patience(context, now):
+    relay = _relay(context, relay_builders.route(objective_s=1.0))
+    read = _stalled_once(now, STARTED_S + STALL_S + 1.0)
+    assert relay._wait(read, STARTED_S) == b"answer"
+
+
+# Guards against a silent target that gets its whole patience once more.
+def test_patience_goes_on_after_a_stall(context, now):
+    relay = _relay(context, relay_builders.route(objective_s=1.0))
+    read = _stalled_once(now, STARTED_S + 100.0)
+    with pytest.raises(target_connection.AttemptError) as raised:
+        relay._wait(read, STARTED_S)
+    assert raised.value.kind is serving.FailureKind.UNRESPONSIVE
+    limit_s = plain_relay.ATTEMPT_LIMIT_FACTOR + STALL_S
+    assert now[0] == pytest.approx(STARTED_S + limit_s)
+
+
+# Guards against stalls that move the deadline of the request as well.
+def test_request_of_a_stalled_host_ends_at_its_deadline(context, now):
+    timeout_s = 8.0
+    route = relay_builders.route(timeout_s=timeout_s, objective_s=1.0)
+    relay = _relay(context, route)
+
+    def _read(until_s: float) -> bytes:
+        now[0] = until_s + STALL_S
+        raise target_connection.ReadWaitExpired
+
+    with pytest.raises(target_connection.AttemptError) as raised:
+        relay._wait(_read, STARTED_S)
+    assert raised.value.kind is serving.FailureKind.TIMED_OUT
+    assert now[0] <= STARTED_S + timeout_s + STALL_S
+
+
+# Guards against a target that keeps a lookup to its deadline with interim
+# responses without end: a read of such a head ends late as after a stall.
+def test_target_that_sends_heads_without_end_is_left(context, now):
+    relay = _relay(context, relay_builders.route(objective_s=1.0))
+
+    def _read(until_s: float) -> bytes:
+        now[0] = until_s + late_reads.LATE_READ_S
+        raise target_connection.ReadWaitExpired
+
+    with pytest.raises(target_connection.AttemptError) as raised:
+        relay._wait(_read, STARTED_S)
+    assert raised.value.kind is serving.FailureKind.UNRESPONSIVE
+    assert now[0] <= STARTED_S + 2 * plain_relay.ATTEMPT_LIMIT_FACTOR
+
+
+class _StalledConnection:
+    """A connection of which one step ends late by `STALL_S`."""
+
+    def __init__(self, now: list[float], stalled_step: str) -> None:
+        self._now = now
+        self._stalled_step = stalled_step
+        self._answer_at_s = STARTED_S + STALL_S + 1.0
+
+    def connect(self, timeout_s: float) -> None:
+        if self._stalled_step == "connect":
+            self._now[0] += timeout_s + STALL_S
+
+    def send(self, *_arguments: object) -> None:
+        pass
+
+    def read_head(self, until_s: float) -> target_connection.ResponseHead:
+        if self._stalled_step == "head":
+            self._now[0] = until_s + STALL_S
+        return target_connection.ResponseHead(200, ())
+
+    def read_data(self, until_s: float) -> bytes | None:
+        self._now[0] = max(self._now[0], min(until_s, self._answer_at_s))
+        if until_s < self._answer_at_s:
+            raise target_connection.ReadWaitExpired
+        return None
+
+    def close(self) -> None:
+        pass
+
+
+# A stall while a lookup connected, or while its head arrived, left its target
+# no time to answer.
+@pytest.mark.parametrize("stalled_step", ["connect", "head"])
+def test_stall_before_the_body_uses_up_no_patience(
+    context, now, monkeypatch, stalled_step
+):
+    relay = _relay(context, relay_builders.route(objective_s=1.0))
+    context.names = relay_builders.HEADER_NAMES
+    context.announcements.check = lambda _entry: None
+    context.trials.record_answer = lambda *_: None
+    monkeypatch.setattr(
+        target_connection,
+        "TargetConnection",
+        lambda *_: _StalledConnection(now, stalled_step),
+    )
+    monkeypatch.setattr(
+        plain_relay.responses, "check_response_head", lambda *_: None
+    )
+    monkeypatch.setattr(
+        plain_relay.target_health, "record_load", lambda *_: None
+    )
+    progress = plain_relay.attempt_progress.AttemptProgress(now[0])
+    response = relay._attempt(relay_builders.target("t"), progress)
+    assert response.status == 200
