Keep a stream that became unsafe while it probed before leaving

Callers saw: a stream was cut although its target still worked on it, where a configuration that made its route unsafe, or its stream not resumable, was read while the host probed the silent target or those that could take over.

Cause: whether the run may be repeated was asked before the probes, which take up to some hundred milliseconds, and carried out after them. The connection was closed, and the retry was then denied because the run is unsafe.

Change: the monitor asks again when it has looked for bytes that arrived meanwhile, which is the last step before it leaves. A stream that stays gives its reserved retry back, and attempt.waits says why.

Evidence, before the change: test_stream_that_became_unsafe_during_the_probe_stays and ..._during_a_departure_stays failed with "AttemptError: silent, and a probe was not answered", test_run_that_became_unsafe_is_not_left_as_missing with "AttemptError: silent, and the run is not there". test_stream_that_may_run_again_leaves_after_the_probe guards the change and passed before.

Result: these pass, and the tests of daemon/tests/relay, test_silence_departures and test_changed_configuration.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_monitor.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_monitor.py
@@ -1,6 +1,7 @@
 """Waits for the bytes of a stream and probes its target when it stalls."""
 
 from collections.abc import Callable
+import contextlib
 from typing import TypeVar
 
 from rattanpulley_core import serving
@@ -105,25 +106,32 @@
                 try:
                     self._check_target(now_s)
                 except target_connection.AttemptError as error:
-                    return self._read_before_leaving(read, error)
+                    with contextlib.suppress(target_connection.ReadWaitExpired):
+                        return self._read_before_leaving(read)
+                    self._leave(error)
 
-    def _read_before_leaving(
-        self,
-        read: Callable[[float], _Part],
-        error: target_connection.AttemptError,
-    ) -> _Part:
+    def _read_before_leaving(self, read: Callable[[float], _Part]) -> _Part:
         """Returns bytes that arrived while the target was checked.
 
         Raises:
-            target_connection.AttemptError: There are none.
+            target_connection.ReadWaitExpired: There are none.
         """
-        try:
-            part = read(clock.now_s())
-        except target_connection.ReadWaitExpired:
-            raise error from None
+        part = read(clock.now_s())
         self._departures.cancel()
         return part
 
+    def _leave(self, error: target_connection.AttemptError) -> None:
+        """Leaves the target unless the run has become unsafe meanwhile.
+
+        Raises:
+            target_connection.AttemptError: The error, as the stream leaves.
+        """
+        if self._attempts.may_repeat:
+            raise error
+        self._departures.cancel()
+        self._log_stay(str(error), "it may no longer run again")
+        self.detector.schedule_next_check(clock.now_s())
+
     def _withdraw_if_refused(self) -> None:
         """Gives up a prompt that would crash the target once it begins.
 
@@ -195,9 +203,14 @@
         stays_because = self._departures.prepare(self._entry, silent_s, copy)
         if stays_because is None:
             raise _unresponsive(suspicion)
+        self._log_stay(suspicion, stays_because)
+
+    def _log_stay(self, suspicion: str, stays_because: str) -> None:
+        """Logs once in a silence that the stream stays."""
         if self._logged_stay:
             return
         self._logged_stay = True
+        silent_s = clock.now_s() - self.detector.idle_since_s
         self._context.log.failure(
             "attempt.waits",
             request=self._admission.request.request_id,
--- a/packages/daemon/tests/relay/test_stream_monitor.py
+++ b/packages/daemon/tests/relay/test_stream_monitor.py
@@ -131,3 +131,84 @@
     parts = [b"event", None]
     assert monitor.wait(lambda _until_s: parts.pop(0)) == b"event"
     assert monitor.wait(lambda _until_s: parts.pop(0)) is None
+
+
+def _silent_until(now: list[float], end_s: float) -> Callable[[float], object]:
+    """Returns a read that gets bytes at some time and advances the clock."""
+
+    def _read(until_s: float) -> object:
+        now[0] = max(now[0], min(until_s, end_s))
+        if until_s < end_s:
+            raise target_connection.ReadWaitExpired
+        return b"data"
+
+    return _read
+
+
+@pytest.fixture
+def unsafe_monitor(monitor_of, monkeypatch):
+    """A monitor whose run becomes unsafe during the next probe.
+
+    Its attributes `now`, `probed` and `cancelled` tell what happened.
+    """
+    now = [100.0]
+    monkeypatch.setattr(clock, "now_s", lambda: now[0])
+    monitor = monitor_of(serving.TargetReport({}))
+    monitor.record_events(1)
+    cancelled = []
+    monitor._departures.cancel = lambda: cancelled.append(now[0])
+    monitor.now = now
+    monitor.cancelled = cancelled
+
+    def _become_unsafe(*_: object) -> None:
+        monitor._attempts.may_repeat = False
+
+    monitor.become_unsafe = _become_unsafe
+    return monitor
+
+
+# A stream that became unsafe while its silent target was probed left it, so
+# that it was cut although the target went on.
+def test_stream_that_became_unsafe_during_the_probe_stays(unsafe_monitor):
+    monitor = unsafe_monitor
+    monitor._context.prober.probe = monitor.become_unsafe
+    monitor._departures.prepare = lambda *_: None
+    read = _silent_until(monitor.now, 105.0)
+    assert monitor.wait(read) == b"data"
+
+
+# The same while targets were probed that could take over: the reserved retry
+# was kept as well.
+def test_stream_that_became_unsafe_during_a_departure_stays(unsafe_monitor):
+    monitor = unsafe_monitor
+    monitor._context.prober.probe = lambda *_: None
+    monitor._departures.prepare = monitor.become_unsafe
+    read = _silent_until(monitor.now, 105.0)
+    assert monitor.wait(read) == b"data"
+    assert len(monitor.cancelled) == 1
+
+
+# The same for a run that the second report does not name.
+def test_run_that_became_unsafe_is_not_left_as_missing(unsafe_monitor):
+    monitor = unsafe_monitor
+
+    def _probe(*_: object) -> serving.TargetReport:
+        if monitor.detector.was_missing:
+            monitor.become_unsafe()
+        return serving.TargetReport({})
+
+    monitor._context.prober.probe = _probe
+    read = _silent_until(monitor.now, 105.0)
+    assert monitor.wait(read) == b"data"
+
+
+# Guards against a silent target that keeps a run which may go on elsewhere.
+def test_stream_that_may_run_again_leaves_after_the_probe(unsafe_monitor):
+    monitor = unsafe_monitor
+    monitor._context.prober.probe = lambda *_: None
+    monitor._departures.prepare = lambda *_: None
+    read = _silent_until(monitor.now, 105.0)
+    with pytest.raises(target_connection.AttemptError) as raised:
+        monitor.wait(read)
+    assert raised.value.kind is serving.FailureKind.UNRESPONSIVE
+    assert not monitor.cancelled
