Close connections of silent peers at the page servers

Operators would have seen: the servers of readiness, metrics, status and the exchange between hosts kept a connection for as long as its peer, so that many silent peers use up the descriptors of the host, and it accepts nobody.

Cause: the sockets of these servers had no time limit, neither for the next request, nor for the rest of one, nor for a response that is not read.

Change: a connection ends 120 s after its last request; once the first line of a request is there, the rest and the response have 10 s each. The limit counts anew with each request, so that connections of the balancer and of other hosts stay; a host that meets a close sends once more, as before. A late head is answered with 400, a late or incomplete body of crash reports with 400 instead of 500 and a traceback, and a late send is one log line.

Evidence, before the change: six cases of test_pages.py (silent peer, idle after a request, head and body without their end, response that is not read, host that closed an idle connection) did not end within their limit, 2 s in this run ("gevent.timeout.Timeout"). test_kept_connection_outlasts_the_idle_timeout guards the change and passed before.

Result: these pass, and the tests of daemon/tests/relay and sockets, test_host_exchange and test_host_lifecycle.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/state_exchange.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/state_exchange.py
@@ -184,7 +184,8 @@
         """Adds the crash reports of another host."""
         try:
             batch = _decode_batch(json.loads(_read_request_body()), kind)
-        except _UNREADABLE:
+        except (OSError, *_UNREADABLE):
+            # An OSError means that the body is not complete, or not in time.
             raise bottle.HTTPError(400) from None
         known = context_lib.known_crashes(self._context, kind)
         known.merge(
--- a/packages/daemon/src/rattanpulleyd/_internal/sockets/fair_socket.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/sockets/fair_socket.py
@@ -20,6 +20,12 @@
 
 # The timeout of a read expires first if a peer is only silent.
 HEAD_MARGIN_S = 0.05
+# Far longer than the balancer or another host pauses between two requests, so
+# that their connections stay open. Silent peers would use up the descriptors.
+IDLE_TIMEOUT_S = 120.0
+# For the rest of a request once its first line is there, and for sending a
+# response. Balancer and other hosts have stopped waiting by then.
+EXCHANGE_TIMEOUT_S = 10.0
 
 
 class FairSocket(socket.socket):
@@ -106,7 +112,48 @@
 
 
 class FairHandler(pywsgi.WSGIHandler):
-    """Handler of a server's connection that reads from a fair socket."""
+    """Handler of a server's connection that reads from a fair socket.
+
+    A connection ends if no request arrives within `IDLE_TIMEOUT_S`. A request
+    that has begun, and its response, have `EXCHANGE_TIMEOUT_S` each.
+    """
 
     def __init__(self, sock: Any, address: Any, server: Any) -> None:
         super().__init__(make_fair(sock), address, server)
+
+    def read_requestline(self) -> str:
+        """Returns the first line of the next request.
+
+        Raises:
+            TimeoutError: No request has arrived in time.
+        """
+        self._limit(None, IDLE_TIMEOUT_S)
+        line: str = super().read_requestline()
+        self._limit(EXCHANGE_TIMEOUT_S, EXCHANGE_TIMEOUT_S)
+        return line
+
+    def read_request(self, raw_requestline: str) -> bool:
+        """Reads the head as the base class does.
+
+        Raises:
+            ValueError: It is invalid, or not complete in time.
+        """
+        try:
+            return bool(super().read_request(raw_requestline))
+        except TimeoutError as error:
+            # The base class logs a traceback for other errors.
+            raise ValueError("the head is not complete in time") from error
+
+    def handle_error(self, kind: Any, error: Any, trace: Any) -> None:
+        """Handles an error as the base class does; ends a late send."""
+        if not isinstance(error, TimeoutError):
+            super().handle_error(kind, error, trace)
+            return
+        self.log_error("%s did not accept a response", self.client_address)
+        self.close_connection = True
+
+    def _limit(self, send_s: float | None, read_s: float) -> None:
+        """Limits each send, and all reads from now on, in seconds."""
+        sock: Any = self.socket
+        sock.settimeout(send_s)
+        sock.read_until_s = time.monotonic() + read_s
