--- a/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
@@ -239,7 +239,7 @@
         Others get their answer at once, so that their clients can return.
         """
         is_short = self.denial is serving.RetryDenial.RETRY_BUDGET
-        return is_short and self.answer_started
+        return is_short and self.answer_started and not self.is_refused()
 
     def _wait_for_budget(self) -> None:
         """Waits until the retry budget allows an attempt or none is possible.
@@ -247,13 +247,22 @@
         The budget comes back as its window slides.
         """
         started_s = clock.now_s()
-        with self._window.waiting(self):
-            while self._outlasts_denial():
-                target_connection.pause(RETRY_BUDGET_POLL_S)
-                self.denial = self._retry_denial()
-        waited_s = clock.now_s() - started_s
-        self._budget_wait_s += waited_s
-        self._context.metrics.retry_waits.observe(waited_s)
+        use = self._window.use(started_s)
+        self._context.log.failure(
+            "retry.waits",
+            request=self._admission.request.request_id,
+            retries=[use.used, round(use.allowed, 1)],
+            left_s=round(self.deadline_s() - started_s, 3),
+        )
+        try:
+            with self._window.waiting(self):
+                while self._outlasts_denial():
+                    target_connection.pause(RETRY_BUDGET_POLL_S)
+                    self.denial = self._retry_denial()
+        finally:
+            waited_s = clock.now_s() - started_s
+            self._budget_wait_s += waited_s
+            self._context.metrics.retry_waits.observe(waited_s)
 
     def release_retry(self) -> None:
         """Returns a reserved retry that is not made."""
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/engine_selection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/engine_selection.py
@@ -43,8 +43,11 @@
         reported = self._reports(entries) if len(entries) > 1 else []
         if not reported:
             return placement.choose(query, clock.now_s())
-        # Of one that has started again, a request at least learns the new id.
-        reported = _of_same_start(reported) or reported
+        # One that has started again turns the request away, but its new id
+        # becomes known, which is worth a retry if the others are busy.
+        current = _of_same_start(reported)
+        if any(report.prompts == 0 for _, report in current):
+            reported = current
         chosen = placement.choose_by_reports(
             reported, clock.now_s(), after_loss=bool(query.excluded_ids)
         )
@@ -82,7 +85,8 @@
         self, entries: list[serving.TargetEntry]
     ) -> serving.TargetEntry | None:
         """Returns one of the engines that answers a probe, or None."""
-        return self._choose_after_loss(_of_same_start(self._reports(entries)))
+        reported = self._reports(entries)
+        return self._choose_after_loss(_of_same_start(reported) or reported)
 
     def answers(self, entry: serving.TargetEntry) -> bool:
         """Returns whether a target answers a probe, and has not restarted."""
--- a/packages/daemon/tests/relay/test_attempts.py
+++ b/packages/daemon/tests/relay/test_attempts.py
@@ -273,5 +273,15 @@
     short_budget.on_wait = leave
     with pytest.raises(context_lib.ClientDisconnectedError):
         attempts.can_retry()
+    assert attempts.log_fields()["budget_wait_s"] > 0.0
     short_budget.passed_s = 10.0
     assert _attempts(context).reserve_retry()
+
+
+# A stream whose content was known to crash targets by then waited on, took a
+# retry from others, and was cut.
+def test_wait_ends_when_the_content_is_refused(context, short_budget):
+    attempts = _begun(context)
+    short_budget.on_wait = lambda: setattr(attempts, "is_refused", lambda: True)
+    assert not attempts.can_retry()
+    assert short_budget.passed_s < 1.0
--- a/packages/daemon/tests/relay/test_engine_selection.py
+++ b/packages/daemon/tests/relay/test_engine_selection.py
@@ -33,8 +33,11 @@
     reports = {
         # The restarted one is idle and would be preferred.
         RESTARTED.target_id: serving.TargetReport({}, started_ms=2),
-        CURRENT.target_id: serving.TargetReport({}, running=1, started_ms=1),
+        CURRENT.target_id: serving.TargetReport(
+            {"run": 1}, running=1, started_ms=1
+        ),
     }
+    context.reports = reports
     context.prober = types.SimpleNamespace(
         probe=lambda entry, *_: reports.get(entry.target_id)
     )
@@ -73,6 +76,24 @@
     assert selector.choose(QUERY, "id") is not None
 
 
+# While the store was away, new ids stayed unknown, and all prompts went to the
+# one engine that had not restarted.
+def test_restarted_engine_is_chosen_if_the_others_are_busy(context):
+    context.targets.upsert(CURRENT)
+    context.reports[CURRENT.target_id] = serving.TargetReport(
+        {}, waiting=3, running=4, started_ms=1
+    )
+    selector = engine_selection.EngineSelector(context)
+    assert selector.choose(QUERY, "id") is RESTARTED
+
+
+# A begun stream that had tried all engines waited until its deadline when they
+# had restarted under their ids and the store was away.
+def test_stream_returns_to_an_engine_that_has_restarted(context):
+    selector = engine_selection.EngineSelector(context)
+    assert selector.choose_among([RESTARTED]) is RESTARTED
+
+
 # Guards against a check that rejects targets whose start is not known.
 @pytest.mark.parametrize(("reported_ms", "known_ms"), [(0, 1), (1, 0), (0, 0)])
 def test_unknown_start_is_no_restart(reported_ms, known_ms):
