Add a failing test of the time for reads after an incomplete one

A read of the configuration that was once not complete in time lengthens all later waits for a store that does not answer, up to 3.6 s. Fails on this code.

--- a/packages/daemon/tests/relay/test_config_refresh.py
+++ b/packages/daemon/tests/relay/test_config_refresh.py
@@ -117,3 +117,19 @@
     silent.answers = False
     assert not read()
     assert silent.timeouts_s[0] < 1.0
+
+
+# One incomplete answer lengthened all later waits for a store that had stopped
+# answering, from 0.9 to 1.8 s or more, within which keys lapse.
+def test_time_for_a_read_shrinks_again(logged_context, fake_clock):
+    source = SlowLink(fake_clock, relay_builders.config(8))
+    read = _read(logged_context, source)
+    source.needed_s = 3.0
+    for _ in range(2):
+        assert not read()
+    source.needed_s = 0.1
+    assert read()
+    source.needed_s = 60.0
+    source.answers = False
+    assert not read()
+    assert source.timeouts_s[-1] < 1.0
