Keep answers to clients that read slowly but all the time

Callers on weak links got the head of an answer, a part of its body and a reset.

Cause: each write had 5 s, but a socket takes bytes again only when much of its buffer is free, so that a client counted as one that accepts nothing although it acknowledged bytes all the time.

The write timeout now counts from the last acknowledged byte. A client that acknowledges nothing for 5 s is cut as before. A write that does not wait makes no further system call.

Evidence: test_client_that_acknowledges_bytes_is_not_cut failed before.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/client_connection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/client_connection.py
@@ -348,14 +348,34 @@
         if not data:
             return
         left = memoryview(data)
-        # The timeout of `sendall` counts for all data.
-        self._socket.settimeout(WRITE_TIMEOUT_S)
         try:
             while left:
-                left = left[self._socket.send(left) :]
+                left = left[self._send_part(left) :]
         except OSError as error:
             raise context_lib.ClientDisconnectedError from error
 
+    def _send_part(self, data: memoryview) -> int:
+        """Sends a part of the data; returns its size.
+
+        The buffer of a socket has room again only when much of it has been
+        sent, so that a client on a weak link may read all the time until then.
+
+        Raises:
+            TimeoutError: The client has accepted nothing for too long.
+        """
+        self._socket.settimeout(0.0)
+        with contextlib.suppress(BlockingIOError):
+            return int(self._socket.send(data))
+        self._socket.settimeout(WRITE_TIMEOUT_S)
+        while True:
+            queued_bytes = lingering_close.unacknowledged_bytes(self._socket)
+            try:
+                return int(self._socket.send(data))
+            except TimeoutError:
+                left_bytes = lingering_close.unacknowledged_bytes(self._socket)
+                if left_bytes >= queued_bytes:
+                    raise
+
     def next_cycle(self) -> bool:
         """Prepares for the next request; returns False if there can be none."""
         self.busy = False
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/lingering_close.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/lingering_close.py
@@ -87,7 +87,7 @@
         return arrived
 
     def _wait_for_acknowledgement(self, until_s: float) -> None:
-        while _unacknowledged_bytes(self._socket) and clock.now_s() < until_s:
+        while unacknowledged_bytes(self._socket) and clock.now_s() < until_s:
             gevent.sleep(ACK_POLL_S)
 
 
@@ -100,7 +100,7 @@
         return b""
 
 
-def _unacknowledged_bytes(sock: socket.socket) -> int:
+def unacknowledged_bytes(sock: socket.socket) -> int:
     """Returns the number of sent bytes that have not reached the client."""
     try:
         count = fcntl.ioctl(
--- a/packages/daemon/tests/relay/test_client_connection.py
+++ b/packages/daemon/tests/relay/test_client_connection.py
@@ -12,6 +12,7 @@
 
 from rattanpulleyd._internal.relay import client_connection
 from rattanpulleyd._internal.relay import context as context_lib
+from rattanpulleyd._internal.relay import lingering_close
 from rattanpulleyd._internal.relay import responses
 from rattanpulleyd._internal.relay import wire
 
@@ -131,6 +132,61 @@
             connection.send_response(_response(body), closes=False)
 
 
+@pytest.fixture
+def full_buffer(monkeypatch):
+    """A connection whose send buffer has no room; yields its queue sizes."""
+    ours, theirs = socket.socketpair()
+    sizes = [9000]
+    monkeypatch.setattr(
+        lingering_close, "unacknowledged_bytes", lambda _: sizes[0]
+    )
+    monkeypatch.setattr(client_connection, "WRITE_TIMEOUT_S", 0.01)
+    with contextlib.closing(ours), contextlib.closing(theirs):
+        connection = client_connection.ClientConnection(
+            connection_doubles.TcpLike(ours),
+            connection_doubles.Limits(),
+            relay_builders.HEADER_NAMES,
+        )
+        theirs.sendall(REQUEST)
+        connection.read_request()
+        yield types.SimpleNamespace(
+            connection=connection, client=theirs, sizes=sizes
+        )
+
+
+# A buffer has room again only when much of it has been sent. Clients on weak
+# links that read all the time, but less than that in the timeout, were cut.
+def test_client_that_acknowledges_bytes_is_not_cut(full_buffer, monkeypatch):
+    body = b"x" * 8_000_000
+    waits = []
+
+    def shrink(_socket) -> int:
+        waits.append(len(waits))
+        if len(waits) == 10:
+            full_buffer.reader = gevent.spawn(_read_all, full_buffer.client)
+        return 9000 - 100 * len(waits)
+
+    monkeypatch.setattr(lingering_close, "unacknowledged_bytes", shrink)
+    full_buffer.connection.send_response(_response(body), closes=True)
+    full_buffer.connection.end_sending()
+    assert full_buffer.reader.get(timeout=10).endswith(body + b"\n")
+
+
+def test_client_that_acknowledges_nothing_is_cut(full_buffer):
+    # Guards against a client that keeps its connection without reading.
+    with pytest.raises(context_lib.ClientDisconnectedError):
+        full_buffer.connection.send_response(
+            _response(b"x" * 8_000_000), closes=True
+        )
+
+
+def _read_all(client: socket.socket) -> bytes:
+    pieces = []
+    while piece := client.recv(1 << 20):
+        pieces.append(piece)
+    return b"".join(pieces)
+
+
 # Refusals of requests after a HEAD request, and of HEAD requests, raised an
 # error in the parser, which closed the connection without an answer.
 @pytest.mark.parametrize(
