--- a/packages/daemon/tests/relay/test_retry_waits.py
+++ b/packages/daemon/tests/relay/test_retry_waits.py
@@ -142,7 +142,7 @@
 def test_retry_of_a_prompt_that_is_refused_is_returned(context, now):
     relay = _relay(context, lambda: None)
     refused = iter([0.0])
-    context.suspects.refused_for_s = lambda *_: next(refused, 30.0)
+    context.suspects.refused_for_s = lambda *_: next(refused, 900.0)
     with pytest.raises(stream_channel.StreamAbortedError):
         relay.run()
     assert len(relay.sent_at_s) == 1
@@ -167,7 +167,7 @@
 ):
     assert _attempts(context).reserve_retry()
     attempts = _begun(context)
-    context.suspects.refused_for_s = lambda *_: 30.0
+    context.suspects.refused_for_s = lambda *_: 900.0
     attempts.can_retry()
     assert now[0] < STARTED_S + 1.0
 
@@ -180,7 +180,7 @@
     relay = _relay(context, lambda: None)
     _lose_engine_until(context, now, STARTED_S + 8.0)
     context.suspects.refused_for_s = lambda *_: (
-        30.0 if now[0] >= STARTED_S + 4.0 else 0.0
+        900.0 if now[0] >= STARTED_S + 4.0 else 0.0
     )
     with pytest.raises(stream_channel.StreamAbortedError):
         relay.run()
@@ -331,3 +331,106 @@
     selector = engine_selection.EngineSelector(context)
     assert not selector.answers(ENGINE)
     assert context.loads.faults(ENGINE.target_id, clock.now_s()) == 0
+
+
+# A begun stream was cut for crashes of which another request was the cause,
+# although that is known within two seconds, when reports of other hosts arrive.
+def test_begun_stream_outlives_a_suspicion_that_passes(
+    context, now, monkeypatch
+):
+    relay = _relay(context, lambda: None)
+    crashes = [(f"t{number}", "boot") for number in range(4)]
+
+    def _record_crashes(*_):
+        if relay.sent_at_s:
+            return ENGINE
+        for number, crash in enumerate(crashes[:3]):
+            crashed_s = now[0] - 0.6 + 0.3 * number
+            context.suspects.record_crash("f", *crash, 0, 0.1, crashed_s)
+        assert 0 < context.suspects.refused_for_s("f", now[0]) <= 2.0
+        return ENGINE
+
+    def _pause(for_s: float) -> None:
+        now[0] += for_s
+        if now[0] >= STARTED_S + 1.0:
+            for number, crash in enumerate(crashes):
+                crashed_s = STARTED_S - 0.6 + 0.3 * number
+                context.suspects.record_crash(
+                    "cause", *crash, 0, 0.1, crashed_s
+                )
+
+    context.placement.choose = _record_crashes
+    monkeypatch.setattr(target_connection, "pause", _pause)
+    relay.run()
+    assert len(relay.sent_at_s) == 2
+
+
+# A stream whose attempts were used up by refusals waited to its end for tried
+# engines that had all ended, beside a sound one. It had run at none of them.
+def test_stream_goes_on_elsewhere_if_all_tried_engines_have_ended(context):
+    context.targets = serving.TargetRegistry()
+    attempts = _attempts(context)
+    attempts.answer_started = True
+    error = target_connection.AttemptError(
+        serving.FailureKind.REFUSED, "refused"
+    )
+    for _ in range(ROUTE.max_attempts):
+        progress = attempt_progress.AttemptProgress(clock.now_s())
+        attempts.record(relay_builders.target("ended"), error, progress)
+    assert attempts.can_retry()
+    assert attempts.returns_to_tried
+    planner = stream_plan.StreamPlanner(
+        context,
+        attempts._admission,
+        attempts,
+        stream_departures.StreamTransfer(),
+    )
+    assert planner.next_plan(started=True) is not None
+
+
+# A retry that was reserved to leave a silent engine was missing for the window
+# if the client left during the last look at the engine.
+def test_reserved_retry_is_returned_if_the_client_leaves(context):
+    relay = _relay(context, lambda: None)
+
+    def _leave(*_):
+        assert relay.attempts.reserve_retry()
+        raise context_lib.ClientDisconnectedError
+
+    relay._attempt = _leave
+    with pytest.raises(context_lib.ClientDisconnectedError):
+        relay.run()
+    assert _attempts(context).reserve_retry()
+
+
+# Guards against waits that go by the bounds of their begin.
+@pytest.mark.parametrize(
+    "change",
+    [
+        lambda budget: budget.set_bounds(WINDOW_S, 0.0, 4.0),
+        lambda budget: budget.set_bounds(1.0, 0.0, 2.0),
+        lambda budget: budget.set_host_count(1),
+    ],
+)
+def test_wait_for_budget_follows_changed_bounds(
+    context, now, monkeypatch, change
+):
+    context.retry_budget.set_bounds(WINDOW_S, 0.0, 2.0)
+    context.retry_budget.set_host_count(2)
+    assert _attempts(context).reserve_retry()
+    attempts = _begun(context)
+
+    def _pause(for_s: float) -> None:
+        now[0] += for_s
+        if now[0] >= STARTED_S + 2.0:
+            change(context.retry_budget)
+
+    monkeypatch.setattr(target_connection, "pause", _pause)
+    assert attempts.can_retry()
+    assert now[0] < STARTED_S + 2.5
+
+
+# Guards against a queue of one pool that holds up the others.
+def test_wait_in_one_pool_holds_up_no_other(context, now):
+    with context.retry_budget.window_of("other").waiting("answer"):
+        assert _attempts(context).reserve_retry()
