Add a failing test of clients that leave behind pipelined bytes

A wait for retry budget goes on for up to the timeout of the request after such a client has left, and then takes a retry. No product code changes.

--- a/packages/daemon/tests/relay/test_client_connection.py
+++ b/packages/daemon/tests/relay/test_client_connection.py
@@ -197,3 +197,30 @@
         """Has one timeout for all data."""
         if self.send(data) < len(data):
             raise TimeoutError
+
+
+# The end of a client that had sent a byte of its next request was not seen, so
+# that its stream waited for a retry and took one long after it had left (GONE).
+def test_client_that_leaves_behind_pipelined_bytes_ends_its_request():
+    ours, theirs = socket.socketpair()
+    with contextlib.closing(ours), contextlib.closing(theirs):
+        connection = client_connection.ClientConnection(
+            connection_doubles.TcpLike(ours),
+            connection_doubles.Limits(),
+            relay_builders.HEADER_NAMES,
+        )
+
+        def _wait() -> str:
+            try:
+                with connection.cancelling_on_disconnect():
+                    gevent.sleep(1.0)
+            except context_lib.ClientDisconnectedError:
+                return "ended"
+            return "ran on"
+
+        worker = gevent.spawn(_wait)
+        gevent.sleep(0.05)
+        theirs.sendall(b"P")
+        gevent.sleep(0.05)
+        theirs.close()
+        assert worker.get() == "ended"
