Add a failing test of retries that are spent on restarted engines

The choice of a restarted engine beside busy ones also holds for streams that have lost their engine, whose retries are scarce. No product code changes.

--- a/packages/daemon/tests/relay/test_retry_waits.py
+++ b/packages/daemon/tests/relay/test_retry_waits.py
@@ -434,3 +434,30 @@
 def test_wait_in_one_pool_holds_up_no_other(context, now):
     with context.retry_budget.window_of("other").waiting("answer"):
         assert _attempts(context).reserve_retry()
+
+
+# After a loss, a stream spent a retry, of which its host had two, on a restarted
+# engine that was known to turn it away: the current one had one prompt.
+def test_retry_is_not_spent_on_an_engine_that_has_restarted(context):
+    context.targets = serving.TargetRegistry()
+    current = dataclasses.replace(
+        relay_builders.target("current", port=81), started_ms=1
+    )
+    context.targets.upsert(ENGINE)
+    context.targets.upsert(current)
+    gate = serving.VersionGate()
+    gate.apply_orders((), [("pool", "v1")])
+    context.placement = serving.Placement(
+        context.targets, context.loads, "north", context.rng, gate
+    )
+    reports = {
+        ENGINE.target_id: serving.TargetReport({}, started_ms=2),
+        "current": serving.TargetReport({}, 1, 0, started_ms=1),
+    }
+    context.prober.probe = lambda entry, *_: reports[entry.target_id]
+    selector = engine_selection.EngineSelector(context)
+    query = serving.PlacementQuery(
+        "pool", frozenset({"lost"}), needs_prefill=True
+    )
+    chosen = {selector.choose(query, "id") for _ in range(50)}
+    assert chosen == {current}
