--- a/packages/daemon/tests/relay/test_retry_waits.py
+++ b/packages/daemon/tests/relay/test_retry_waits.py
@@ -436,7 +436,7 @@
         assert _attempts(context).reserve_retry()
 
 
-# After a loss, a stream spent a retry, of which its host had two, on a restarted
+# After a loss, a stream spent one of the two retries of its host on a restarted
 # engine that was known to turn it away: the current one had one prompt.
 def test_retry_is_not_spent_on_an_engine_that_has_restarted(context):
     context.targets = serving.TargetRegistry()
