Count retries when they are sent, and return those that are not made

Found by the review of the wait for retry budget. A retry counted from the moment it was taken: where its stream then waited for an engine, two arrivals could fall in one window of the rule; where its client left, no engine came or the prompt was refused meanwhile, it was missing for others for 10 s, and a cancelled departure returned the retry of another stream. An attempt now has its own retry, which counts anew when it is sent and is returned otherwise.

Two tests of the review were adapted: one counts how often a refusal is asked for, the other recorded crashes before the first attempt, at which a request without an answer is refused. Tests that summed the results of try_acquire, which is a Retry or None now, convert them.

--- a/packages/core/src/rattanpulley_core/_internal/serving/retries.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/retries.py
@@ -28,6 +28,17 @@
     allowed: float
 
 
+@dataclasses.dataclass(eq=False, slots=True)
+class Retry:
+    """One retry that a window has allowed.
+
+    Attributes:
+        at_s: When it was acquired or, once it is made, sent.
+    """
+
+    at_s: float
+
+
 class RetryWindow:
     """Retries and requests of one pool in a sliding window.
 
@@ -44,7 +55,7 @@
             slack: Retries that this host may make without any request.
         """
         self._requests: deque[float] = deque()
-        self._retries: deque[float] = deque()
+        self._retries: list[Retry] = []
         self._waiters: deque[object] = deque()
         self.set_bounds(window_s, ratio, slack)
 
@@ -68,8 +79,8 @@
         finally:
             self._waiters.remove(waiter)
 
-    def try_acquire(self, now_s: float, waiter: object = None) -> bool:
-        """Acquires one retry and returns whether the budget allows it.
+    def try_acquire(self, now_s: float, waiter: object = None) -> Retry | None:
+        """Returns one retry, or None if the budget does not allow it.
 
         Args:
             now_s: Current time.
@@ -82,9 +93,16 @@
             self._waiters.index(waiter) if is_waiting else len(self._waiters)
         )
         if use.used + ahead + 1 > use.allowed:
-            return False
-        self._retries.append(now_s)
-        return True
+            return None
+        retry = Retry(now_s)
+        self._retries.append(retry)
+        return retry
+
+    def record_sent(self, retry: Retry, now_s: float) -> None:
+        """Counts a retry from the time at which it is sent."""
+        retry.at_s = now_s
+        if retry not in self._retries:
+            self._retries.append(retry)
 
     def use(self, now_s: float) -> RetryUse:
         """Returns how many retries were made and how many are allowed."""
@@ -92,15 +110,16 @@
         allowed = self.slack + self._ratio * len(self._requests)
         return RetryUse(len(self._retries), allowed)
 
-    def release(self) -> None:
-        """Returns the retry that was acquired last, which is not made."""
-        if self._retries:
-            self._retries.pop()
+    def release(self, retry: Retry) -> None:
+        """Returns a retry that is not made."""
+        if retry in self._retries:
+            self._retries.remove(retry)
 
     def _drop_old(self, now_s: float) -> None:
-        for times in (self._requests, self._retries):
-            while times and times[0] <= now_s - self._window_s:
-                times.popleft()
+        since_s = now_s - self._window_s
+        while self._requests and self._requests[0] <= since_s:
+            self._requests.popleft()
+        self._retries = [row for row in self._retries if row.at_s > since_s]
 
 
 class PoolRetryBudget:
--- a/packages/core/src/rattanpulley_core/serving.py
+++ b/packages/core/src/rattanpulley_core/serving.py
@@ -57,6 +57,7 @@
 TargetReport = reports.TargetReport
 RequestTerms = request_terms.RequestTerms
 PoolRetryBudget = retries.PoolRetryBudget
+Retry = retries.Retry
 RetryWindow = retries.RetryWindow
 Judgement = rollouts.Judgement
 OrderState = rollouts.OrderState
--- a/packages/core/tests/serving/test_fleet.py
+++ b/packages/core/tests/serving/test_fleet.py
@@ -28,7 +28,6 @@
     budget = serving.PoolRetryBudget(10.0, 0.0, 12.0)
     window = budget.window_of("pool")
     budget.set_host_count(4)
-    assert sum(window.try_acquire(0.0) for _ in range(20)) == 3
-    assert (
-        sum(budget.window_of("other").try_acquire(0.0) for _ in range(20)) == 3
-    )
+    assert sum(bool(window.try_acquire(0.0)) for _ in range(20)) == 3
+    other = budget.window_of("other")
+    assert sum(bool(other.try_acquire(0.0)) for _ in range(20)) == 3
--- a/packages/core/tests/serving/test_missing_pools.py
+++ b/packages/core/tests/serving/test_missing_pools.py
@@ -43,7 +43,7 @@
             False,
         ),
         (
-            lambda: (
+            lambda: bool(
                 serving.PoolRetryBudget(10.0, 0.0, 1.0)
                 .window_of(GONE)
                 .try_acquire(0.0)
--- a/packages/core/tests/serving/test_retries.py
+++ b/packages/core/tests/serving/test_retries.py
@@ -38,7 +38,7 @@
 def test_loss_of_a_domain_fits_within_the_slack() -> None:
     """A host with few requests must be able to move streams of lost targets."""
     window = serving.PoolRetryBudget(WINDOW_S, RATIO, SLACK).window_of("pool")
-    assert sum(window.try_acquire(0.0) for _ in range(40)) == int(SLACK)
+    assert sum(bool(window.try_acquire(0.0)) for _ in range(40)) == int(SLACK)
     assert window.try_acquire(WINDOW_S + 0.1)
 
 
--- a/packages/core/tests/serving/test_retry_shares.py
+++ b/packages/core/tests/serving/test_retry_shares.py
@@ -16,7 +16,7 @@
     budget = serving.PoolRetryBudget(WINDOW_S, 0.0, SLACK)
     budget.set_host_count(hosts)
     window = budget.window_of("pool")
-    made = sum(window.try_acquire(0.5 * step) for step in range(200))
+    made = sum(bool(window.try_acquire(0.5 * step)) for step in range(200))
     assert made > 0
 
 
@@ -25,8 +25,9 @@
 def test_release_returns_the_retry_that_was_reserved() -> None:
     """Guards against more retries in a window than allowed."""
     window = serving.RetryWindow(WINDOW_S, 0.0, 2.0)
-    assert window.try_acquire(0.0, "cancelled")
-    assert window.try_acquire(5.0, "made")
-    window.release()
+    cancelled = window.try_acquire(0.0)
+    assert cancelled
+    assert window.try_acquire(5.0)
+    window.release(cancelled)
     assert window.try_acquire(11.0)
     assert not window.try_acquire(12.0)
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
@@ -18,6 +18,8 @@
 REFUSALS_BEFORE_PAUSE = 2
 # An answer that waits for retry budget asks for it at this interval.
 RETRY_BUDGET_POLL_S = 0.05
+# A retry that is sent later than this before the end of the time is wasted.
+MIN_ATTEMPT_S = 0.1
 
 
 class RequestAttempts:
@@ -67,7 +69,7 @@
         self.returns_to_tried = False
         self._refusals_in_a_row = 0
         self.denial: serving.RetryDenial | None = None
-        self._has_reserved_retry = False
+        self._retry: serving.Retry | None = None
         self._budget_wait_s = 0.0
 
     @property
@@ -212,10 +214,22 @@
 
     def is_refused(self) -> bool:
         """Returns whether the request is known to crash targets by now."""
-        refused_for_s = request_crashes.refused_for_s(
-            self._context, self._admission
-        )
-        return refused_for_s > 0
+        return self._refused_for_s() > 0
+
+    def stays_refused(self) -> bool:
+        """Returns whether the request is known to crash targets.
+
+        An answer that has begun waits until a suspicion is settled.
+        """
+        while (refused_for_s := self._refused_for_s()) > 0:
+            is_settled = refused_for_s > request_crashes.SUSPICION_S
+            if is_settled or not self.answer_started or not self._has_time():
+                return True
+            target_connection.pause(RETRY_BUDGET_POLL_S)
+        return False
+
+    def _refused_for_s(self) -> float:
+        return request_crashes.refused_for_s(self._context, self._admission)
 
     def can_retry(self) -> bool:
         """Returns whether the request may be retried at another target.
@@ -226,8 +240,8 @@
         self.denial = self._retry_denial()
         if self._outlasts_denial():
             self._wait_for_budget()
-        self.release_retry()
         if self.denial is not None:
+            self.release_retry()
             self._context.metrics.retries_denied.labels(
                 self.denial.value, "yes" if self.answer_started else "no"
             ).inc()
@@ -239,7 +253,9 @@
         Others get their answer at once, so that their clients can return.
         """
         is_short = self.denial is serving.RetryDenial.RETRY_BUDGET
-        return is_short and self.answer_started and not self.is_refused()
+        if not is_short or not self.answer_started:
+            return False
+        return self._refused_for_s() <= request_crashes.SUSPICION_S
 
     def _wait_for_budget(self) -> None:
         """Waits until the retry budget allows an attempt or none is possible.
@@ -256,7 +272,7 @@
         )
         try:
             with self._window.waiting(self):
-                while self._outlasts_denial():
+                while self._outlasts_denial() and self._has_time():
                     target_connection.pause(RETRY_BUDGET_POLL_S)
                     self.denial = self._retry_denial()
         finally:
@@ -264,11 +280,21 @@
             self._budget_wait_s += waited_s
             self._context.metrics.retry_waits.observe(waited_s)
 
+    def _has_time(self) -> bool:
+        """Returns whether an attempt could still end in time."""
+        return clock.now_s() + MIN_ATTEMPT_S < self.deadline_s()
+
+    def begin_attempt(self) -> None:
+        """Counts the retry that was reserved for this attempt, if any."""
+        if self._retry is not None:
+            self._window.record_sent(self._retry, clock.now_s())
+            self._retry = None
+
     def release_retry(self) -> None:
         """Returns a reserved retry that is not made."""
-        if self._has_reserved_retry:
-            self._has_reserved_retry = False
-            self._window.release()
+        if self._retry is not None:
+            self._window.release(self._retry)
+            self._retry = None
 
     def _retry_denial(self) -> serving.RetryDenial | None:
         now_s = clock.now_s()
@@ -288,8 +314,6 @@
         if denial is not None or self.last in serving.FAILURES_BEFORE_SENDING:
             return denial
         if self.reserve_retry():
-            # Taken by the next attempt.
-            self._has_reserved_retry = False
             return None
         return serving.RetryDenial.RETRY_BUDGET
 
@@ -316,11 +340,9 @@
         Returns:
             Whether the retry budget allows another attempt.
         """
-        if not self._has_reserved_retry:
-            self._has_reserved_retry = self._window.try_acquire(
-                clock.now_s(), self
-            )
-        return self._has_reserved_retry
+        if self._retry is None:
+            self._retry = self._window.try_acquire(clock.now_s(), self)
+        return self._retry is not None
 
     def log_fields(self) -> dict[str, object]:
         """Returns what the log tells about the end of the request."""
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/engine_selection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/engine_selection.py
@@ -44,9 +44,11 @@
         if not reported:
             return placement.choose(query, clock.now_s())
         # One that has started again turns the request away, but its new id
-        # becomes known, which is worth a retry if the others are busy.
+        # becomes known. A new request does that if the others are busy; one
+        # that has lost its target needs its retry.
         current = _of_same_start(reported)
-        if any(report.prompts == 0 for _, report in current):
+        is_idle = any(report.prompts == 0 for _, report in current)
+        if is_idle or (current and query.excluded_ids):
             reported = current
         chosen = placement.choose_by_reports(
             reported, clock.now_s(), after_loss=bool(query.excluded_ids)
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/plain_relay.py
@@ -59,12 +59,17 @@
             context, admission, MAX_CONNECT_FAILURES
         )
         self.targets: list[str] = []
-        self._keeps_target = False
         self._late_reads = late_reads.LateReads()
         self._stalls = stall_detector.HostStalls()
 
     def run(self) -> responses.Response:
         """Returns the response for the client."""
+        try:
+            return self._run()
+        finally:
+            self.attempts.release_retry()
+
+    def _run(self) -> responses.Response:
         while True:
             if self.attempts.is_refused():
                 return self._give_up(request_crashes.REFUSAL_REASON)
@@ -72,6 +77,7 @@
             if entry is None:
                 return self._give_up(self.attempts.no_target_reason())
             progress = attempt_progress.AttemptProgress(clock.now_s())
+            self.attempts.begin_attempt()
             try:
                 return self._attempt(entry, progress)
             except target_connection.AttemptError as error:
@@ -204,7 +210,7 @@
             deadline_s = self.attempts.deadline_s()
             if self._late_reads.are_over(now_s, deadline_s):
                 raise _timed_out()
-            until_s = min(deadline_s, self._attempt_deadline_s(sent_at_s))
+            until_s = min(deadline_s, self._next_limit_s(now_s, sent_at_s))
             step_s = min(until_s, now_s + MAX_READ_WAIT_S)
             try:
                 return self._read(read, max(step_s, now_s))
@@ -213,9 +219,7 @@
             # Both limits may have changed during the read.
             if now_s >= self.attempts.deadline_s():
                 raise _timed_out()
-            if now_s < self._attempt_deadline_s(sent_at_s):
-                continue
-            if self._leaves_target():
+            if self._leaves_target(now_s, sent_at_s):
                 raise target_connection.AttemptError(
                     serving.FailureKind.UNRESPONSIVE,
                     "no answer within the patience",
@@ -228,40 +232,38 @@
         finally:
             self._stalls.record_wait(until_s, clock.now_s())
 
-    def _attempt_deadline_s(self, sent_at_s: float) -> float:
-        """Returns when an attempt of an idempotent request is abandoned.
+    def _next_limit_s(self, now_s: float, sent_at_s: float) -> float:
+        """Returns when the next limit of an attempt is over."""
+        if not self.attempts.may_repeat:
+            return float("inf")
+        limit_s = self._limit_s(sent_at_s, ATTEMPT_LIMIT_FACTOR)
+        if self.attempts.is_last or now_s >= limit_s:
+            limit_s = self._limit_s(sent_at_s, LAST_ATTEMPT_LIMIT_FACTOR)
+        return limit_s
+
+    def _limit_s(self, sent_at_s: float, factor: float) -> float:
+        """Returns when a multiple of the objective is over.
 
         The time during which this host was stalled says nothing about the
         target and does not count.
         """
-        if not self.attempts.may_repeat:
-            return float("inf")
-        share = (
-            LAST_ATTEMPT_LIMIT_FACTOR
-            if self._is_final_attempt
-            else ATTEMPT_LIMIT_FACTOR
-        )
-        limit_s = self._admission.route.objective_s * share
+        limit_s = self._admission.route.objective_s * factor
         return sent_at_s + limit_s + self._stalls.total_s
 
-    @property
-    def _is_final_attempt(self) -> bool:
-        """Whether no other target is tried after this one."""
-        return self.attempts.is_last or self._keeps_target
+    def _leaves_target(self, now_s: float, sent_at_s: float) -> bool:
+        """Decides whether to abandon an attempt.
 
-    def _leaves_target(self) -> bool:
-        """Decides at the limit of an attempt whether to abandon it.
-
-        Without retry budget the request keeps its target; so does one that may
-        no longer run again. The last target is abandoned so that the client can
-        repeat the request in time.
+        Without retry budget the request keeps its target and asks again; one
+        that may no longer run again keeps it. The last target is abandoned so
+        that the client can repeat the request in time.
         """
         if not self.attempts.may_repeat:
             return False
-        if not self._is_final_attempt:
-            self._keeps_target = not self.attempts.reserve_retry()
-            return not self._keeps_target
-        return True
+        if now_s >= self._limit_s(sent_at_s, LAST_ATTEMPT_LIMIT_FACTOR):
+            return True
+        if now_s < self._limit_s(sent_at_s, ATTEMPT_LIMIT_FACTOR):
+            return False
+        return not self.attempts.is_last and self.attempts.reserve_retry()
 
     def _give_up(self, reason: str) -> responses.Response:
         """Returns the final response to a request that no target completed."""
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/request_crashes.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/request_crashes.py
@@ -7,6 +7,9 @@
 from rattanpulleyd._internal.relay import context as context_lib
 from rattanpulleyd._internal.relay import target_connection
 
+# Longest time for which a request is refused on a suspicion; once that is
+# settled, it is refused for minutes.
+SUSPICION_S = suspects.SETTLE_S
 REFUSAL_REASON = "this request has crashed its targets"
 
 
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_plan.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_plan.py
@@ -108,12 +108,22 @@
 
     def _choose_engine(self) -> serving.TargetEntry | None:
         """Returns the engine for an attempt without a memory copy, or None."""
-        if not self._attempts.returns_to_tried:
+        if not self._attempts.returns_to_tried or self._have_tried_ended():
             return self._engine_selector.choose(
                 self._prefill_query(), self._admission.request.request_id
             )
         return self._choose_tried_engine()
 
+    def _have_tried_ended(self) -> bool:
+        """Returns whether no engine that was tried is left.
+
+        Those that have ended do not count towards the attempts of a route.
+        """
+        return not any(
+            self._context.targets.entry(target_id)
+            for target_id in self._attempts.tried_ids
+        )
+
     def _choose_tried_engine(self) -> serving.TargetEntry | None:
         """Returns the engine that was tried least often and answers, or None.
 
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
@@ -81,13 +81,18 @@
                 completed.
             ClientDisconnectedError: The client disconnected.
         """
+        try:
+            return self._run()
+        finally:
+            self.attempts.release_retry()
+
+    def _run(self) -> responses.Response | None:
         while True:
-            if self.attempts.is_refused():
-                return self._give_up(request_crashes.REFUSAL_REASON)
-            plan = self._planner.next_plan(self._started)
+            plan, reason = self._next_plan()
             if plan is None:
-                return self._give_up(self.attempts.no_target_reason())
+                return self._give_up(reason)
             progress = attempt_progress.AttemptProgress(clock.now_s())
+            self.attempts.begin_attempt()
             try:
                 self._attempt(plan, progress)
                 return None
@@ -103,6 +108,17 @@
                 if self._started and self.attempts.needs_pause:
                     target_connection.pause(RETRY_PAUSE_S)
 
+    def _next_plan(self) -> tuple[stream_plan.AttemptPlan | None, str]:
+        """Returns the next attempt, or None and why there is none."""
+        while not self.attempts.stays_refused():
+            plan = self._planner.next_plan(self._started)
+            if plan is None:
+                return None, self.attempts.no_target_reason()
+            # It may have become known while the stream waited for a target.
+            if not self.attempts.is_refused():
+                return plan, ""
+        return None, request_crashes.REFUSAL_REASON
+
     def _attempt(
         self,
         plan: stream_plan.AttemptPlan,
--- a/packages/daemon/tests/relay/test_attempts.py
+++ b/packages/daemon/tests/relay/test_attempts.py
@@ -59,6 +59,7 @@
     assert attempts.reserve_retry()
     _record(attempts, serving.FailureKind.UNRESPONSIVE)
     assert attempts.can_retry()
+    attempts.begin_attempt()
     _record(attempts, serving.FailureKind.CORRUPT)
     assert not attempts.can_retry()
     assert attempts.denial is serving.RetryDenial.RETRY_BUDGET
@@ -282,6 +283,8 @@
 # retry from others, and was cut.
 def test_wait_ends_when_the_content_is_refused(context, short_budget):
     attempts = _begun(context)
-    short_budget.on_wait = lambda: setattr(attempts, "is_refused", lambda: True)
+    short_budget.on_wait = lambda: setattr(
+        attempts, "_refused_for_s", lambda: 900.0
+    )
     assert not attempts.can_retry()
     assert short_budget.passed_s < 1.0
--- a/packages/daemon/tests/relay/test_reloaded_bounds.py
+++ b/packages/daemon/tests/relay/test_reloaded_bounds.py
@@ -40,7 +40,8 @@
     period_s = relay._config_refresh._period_s
     assert period_s == config_refresh.CONFIG_PERIOD_FRACTION
     assert relay._target_refresh._freshness.leave_s == 1.0
-    assert [window.try_acquire(0.0) for _ in range(4)] == [True] * 3 + [False]
+    retries = [bool(window.try_acquire(0.0)) for _ in range(4)]
+    assert retries == [True] * 3 + [False]
     assert (context.trials._share, context.trials._slack) == (0.25, 7.0)
     idle_s = serving.ClientLimits().idle_timeout_s
     assert context.cached_config.close_idle_after_s(0.5) == idle_s + 1.0
--- a/packages/daemon/tests/relay/test_retry_waits.py
+++ b/packages/daemon/tests/relay/test_retry_waits.py
@@ -141,7 +141,8 @@
 # crashes: the retry was missing for others.
 def test_retry_of_a_prompt_that_is_refused_is_returned(context, now):
     relay = _relay(context, lambda: None)
-    refused = iter([0.0])
+    # Asked before and after the choice of the first target.
+    refused = iter([0.0, 0.0])
     context.suspects.refused_for_s = lambda *_: next(refused, 900.0)
     with pytest.raises(stream_channel.StreamAbortedError):
         relay.run()
@@ -341,14 +342,15 @@
     relay = _relay(context, lambda: None)
     crashes = [(f"t{number}", "boot") for number in range(4)]
 
-    def _record_crashes(*_):
-        if relay.sent_at_s:
-            return ENGINE
-        for number, crash in enumerate(crashes[:3]):
-            crashed_s = now[0] - 0.6 + 0.3 * number
-            context.suspects.record_crash("f", *crash, 0, 0.1, crashed_s)
-        assert 0 < context.suspects.refused_for_s("f", now[0]) <= 2.0
-        return ENGINE
+    attempt = relay._attempt
+
+    def _record_crashes(plan, progress):
+        if not relay.sent_at_s:
+            for number, crash in enumerate(crashes[:3]):
+                crashed_s = now[0] - 0.6 + 0.3 * number
+                context.suspects.record_crash("f", *crash, 0, 0.1, crashed_s)
+            assert 0 < context.suspects.refused_for_s("f", now[0]) <= 2.0
+        attempt(plan, progress)
 
     def _pause(for_s: float) -> None:
         now[0] += for_s
@@ -359,7 +361,7 @@
                     "cause", *crash, 0, 0.1, crashed_s
                 )
 
-    context.placement.choose = _record_crashes
+    relay._attempt = _record_crashes
     monkeypatch.setattr(target_connection, "pause", _pause)
     relay.run()
     assert len(relay.sent_at_s) == 2
