Drive the clocks in the tests of reads from other hosts

Cause: only "assert at_s is not None" can fail. The age that is compared after it is taken at the response, and before_s is not later than the send, on a clock that never steps back. The host has no answer if a real server thread needs more than REQUEST_TIMEOUT_S (0.25 s), or if more than 1.5 s pass between the fixture and the answer.

Change: all tests of the module take the suspend-aware time from a list that only they advance, and wait for the server as long as it needs; the 20 s end a test that hangs. The test itself advances the clock on both ways and asserts the exact time of the confirmation; before, it asserted a bound and the ways were close to 0.

The new test fails if the age is left out (1000.0 instead of 999.3) and if it is counted from the response (999.7).

--- a/packages/daemon/tests/relay/test_peer_reader.py
+++ b/packages/daemon/tests/relay/test_peer_reader.py
@@ -16,6 +16,13 @@
 
 # What a host accepts where targets must be left within 3 s.
 MAX_AGE_S = serving.TargetFreshness(3.0).max_age_s
+REQUEST_TIMEOUT_S = state_exchange.REQUEST_TIMEOUT_S
+# A busy machine needs more than `REQUEST_TIMEOUT_S` for a call now and then.
+HANG_TIMEOUT_S = 20.0
+STARTED_S = 1000.0
+CONFIG_AGE_S = 0.5
+# Time of a request or response on its way.
+WAY_S = 0.2
 
 
 class QuietHandler(simple_server.WSGIRequestHandler):
@@ -26,11 +33,19 @@
 
 
 @pytest.fixture
-def leader():
+def suspend_aware(monkeypatch) -> list[float]:
+    """The suspend-aware time of all hosts, which only tests advance."""
+    values = [STARTED_S]
+    monkeypatch.setattr(clock, "suspend_aware_now_s", lambda: values[0])
+    return values
+
+
+@pytest.fixture
+def leader(suspend_aware):
     """A host with a configuration and targets, and its HTTP endpoints."""
     context = relay_builders.make_context("a")
-    now_s = clock.suspend_aware_now_s()
-    context.cached_config.accept(relay_builders.config(7), now_s - 0.5)
+    now_s = suspend_aware[0]
+    context.cached_config.accept(relay_builders.config(7), now_s - CONFIG_AGE_S)
     context.shared_targets.log.restart(10)
     context.shared_targets.confirmed_at_s = now_s - 1.0
     app = state_exchange.StateEndpoints(context).app()
@@ -55,21 +70,31 @@
     context = relay_builders.make_context("b")
     context.fake_now = [100.0]
     monkeypatch.setattr(clock, "now_s", lambda: context.fake_now[0])
+    monkeypatch.setattr(state_exchange, "REQUEST_TIMEOUT_S", HANG_TIMEOUT_S)
     own = serving.HostEntry("b", "north", "")
     context.fleet.replace_all([leader.entry, own])
     context.peers = peer_reader.PeerReader(context, own)
     return context
 
 
-def test_confirmation_age_includes_the_age_of_the_read(leader, follower):
+def test_confirmation_age_includes_the_age_of_the_read(
+    leader, follower, suspend_aware, monkeypatch
+):
     # Guards against removed keys that stay valid because hosts keep confirming
     # each other's cached configuration.
+    fetch_config = state_exchange.PeerClient.fetch_config
+
+    def fetch_slowly(client, entry):
+        suspend_aware[0] += WAY_S
+        report = fetch_config(client, entry)
+        suspend_aware[0] += WAY_S
+        return report
+
+    monkeypatch.setattr(state_exchange.PeerClient, "fetch_config", fetch_slowly)
     follower.cached_config.accept(relay_builders.config(7), 0.0)
-    before_s = clock.suspend_aware_now_s()
     at_s = follower.peers.config_confirmed_at_s(2.0)
-    assert at_s is not None
-    age_s = before_s - at_s
-    assert age_s >= leader.cached_config.age_s(before_s) - 0.001
+    # Neither way may make the confirmation look more recent than the read.
+    assert at_s == pytest.approx(STARTED_S - CONFIG_AGE_S - WAY_S)
 
 
 @pytest.mark.parametrize(
@@ -134,7 +159,7 @@
 
     def time_out(_client, entry, *_arguments):
         asked.append(entry.name)
-        follower.fake_now[0] += state_exchange.REQUEST_TIMEOUT_S
+        follower.fake_now[0] += REQUEST_TIMEOUT_S
         raise state_exchange.PeerReportError("no head in time")
 
     monkeypatch.setattr(state_exchange.PeerClient, method, time_out)
