Go on with a watch of the targets that was cut off

Operators would have seen: where the connection of a waiting watch ended (a store that restarts, a path that closes long connections), the host logged store.targets_lost, paused for 0.28 to 0.35 s and listed all targets from scratch, although the store was reachable.

Cause: every failure of a watch was treated as an unreachable store. Its position was dropped, although a watch from it misses nothing.

Change: an end of the connection before the response is complete has a type of its own, SourceConnectionLostError. A watch that ends so goes on from its position at once, with the short wait, as its state is as old as the watch. A second end in succession, a timeout, a refused connection, a bad answer and every failure of a list are followed by a pause and a list as before. A cut costs one watch instead of a list and a watch; where the store is really gone, one call more before the pause.

Evidence, before the change of target_refresh.py: test_watch_that_is_cut_off_goes_on_from_its_position failed with "assert 2 == 1" lists, test_second_cut_in_succession_is_followed_by_a_pause_and_a_list as there was no second watch. test_other_failure_of_a_watch_is_followed_by_a_list guards the change and passed before.

Result: these pass, and the tests of daemon/tests/relay, core/tests/serving, test_store_calls, test_store_reads, test_host_exchange, test_configuration, test_boundary and test_odd_entries_program.

--- a/packages/core/src/rattanpulley_core/_internal/serving/sources.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/sources.py
@@ -18,6 +18,10 @@
     """The store did not answer in time and may have been unavailable."""
 
 
+class SourceConnectionLostError(SourceError):
+    """The connection to the store ended before the response was complete."""
+
+
 class HistoryGoneError(SourceError):
     """The store no longer has the changes after the position of a watch."""
 
--- a/packages/core/src/rattanpulley_core/serving.py
+++ b/packages/core/src/rattanpulley_core/serving.py
@@ -100,6 +100,7 @@
 HistoryGoneError = sources.HistoryGoneError
 ServingSource = sources.ServingSource
 SourceError = sources.SourceError
+SourceConnectionLostError = sources.SourceConnectionLostError
 SourceTimeoutError = sources.SourceTimeoutError
 TargetChanges = sources.TargetChanges
 TargetListing = sources.TargetListing
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/target_refresh.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/target_refresh.py
@@ -45,6 +45,7 @@
         self._read_from = "store"
         self._outage_since_s: float | None = None
         self._failing = False
+        self._repeats_watch = False
         self._unreadable_logged_at_s = float("-inf")
         self._backoff = store_backoff.RetryBackoff()
 
@@ -65,6 +66,8 @@
                 )
                 continue
             except serving.SourceError as error:
+                if self._repeats_cut_watch(error):
+                    continue
                 self._position = None
                 self._record_failure(error, started_s)
                 factor = self._context.rng.uniform(
@@ -84,6 +87,21 @@
                 )
             )
 
+    def _repeats_cut_watch(self, error: serving.SourceError) -> bool:
+        """Returns whether to watch again at once from the same position.
+
+        The store was reachable until the connection of a watch ended. A second
+        end in succession shows that it is in trouble.
+        """
+        is_cut = isinstance(error, serving.SourceConnectionLostError)
+        if not is_cut or self._position is None or self._repeats_watch:
+            self._repeats_watch = False
+            return False
+        self._repeats_watch = True
+        self._context.metrics.store_calls.labels("targets", "failed").inc()
+        self._context.log.change("store.watch_cut", reason=str(error))
+        return True
+
     def _pause_s(self) -> float:
         """Returns the time between the starts of two reads."""
         freshness = self._freshness
@@ -149,7 +167,8 @@
         wait_s = WATCH_WAIT_S
         if self._context.fleet.has_peers:
             wait_s = self._freshness.shared_watch_s
-        if self._context.targets.has_missing_entries():
+        # The state is as old as the watch that was cut off.
+        if self._repeats_watch or self._context.targets.has_missing_entries():
             wait_s = SHORT_WATCH_WAIT_S
         sent_at_s = clock.suspend_aware_now_s()
         update = self._source.watch_targets(position, wait_s)
@@ -189,6 +208,7 @@
         now_s = clock.now_s()
         changes = changes + context.targets.expire(now_s)
         self._outage_since_s = None
+        self._repeats_watch = False
         if self._failing:
             self._failing = False
             context.log.change("store.targets_regained")
--- a/packages/daemon/tests/relay/test_target_refresh.py
+++ b/packages/daemon/tests/relay/test_target_refresh.py
@@ -9,6 +9,7 @@
 import relay_builders
 
 from rattanpulley_core import serving
+from rattanpulleyd._internal.relay import store_backoff
 from rattanpulleyd._internal.relay import target_refresh
 
 LEAVE_S = 2.0
@@ -239,3 +240,79 @@
     watches = [name for name, _ in source.calls].count("watch") - 1
     counted = f"rattanpulley_unreadable_entries_total {3.0 * watches}"
     assert counted.encode() in context.metrics.text()
+
+
+class CutSource(Source):
+    """A store that cuts off some of its watches after one second."""
+
+    def __init__(
+        self,
+        fake_clock: types.SimpleNamespace,
+        cut: set[int],
+        error: type[serving.SourceError],
+    ) -> None:
+        super().__init__(fake_clock)
+        self.cut = cut
+        self.error = error
+        self.positions: list[int] = []
+        self.waits_s: list[float] = []
+
+    def watch_targets(
+        self, position: int, wait_s: float
+    ) -> serving.TargetChanges:
+        self.positions.append(position)
+        self.waits_s.append(wait_s)
+        changes = super().watch_targets(position, wait_s)
+        if len(self.positions) in self.cut:
+            self.clock.now += 1.0
+            raise self.error("cut off")
+        return changes
+
+
+def run_cut(
+    fake_clock: types.SimpleNamespace,
+    cut: set[int],
+    error: type[serving.SourceError] = serving.SourceConnectionLostError,
+) -> tuple[CutSource, types.SimpleNamespace]:
+    """Runs a refresh whose watches with these numbers are cut off."""
+    context = make_context("a")
+    context.prober = types.SimpleNamespace(forget=lambda target_id: None)
+    source = CutSource(fake_clock, cut, error)
+    peers = refresh_fakes.make_peers(lambda position, max_age_s: None)
+    run_refresh(context, source, peers)
+    return source, context
+
+
+# A watch that was cut off led to a pause and a new list of all targets.
+def test_watch_that_is_cut_off_goes_on_from_its_position(fake_clock):
+    source, context = run_cut(fake_clock, {2})
+    assert [name for name, _ in source.calls].count("list") == 1
+    assert source.positions[:4] == [1, 2, 2, 3]
+    # The next watch begins when the one that was cut off has ended.
+    assert source.calls[3][1] == source.calls[2][1] + 1.0
+    assert source.waits_s[2] == target_refresh.SHORT_WATCH_WAIT_S
+    assert source.waits_s[3] == target_refresh.WATCH_WAIT_S
+    failed = 'store_calls_total{call="targets",result="failed"} 1.0'
+    assert failed in context.metrics.text().decode()
+
+
+# Guards against calls without a pause to a store that cuts off every watch.
+def test_second_cut_in_succession_is_followed_by_a_pause_and_a_list(
+    fake_clock,
+):
+    source, _context = run_cut(fake_clock, {2, 3})
+    names = [name for name, _ in source.calls]
+    assert names[:6] == ["list", "watch", "watch", "watch", "list", "watch"]
+    least_s = store_backoff.RETRY_S * (1 - store_backoff.JITTER_FRACTION)
+    assert source.calls[4][1] - source.calls[3][1] >= 1.0 + least_s
+
+
+# Guards against a watch from an old position after the store was away, which
+# would remove entries that lapsed meanwhile at once.
+@pytest.mark.parametrize(
+    "error", [serving.SourceError, serving.SourceTimeoutError]
+)
+def test_other_failure_of_a_watch_is_followed_by_a_list(fake_clock, error):
+    source, _context = run_cut(fake_clock, {2}, error)
+    names = [name for name, _ in source.calls]
+    assert names[:5] == ["list", "watch", "watch", "list", "watch"]
