--- a/packages/core/src/rattanpulley_core/_internal/serving/failure_kinds.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/failure_kinds.py
@@ -26,8 +26,8 @@
         QUEUED: The attempt was given up while its prompt was queued.
         WITHDRAWN: The attempt was given up because its prompt is refused by
             now.
-        UNAVAILABLE: The target has said, before the request was sent, that it
-            drains or wants no requests.
+        UNAVAILABLE: Nothing was sent: the target has said that it drains or
+            wants no requests, or this host has no descriptor left.
     """
 
     NOT_CONNECTED = "not_connected"
