--- a/packages/core/src/rattanpulley_core/serving.py
+++ b/packages/core/src/rattanpulley_core/serving.py
@@ -58,6 +58,7 @@
 RequestTerms = request_terms.RequestTerms
 PoolRetryBudget = retries.PoolRetryBudget
 Retry = retries.Retry
+RetryUse = retries.RetryUse
 RetryWindow = retries.RetryWindow
 Judgement = rollouts.Judgement
 OrderState = rollouts.OrderState
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
@@ -8,6 +8,7 @@
 from rattanpulleyd._internal.relay import context as context_lib
 from rattanpulleyd._internal.relay import request_crashes
 from rattanpulleyd._internal.relay import responses
+from rattanpulleyd._internal.relay import retry_reservation
 from rattanpulleyd._internal.relay import target_connection
 from rattanpulleyd._internal.relay import target_health
 
@@ -58,8 +59,9 @@
         self._tracker = serving.AttemptTracker(
             admission.route.idempotent, admission.route.max_attempts
         )
-        self._window = context.retry_budget.window_of(admission.pool)
-        self._window.record_request(clock.now_s())
+        window = context.retry_budget.window_of(admission.pool)
+        window.record_request(clock.now_s())
+        self._reservation = retry_reservation.RetryReservation(window)
         self._prefers_canary = context.trials.admit_request(
             admission.pool, admission.route.name, clock.now_s()
         )
@@ -69,8 +71,6 @@
         self.returns_to_tried = False
         self._refusals_in_a_row = 0
         self.denial: serving.RetryDenial | None = None
-        self._retry: serving.Retry | None = None
-        self._budget_wait_s = 0.0
 
     @property
     def tried_ids(self) -> tuple[str, ...]:
@@ -262,22 +262,21 @@
 
         The budget comes back as its window slides.
         """
-        started_s = clock.now_s()
-        use = self._window.use(started_s)
+        use = self._reservation.use()
         self._context.log.failure(
             "retry.waits",
             request=self._admission.request.request_id,
             retries=[use.used, round(use.allowed, 1)],
-            left_s=round(self.deadline_s() - started_s, 3),
+            left_s=round(self.deadline_s() - clock.now_s(), 3),
         )
+        before_s = self._reservation.waited_s
         try:
-            with self._window.waiting(self):
+            with self._reservation.waiting():
                 while self._outlasts_denial() and self._has_time():
                     target_connection.pause(RETRY_BUDGET_POLL_S)
                     self.denial = self._retry_denial()
         finally:
-            waited_s = clock.now_s() - started_s
-            self._budget_wait_s += waited_s
+            waited_s = self._reservation.waited_s - before_s
             self._context.metrics.retry_waits.observe(waited_s)
 
     def _has_time(self) -> bool:
@@ -286,15 +285,11 @@
 
     def begin_attempt(self) -> None:
         """Counts the retry that was reserved for this attempt, if any."""
-        if self._retry is not None:
-            self._window.record_sent(self._retry, clock.now_s())
-            self._retry = None
+        self._reservation.begin_attempt()
 
     def release_retry(self) -> None:
         """Returns a reserved retry that is not made."""
-        if self._retry is not None:
-            self._window.release(self._retry)
-            self._retry = None
+        self._reservation.release()
 
     def _retry_denial(self) -> serving.RetryDenial | None:
         now_s = clock.now_s()
@@ -340,19 +335,17 @@
         Returns:
             Whether the retry budget allows another attempt.
         """
-        if self._retry is None:
-            self._retry = self._window.try_acquire(clock.now_s(), self)
-        return self._retry is not None
+        return self._reservation.reserve()
 
     def log_fields(self) -> dict[str, object]:
         """Returns what the log tells about the end of the request."""
         config = self._context.cached_config.config
-        use = self._window.use(clock.now_s())
+        use = self._reservation.use()
         return {
             "attempts": self._tracker.sent,
             "not_retried": self.denial.value if self.denial else None,
             "retries": [use.used, round(use.allowed, 1)],
-            "budget_wait_s": round(self._budget_wait_s, 3),
+            "budget_wait_s": round(self._reservation.waited_s, 3),
             "admitted_version": self._admission.config_version,
             "config_version": config.version if config else None,
         }
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/client_connection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/client_connection.py
@@ -12,6 +12,7 @@
 from rattanpulley_core import serving
 from rattanpulleyd._internal.relay import chunk_joiner
 from rattanpulleyd._internal.relay import client_limits
+from rattanpulleyd._internal.relay import client_writes
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import connection_ends
 from rattanpulleyd._internal.relay import context as context_lib
@@ -33,8 +34,6 @@
 BODY_TIMEOUT_S = 10.0
 # A shorter idle timeout holds for waiting connections within this time.
 MAX_IDLE_CHECK_S = 30.0
-# A client that accepts no bytes for this long counts as disconnected.
-WRITE_TIMEOUT_S = 5.0
 USER_TIMEOUT_MS = 5000
 # Value of SO_LINGER with which a close resets the connection.
 _RESET = struct.pack("ii", 1, 0)
@@ -345,36 +344,8 @@
         self._send(self._http.send(h11.EndOfMessage()))
 
     def _send(self, data: bytes | None) -> None:
-        if not data:
-            return
-        left = memoryview(data)
-        try:
-            while left:
-                left = left[self._send_part(left) :]
-        except OSError as error:
-            raise context_lib.ClientDisconnectedError from error
-
-    def _send_part(self, data: memoryview) -> int:
-        """Sends a part of the data; returns its size.
-
-        The buffer of a socket has room again only when much of it has been
-        sent, so that a client on a weak link may read all the time until then.
-
-        Raises:
-            TimeoutError: The client has accepted nothing for too long.
-        """
-        self._socket.settimeout(0.0)
-        with contextlib.suppress(BlockingIOError):
-            return int(self._socket.send(data))
-        self._socket.settimeout(WRITE_TIMEOUT_S)
-        while True:
-            queued_bytes = lingering_close.unacknowledged_bytes(self._socket)
-            try:
-                return int(self._socket.send(data))
-            except TimeoutError:
-                left_bytes = lingering_close.unacknowledged_bytes(self._socket)
-                if left_bytes >= queued_bytes:
-                    raise
+        if data:
+            client_writes.send_all(self._socket, data)
 
     def next_cycle(self) -> bool:
         """Prepares for the next request; returns False if there can be none."""
--- a/packages/daemon/tests/relay/test_client_connection.py
+++ b/packages/daemon/tests/relay/test_client_connection.py
@@ -11,6 +11,7 @@
 import relay_builders
 
 from rattanpulleyd._internal.relay import client_connection
+from rattanpulleyd._internal.relay import client_writes
 from rattanpulleyd._internal.relay import context as context_lib
 from rattanpulleyd._internal.relay import lingering_close
 from rattanpulleyd._internal.relay import responses
@@ -140,7 +141,7 @@
     monkeypatch.setattr(
         lingering_close, "unacknowledged_bytes", lambda _: sizes[0]
     )
-    monkeypatch.setattr(client_connection, "WRITE_TIMEOUT_S", 0.01)
+    monkeypatch.setattr(client_writes, "WRITE_TIMEOUT_S", 0.01)
     with contextlib.closing(ours), contextlib.closing(theirs):
         connection = client_connection.ClientConnection(
             connection_doubles.TcpLike(ours),
