--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SRC_PATH := packages/core/src:packages/adapters/src:packages/daemon/src:packages/cli/src:packages/standins/src:platform/src
 export PYTHONPATH := $(SRC_PATH)
 
-.PHONY: setup test demo up lock format soak score hunt
+.PHONY: setup test demo up lock format soak score hunt day-table
 .PHONY: measure measure-resume measure-moves measure-config
 
 # The name of the stamp changes with the lock file, so that a changed lock file
@@ -63,6 +63,26 @@
 	  $(BENCH) hunt $(KIT)/$$site.toml --days $(DAYS) --jobs $(JOBS) --why "$(WHY)"; \
 	done
 
+# One day for each disruption of a newer kind, each beside changes of the
+# configuration. ONLY="hup idle_race" plays some of them; days that were played
+# before stay in the table until their files are removed.
+DAY_SITE ?= grown/lampin-hatid-grown
+DAY_SEED ?= 501
+DAY_DIR ?= target/day-table
+DAY_TABLE ?= docs/incidents/$(notdir $(DAY_SITE))-kinds-beside-changes.md
+ONLY ?=
+DAYS_PROGRAM = PYTHONPATH=platform/tests $(PY) -m platform_days
+
+day-table: setup
+	@days=$$($(DAYS_PROGRAM) generate $(DAY_DIR)); \
+	for day in $(or $(ONLY),$$days); do \
+	  played=$(DAY_DIR)/$$day.seed$(DAY_SEED); \
+	  $(BENCH) run $(KIT)/$(DAY_SITE).toml $(DAY_DIR)/$$day.toml --seed $(DAY_SEED) \
+	    --log all --report $$played.report \
+	    --why "$(WHY): $$day beside changes of the configuration" > $$played.out 2>&1; \
+	done
+	$(DAYS_PROGRAM) table $(DAY_DIR) > $(DAY_TABLE)
+
 demo: setup
 	$(PY) -m rattanpulley_standins.demo
 
