Wait for retry budget to the end of the time of a stream

It waits to the end of its time now and takes no retry in the last 0.1 s.

Evidence: test_wait_for_budget_lasts_to_the_end_of_the_time failed before.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/attempts.py
@@ -223,7 +223,7 @@
         """
         while (refused_for_s := self._refused_for_s()) > 0:
             is_settled = refused_for_s > request_crashes.SUSPICION_S
-            if is_settled or not self.answer_started or not self._has_time():
+            if is_settled or not self.answer_started or not self._is_in_time():
                 return True
             target_connection.pause(RETRY_BUDGET_POLL_S)
         return False
@@ -272,16 +272,19 @@
         before_s = self._reservation.waited_s
         try:
             with self._reservation.waiting():
-                while self._outlasts_denial() and self._has_time():
+                while self._outlasts_denial() and self._is_in_time():
                     target_connection.pause(RETRY_BUDGET_POLL_S)
-                    self.denial = self._retry_denial()
+                    if self._is_in_time(MIN_ATTEMPT_S):
+                        self.denial = self._retry_denial()
+            if clock.now_s() >= self._context.host_stop.deadline_s:
+                self.denial = serving.RetryDenial.TIME
         finally:
             waited_s = self._reservation.waited_s - before_s
             self._context.metrics.retry_waits.observe(waited_s)
 
-    def _has_time(self) -> bool:
-        """Returns whether an attempt could still end in time."""
-        return clock.now_s() + MIN_ATTEMPT_S < self.deadline_s()
+    def _is_in_time(self, needed_s: float = 0.0) -> bool:
+        """Returns whether so many seconds are left for the request."""
+        return clock.now_s() + needed_s < self.deadline_s()
 
     def begin_attempt(self) -> None:
         """Counts the retry that was reserved for this attempt, if any."""
--- a/packages/daemon/tests/relay/test_attempts.py
+++ b/packages/daemon/tests/relay/test_attempts.py
@@ -288,3 +288,14 @@
     )
     assert not attempts.can_retry()
     assert short_budget.passed_s < 1.0
+
+
+# A stream was cut 0.1 s before the end of its time, when a retry is not worth
+# taking, as if it could not have gone on.
+def test_wait_for_budget_lasts_to_the_end_of_the_time(context, short_budget):
+    attempts = _begun(context)
+    end_s = clock.now_s() + 5.0
+    attempts.deadline_s = lambda: end_s
+    assert not attempts.can_retry()
+    assert clock.now_s() >= end_s
+    assert attempts.denial is serving.RetryDenial.RETRY_BUDGET
