--- a/packages/daemon/tests/relay/test_engine_selection.py
+++ b/packages/daemon/tests/relay/test_engine_selection.py
@@ -18,6 +18,7 @@
 )
 SILENT = relay_builders.target("silent", port=82)
 QUERY = serving.PlacementQuery("pool", frozenset(), needs_prefill=True)
+LOST_QUERY = dataclasses.replace(QUERY, excluded_ids=frozenset({"lost"}))
 
 
 @pytest.fixture
@@ -64,8 +65,7 @@
 def test_restarted_engine_is_chosen_last_after_a_loss(context):
     context.targets.upsert(CURRENT)
     selector = engine_selection.EngineSelector(context)
-    query = dataclasses.replace(QUERY, excluded_ids=frozenset({"lost"}))
-    assert selector.choose(query, "id") is CURRENT
+    assert selector.choose(LOST_QUERY, "id") is CURRENT
     assert selector.answering_engine(QUERY) is CURRENT
 
 
@@ -85,6 +85,30 @@
     assert selector.choose(QUERY, "id") is RESTARTED
 
 
+# While the store was away, an engine that had started again got no prompt, so
+# that its host never learned the new id; all went to the queue of another one.
+def test_restarted_engine_is_learned_beside_one_with_a_long_queue(context):
+    context.targets.upsert(CURRENT)
+    context.reports[CURRENT.target_id] = serving.TargetReport(
+        {}, 30, 6, started_ms=1
+    )
+    selector = engine_selection.EngineSelector(context)
+    chosen = {selector.choose(QUERY, "id") for _ in range(50)}
+    assert RESTARTED in chosen
+
+
+# After a loss, a stream spent one of the two retries of its host on a restarted
+# engine that was known to turn it away: the current one had one prompt.
+def test_retry_is_not_spent_on_an_engine_that_has_restarted(context):
+    context.targets.upsert(CURRENT)
+    context.reports[CURRENT.target_id] = serving.TargetReport(
+        {}, 1, 0, started_ms=1
+    )
+    selector = engine_selection.EngineSelector(context)
+    chosen = {selector.choose(LOST_QUERY, "id") for _ in range(50)}
+    assert chosen == {CURRENT}
+
+
 # A begun stream that had tried all engines waited until its deadline when they
 # had restarted under their ids and the store was away.
 def test_stream_returns_to_an_engine_that_has_restarted(context):
--- a/packages/daemon/tests/relay/test_retry_waits.py
+++ b/packages/daemon/tests/relay/test_retry_waits.py
@@ -282,31 +282,6 @@
     assert plan.entry == ENGINE
 
 
-# While the store was away, an engine that had started again got no prompt, so
-# that its host never learned the new id; all went to the queue of another one.
-def test_restarted_engine_is_learned_beside_one_with_a_long_queue(context):
-    context.targets = serving.TargetRegistry()
-    busy = dataclasses.replace(
-        relay_builders.target("busy", port=81), started_ms=1
-    )
-    context.targets.upsert(ENGINE)
-    context.targets.upsert(busy)
-    gate = serving.VersionGate()
-    gate.apply_orders((), [("pool", "v1")])
-    context.placement = serving.Placement(
-        context.targets, context.loads, "north", context.rng, gate
-    )
-    reports = {
-        ENGINE.target_id: serving.TargetReport({}, started_ms=2),
-        "busy": serving.TargetReport({}, 30, 6, started_ms=1),
-    }
-    context.prober.probe = lambda entry, *_: reports[entry.target_id]
-    selector = engine_selection.EngineSelector(context)
-    query = serving.PlacementQuery("pool", frozenset(), needs_prefill=True)
-    chosen = {selector.choose(query, "id") for _ in range(50)}
-    assert ENGINE in chosen
-
-
 # A stream took the only retry a moment before its deadline, so that it was cut
 # all the same, and the next one in the queue waited for another window.
 def test_stream_whose_time_is_over_leaves_the_retry_to_the_next(context, now):
@@ -436,30 +411,3 @@
 def test_wait_in_one_pool_holds_up_no_other(context, now):
     with context.retry_budget.window_of("other").waiting("answer"):
         assert _attempts(context).reserve_retry()
-
-
-# After a loss, a stream spent one of the two retries of its host on a restarted
-# engine that was known to turn it away: the current one had one prompt.
-def test_retry_is_not_spent_on_an_engine_that_has_restarted(context):
-    context.targets = serving.TargetRegistry()
-    current = dataclasses.replace(
-        relay_builders.target("current", port=81), started_ms=1
-    )
-    context.targets.upsert(ENGINE)
-    context.targets.upsert(current)
-    gate = serving.VersionGate()
-    gate.apply_orders((), [("pool", "v1")])
-    context.placement = serving.Placement(
-        context.targets, context.loads, "north", context.rng, gate
-    )
-    reports = {
-        ENGINE.target_id: serving.TargetReport({}, started_ms=2),
-        "current": serving.TargetReport({}, 1, 0, started_ms=1),
-    }
-    context.prober.probe = lambda entry, *_: reports[entry.target_id]
-    selector = engine_selection.EngineSelector(context)
-    query = serving.PlacementQuery(
-        "pool", frozenset({"lost"}), needs_prefill=True
-    )
-    chosen = {selector.choose(query, "id") for _ in range(50)}
-    assert chosen == {current}
