--- a/packages/core/src/rattanpulley_core/_internal/serving/reports.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/reports.py
@@ -30,7 +30,7 @@
         """Number of prompts that wait or are in prefill."""
         return self.waiting + max(0, self.running - len(self.events_by_run))
 
-    def is_of_start(self, started_ms: int) -> bool:
+    def matches_start(self, started_ms: int) -> bool:
         """Returns whether the target has not restarted since a known start.
 
         Args:
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/engine_selection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/engine_selection.py
@@ -91,7 +91,7 @@
     def answers(self, entry: serving.TargetEntry) -> bool:
         """Returns whether a target answers a probe, and has not restarted."""
         report = self._probe(entry, MAX_REPORT_AGE_S)
-        return report is not None and report.is_of_start(entry.started_ms)
+        return report is not None and report.matches_start(entry.started_ms)
 
     def _shortlist_reports(
         self, query: serving.PlacementQuery
@@ -127,7 +127,7 @@
             report = self._probe(holder, MAX_HOLDER_REPORT_AGE_S)
             if (
                 report is not None
-                and report.is_of_start(holder.started_ms)
+                and report.matches_start(holder.started_ms)
                 and self._is_available(holder)
             ):
                 return holder
@@ -182,5 +182,5 @@
     return [
         (entry, report)
         for entry, report in reported
-        if report.is_of_start(entry.started_ms)
+        if report.matches_start(entry.started_ms)
     ]
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_plan.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_plan.py
@@ -63,7 +63,7 @@
         self._copy: memory_copies.MemoryCopy | None = None
         self._copy_left_at_s = 0.0
 
-    def leave_copy(self, copy: memory_copies.MemoryCopy | None) -> None:
+    def keep_copy(self, copy: memory_copies.MemoryCopy | None) -> None:
         """Keeps the memory copy that an attempt has left for the next one."""
         self._copy = copy
         self._copy_left_at_s = clock.now_s()
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/stream_relay.py
@@ -204,7 +204,7 @@
         finally:
             maintainer.stop()
             if monitor.run_started:
-                self._planner.leave_copy(maintainer.usable_copy())
+                self._planner.keep_copy(maintainer.usable_copy())
         maintainer.release()
 
     def _make_maintainer(
--- a/packages/daemon/tests/relay/test_engine_selection.py
+++ b/packages/daemon/tests/relay/test_engine_selection.py
@@ -120,7 +120,7 @@
 @pytest.mark.parametrize(("reported_ms", "known_ms"), [(0, 1), (1, 0), (0, 0)])
 def test_unknown_start_is_no_restart(reported_ms, known_ms):
     report = serving.TargetReport({}, started_ms=reported_ms)
-    assert report.is_of_start(known_ms)
+    assert report.matches_start(known_ms)
 
 
 # Memory was copied to an engine whose id the host did not know.
--- a/packages/daemon/tests/relay/test_stream_plan.py
+++ b/packages/daemon/tests/relay/test_stream_plan.py
@@ -134,7 +134,7 @@
     )
     planner = _planner(context)
     planner._attempts.last = serving.FailureKind.CONNECTION_LOST
-    planner.leave_copy(memory_copies.MemoryCopy(holder, "10.0.0.1:80/id"))
+    planner.keep_copy(memory_copies.MemoryCopy(holder, "10.0.0.1:80/id"))
     now[0] += waited_s
     plan = planner.next_plan(started=True)
     assert plan is not None
