--- a/packages/daemon/src/rattanpulleyd/_internal/relay/engine_selection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/engine_selection.py
@@ -43,11 +43,6 @@
         reported = self._reports(entries) if len(entries) > 1 else []
         if not reported:
             return placement.choose(query, clock.now_s())
-        # One that has started again turns a request away, but its new id
-        # becomes known, seconds before the store tells it. A request that has
-        # lost its target needs its retry for an engine that takes it.
-        if query.excluded_ids:
-            reported = _of_same_start(reported) or reported
         chosen = placement.choose_by_reports(
             reported, clock.now_s(), after_loss=bool(query.excluded_ids)
         )
