--- a/review/common-2/review_fleet/platform.py
+++ b/review/common-2/review_fleet/platform.py
@@ -15,7 +15,9 @@
 SERVICE = "kiosk"
 
 
-def config(version: int) -> dict[str, Any]:
+def config(
+    version: int, timeout_ms: int = 2500, slo_ms: int = 200
+) -> dict[str, Any]:
     """Returns a configuration with an unsafe and a safe route."""
     return {
         "version": version,
@@ -25,8 +27,8 @@
                 "host": clients.HOST_NAME,
                 "path_prefix": prefix,
                 "kind": kind,
-                "timeout_ms": 2500,
-                "slo_ms": 200,
+                "timeout_ms": timeout_ms,
+                "slo_ms": slo_ms,
                 "priority": 2,
                 "service": SERVICE,
                 "max_attempts": attempts,
