--- a/review/8/case.py
+++ b/review/8/case.py
@@ -10,7 +10,7 @@
 from review_fleet import replica
 
 HOSTS = 8
-CLIENTS_PER_HOST = 2
+CLIENTS_PER_HOST = 1
 # Each client sends ten requests a second.
 INTERVAL_S = 0.1
 REPLICAS = 4
--- a/review/common-2/review_fleet/deadly.py
+++ b/review/common-2/review_fleet/deadly.py
@@ -20,7 +20,7 @@
 # Its entry is removed after three intervals of silence.
 LAPSE_S = 3.6
 POLL_S = 0.05
-DEADLINE_MS = 6000
+DEADLINE_MS = 9000
 
 
 class _Replica(replica.Replica):
