Move the roll-outs of a host out of the flat relay package

Change: relay/rollouts/ has order_watch.py (reads the orders, decides when) and trial_steps.py (writes, judges and records). No behaviour changes, but that the orders are read again by the watch and not from within the step.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
@@ -26,7 +26,6 @@
 from rattanpulleyd._internal.relay import pages
 from rattanpulleyd._internal.relay import peer_reader
 from rattanpulleyd._internal.relay import relay_metrics
-from rattanpulleyd._internal.relay import rollout_watch
 from rattanpulleyd._internal.relay import settings as settings_lib
 from rattanpulleyd._internal.relay import state_exchange
 from rattanpulleyd._internal.relay import status_report
@@ -39,6 +38,7 @@
 from rattanpulleyd._internal.relay import target_reports
 from rattanpulleyd._internal.relay import tasks
 from rattanpulleyd._internal.relay import wire
+from rattanpulleyd._internal.relay.rollouts import order_watch
 
 LOOP_GAP_INTERVAL_S = 0.25
 SETTINGS_CHECK_S = 5.0
@@ -140,7 +140,7 @@
         gevent.signal_handler(signal.SIGINT, self._stop.set)
         gevent.signal_handler(signal.SIGHUP, self._reload, "signal")
         name = self._settings.name
-        rollouts = rollout_watch.RolloutWatch(self._context, self._store, name)
+        rollouts = order_watch.RolloutWatch(self._context, self._store, name)
         sharings = [
             suspect_sharing.SuspectSharing(
                 self._context,
--- /dev/null
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""The host's part of the operator's rollout orders."""
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/rollout_watch.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/rollouts/order_watch.py
@@ -1,12 +1,9 @@
-"""Executes this host's part of the operator's rollout orders.
+"""Reads the operator's rollout orders and runs the trials of this host.
 
 The orders are read when targets of an unknown version appear, and then
-periodically until all orders are decided. Hosts share their counts through the
-store. The first host that reaches a decision records it with a conditional
-write.
+periodically until all orders are decided.
 """
 
-import dataclasses
 import time
 
 import gevent
@@ -14,9 +11,10 @@
 from rattanpulley_core import serving
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import context as context_lib
+from rattanpulleyd._internal.relay.rollouts import trial_steps
 
 STEP_INTERVAL_S = 0.2
-CALL_TIMEOUT_S = 0.9
+CALL_TIMEOUT_S = trial_steps.CALL_TIMEOUT_S
 POLL_S = 1.5
 # Targets of a version that was rolled back leave within seconds; ready ones may
 # belong to a new order for the same version.
@@ -45,10 +43,9 @@
         """
         self._context = context
         self._store = store
-        self._host = host
+        self._steps = trial_steps.TrialSteps(context, store, host)
         self._read_at_s = float("-inf")
         self._retry_at_s = float("-inf")
-        self._written: set[tuple[str, str]] = set()
 
     def run_forever(self) -> None:
         """Runs `step` periodically; runs in its own greenlet."""
@@ -73,7 +70,8 @@
         if self._must_read(now_s):
             self._read_orders(now_s)
         for trial in self._context.trials.trials:
-            self._advance(trial)
+            if self._steps.advance(trial):
+                self._read_orders(clock.now_s())
 
     def _must_read(self, now_s: float) -> bool:
         context = self._context
@@ -113,7 +111,7 @@
             )
         for order in context.trials.apply_orders(orders, now_s):
             self._start_trial(order, order.pool in stable_pools)
-        self._remove_evidence()
+        self._steps.remove_evidence()
 
     def _start_trial(
         self, order: serving.RolloutOrder, saw_start: bool
@@ -154,81 +152,3 @@
         except serving.SourceError as error:
             # Only hosts that start during the rollout need this record.
             self._context.log.failure("rollout.call_failed", reason=str(error))
-
-    def _advance(self, trial: serving.RolloutTrial) -> None:
-        """Executes the next step of a trial."""
-        now_s = clock.now_s()
-        step = trial.next_step(now_s)
-        if step is serving.TrialStep.NONE:
-            return
-        try:
-            if step is serving.TrialStep.RECORD:
-                self._record(trial)
-                return
-            if step is not serving.TrialStep.JUDGE:
-                self._write(trial)
-            if step is not serving.TrialStep.WRITE:
-                self._judge(trial)
-        except serving.SourceError:
-            trial.delay_retry(clock.now_s())
-            raise
-
-    def _write(self, trial: serving.RolloutTrial) -> None:
-        order = trial.order
-        trial.mark_written(clock.now_s())
-        self._written.add((order.pool, order.version))
-        self._store.write_evidence(
-            order.pool, trial.evidence(self._host), CALL_TIMEOUT_S
-        )
-        self._context.metrics.store_calls.labels("evidence", "ok").inc()
-
-    def _judge(self, trial: serving.RolloutTrial) -> None:
-        order = trial.order
-        rows = self._store.read_evidence(order, CALL_TIMEOUT_S)
-        self._context.metrics.store_calls.labels("evidence", "ok").inc()
-        verdict = serving.judge_rollout(rows)
-        trial.apply_verdict(verdict, clock.now_s())
-        gate = self._context.trials.gate
-        settle = gate.accept if trial.accepted else gate.revoke_acceptance
-        settle(order.pool, order.version)
-        counts = verdict.counts
-        self._context.log.change(
-            "rollout.judged",
-            pool=order.pool,
-            version=order.version,
-            judgement=verdict.judgement.value,
-            log_evidence=round(verdict.log_odds, 2),
-            route=verdict.route,
-            new=(counts.new_ok, counts.new_bad),
-            old=(counts.old_ok, counts.old_bad),
-            routes={
-                route: dataclasses.astuple(row)
-                for route, row in verdict.counts_by_route.items()
-            },
-            hosts=len(rows),
-            accepted=trial.accepted,
-        )
-
-    def _record(self, trial: serving.RolloutTrial) -> None:
-        """Records a decision and reads the orders again."""
-        wanted = trial.decided_state
-        if wanted is None:
-            return
-        recorded = self._store.record_state(trial.order, wanted, CALL_TIMEOUT_S)
-        self._context.log.change(
-            "rollout.recorded" if recorded else "rollout.changed_meanwhile",
-            pool=trial.order.pool,
-            version=trial.order.version,
-            state=wanted.value,
-        )
-        trial.delay_retry(clock.now_s())
-        self._read_orders(clock.now_s())
-
-    def _remove_evidence(self) -> None:
-        """Removes this host's evidence for orders that are decided."""
-        for pool, version in list(self._written):
-            if self._context.trials.find(pool, version) is None:
-                self._written.discard((pool, version))
-                self._store.remove_evidence(
-                    pool, version, self._host, CALL_TIMEOUT_S
-                )
