Log the order that a change of a version's status came from

Cause: version.standing named the new status only. Whether a host had missed the decision on an order, had found another order in its place, or had found none could be told only from the lines of other hosts at about the same time.

Change: the line has the status before and the version, state and revision of the pool's order in that read.

--- a/packages/core/src/rattanpulley_core/_internal/serving/versions.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/versions.py
@@ -41,6 +41,10 @@
             (pool, version), VersionStatus.UNEXAMINED
         )
 
+    def status_by_version(self) -> dict[_PoolVersion, VersionStatus]:
+        """Returns the status of each known version, by pool and version."""
+        return dict(self._status_by_version)
+
     def unexamined(
         self, entries: Iterable[target_registry.TargetEntry]
     ) -> set[_PoolVersion]:
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/rollouts/order_watch.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/rollouts/order_watch.py
@@ -102,16 +102,42 @@
             for pool, version in seen
             if gate.status_of(pool, version) is serving.VersionStatus.STABLE
         }
-        for pool, version, status in gate.apply_orders(orders, seen):
-            context.log.change(
+        before = gate.status_by_version()
+        changes = gate.apply_orders(orders, seen)
+        self._log_changes(changes, before, orders)
+        for order in context.trials.apply_orders(orders, now_s):
+            self._start_trial(order, order.pool in stable_pools)
+        self._steps.remove_evidence()
+
+    def _log_changes(
+        self,
+        changes: list[tuple[str, str, serving.VersionStatus]],
+        before: dict[tuple[str, str], serving.VersionStatus],
+        orders: tuple[serving.RolloutOrder, ...],
+    ) -> None:
+        """Logs each change of a status with the order that was read.
+
+        Args:
+            changes: Pool, version and new status.
+            before: Status of each version before the read.
+            orders: All orders.
+        """
+        orders_by_pool = {order.pool: order for order in orders}
+        for pool, version, status in changes:
+            order = orders_by_pool.get(pool)
+            earlier = before.get(
+                (pool, version), serving.VersionStatus.UNEXAMINED
+            )
+            self._context.log.change(
                 "version.standing",
                 pool=pool,
                 version=version,
                 standing=status.value,
+                before=earlier.value,
+                order=order.version if order else None,
+                order_state=order.state.value if order else None,
+                order_revision=order.revision if order else None,
             )
-        for order in context.trials.apply_orders(orders, now_s):
-            self._start_trial(order, order.pool in stable_pools)
-        self._steps.remove_evidence()
 
     def _start_trial(
         self, order: serving.RolloutOrder, saw_start: bool
