Keep a version out of full use when another order hides its own

Cause: a host took the absence of an order for the statement that the version is sound. The store has one order for each pool; the next order, a withdrawal or a start of the process after either hides the one before.

Change: only a completed order makes an ordered version stable. A version that was in a trial and lost its order, or that appeared beside another open order, is undecided and gets nothing while the pool has another version. The status of the order before, which stays in the store, is read. Records of ordered versions last in the store for processes that start later: a few hosts write them, drawn at random, each conditional on what was read. They take the place of the note of when a trial began. Why this works: every way to stable now needs a completed order, a status or a record that says so, or that no order was ever known.

--- a/packages/core/src/rattanpulley_core/_internal/serving/placement.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/placement.py
@@ -111,7 +111,9 @@
         target is left; those that drain, have asked for time or have enough
         requests are not.
         """
-        entries = self._versions.stable(self._open_entries(query.pool, now_s))
+        entries = self._stable(
+            query.pool, self._open_entries(query.pool, now_s)
+        )
         untried = [e for e in entries if e.target_id not in query.excluded_ids]
         candidates = self._available_entries(query, now_s) or untried or entries
         sample = self._sample(candidates)
@@ -225,7 +227,7 @@
             for entry in self._targets.in_pool(pool)
             if not availability.is_draining(entry, now_s)
         ]
-        entries = self._versions.stable(entries)
+        entries = self._stable(pool, entries)
         available = availability.available(entries, now_s)
         waits_s = [availability.back_in_s(entry, now_s) for entry in entries]
         if not available:
@@ -304,9 +306,27 @@
         versions = self._versions
         canaries = versions.canaries(entries) if query.prefers_canary else []
         return (
-            canaries or versions.stable(entries) or versions.accepted(entries)
+            canaries
+            or versions.stable(entries)
+            or versions.accepted(entries)
+            or self._last_resort(query.pool, entries)
         )
 
+    def _stable(
+        self, pool: str, entries: list[target_registry.TargetEntry]
+    ) -> list[target_registry.TargetEntry]:
+        """Returns the targets of stable versions, else those of last resort."""
+        return self._versions.stable(entries) or self._last_resort(
+            pool, entries
+        )
+
+    def _last_resort(
+        self, pool: str, entries: list[target_registry.TargetEntry]
+    ) -> list[target_registry.TargetEntry]:
+        if not entries:
+            return []
+        return self._versions.last_resort(entries, self._targets.in_pool(pool))
+
     def choose_by_reports(
         self,
         reported: list[
@@ -408,8 +428,7 @@
         """
         listed = self._targets.in_pool(pool)
         entries = self._availability.available(listed, now_s)
-        versions = self._versions
-        return versions.accepted(entries) or versions.stable(entries)
+        return self._versions.accepted(entries) or self._stable(pool, entries)
 
     def _choose_cheapest(
         self,
--- a/packages/core/src/rattanpulley_core/_internal/serving/rollouts.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/rollouts.py
@@ -42,6 +42,19 @@
     ROLLED_BACK = "rolled_back"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EarlierOrder:
+    """What an order still says of the one that it replaced.
+
+    Attributes:
+        version: Version that the earlier order named.
+        state: State that was last recorded for it.
+    """
+
+    version: str
+    state: OrderState
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RolloutOrder:
     """Order of the operator to roll out a version to a pool.
@@ -54,6 +67,8 @@
         revision: Revision of the order in the store. A state change is
             conditional on it, so that hosts do not overwrite each other's
             changes.
+        earlier: State of the order that this one replaced, or None if it is
+            not known.
     """
 
     pool: str
@@ -61,6 +76,7 @@
     duration_s: float
     state: OrderState
     revision: int
+    earlier: EarlierOrder | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/rattanpulley_core/_internal/serving/sources.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/sources.py
@@ -7,6 +7,7 @@
 from rattanpulley_core._internal.serving import fleet
 from rattanpulley_core._internal.serving import rollouts
 from rattanpulley_core._internal.serving import target_registry
+from rattanpulley_core._internal.serving import version_records
 from rattanpulley_core._internal.suspects import shared_reports
 
 
@@ -136,16 +137,26 @@
         """Removes the evidence of one host."""
 
     @abc.abstractmethod
-    def record_start(
-        self, order: rollouts.RolloutOrder, unix_s: float, timeout_s: float
+    def read_version_records(
+        self, timeout_s: float
+    ) -> tuple[version_records.VersionRecord, ...]:
+        """Returns the records of all versions; the read is linearizable."""
+
+    @abc.abstractmethod
+    def record_version(
+        self, record: version_records.VersionRecord, timeout_s: float
     ) -> None:
-        """Records when an order was first seen, unless already recorded."""
+        """Replaces the record of a version that the new one supersedes.
+
+        The write is conditional on what was read, so that it does not replace
+        a newer record when it arrives late.
+        """
 
     @abc.abstractmethod
-    def read_start(
-        self, order: rollouts.RolloutOrder, timeout_s: float
-    ) -> float | None:
-        """Returns when an order was first seen, in Unix seconds, or None."""
+    def remove_version_record(
+        self, record: version_records.VersionRecord, timeout_s: float
+    ) -> None:
+        """Removes the record of a version, unless it has changed since."""
 
 
 class SuspectStore(abc.ABC):
--- a/packages/core/src/rattanpulley_core/_internal/serving/versions.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/versions.py
@@ -3,6 +3,10 @@
 Targets of a new version may belong to a rollout order, which a host can only
 read from the store. They receive no requests until the orders have been read
 after the targets appeared.
+
+A pool has one order. The next order, or its withdrawal, hides a version whose
+order was open until then. Such a version does not become stable by that; only a
+completed order makes it stable.
 """
 
 from collections.abc import Iterable
@@ -10,6 +14,7 @@
 
 from rattanpulley_core._internal.serving import rollouts
 from rattanpulley_core._internal.serving import target_registry
+from rattanpulley_core._internal.serving import version_records
 
 
 class VersionStatus(enum.Enum):
@@ -24,7 +29,27 @@
     # immediately at that point.
     ACCEPTED = "accepted"
     REJECTED = "rejected"
+    # Was or may have been ordered, and no decision on that order is known. Used
+    # only if no other version can serve the pool.
+    UNDECIDED = "undecided"
+
 
+_SETTLED = frozenset((VersionStatus.STABLE, VersionStatus.ACCEPTED))
+_IN_TRIAL = frozenset((VersionStatus.CANARY, VersionStatus.ACCEPTED))
+# A record may say more of these than the orders do.
+_UNPROVEN = frozenset((None, VersionStatus.UNDECIDED)) | _IN_TRIAL
+_STATUS_BY_DECISION = {
+    rollouts.OrderState.COMPLETED: VersionStatus.STABLE,
+    rollouts.OrderState.ROLLED_BACK: VersionStatus.REJECTED,
+}
+# Status of a version that no order or record names, by its status before.
+_STATUS_WITHOUT_ORDER = {
+    VersionStatus.STABLE: VersionStatus.STABLE,
+    VersionStatus.REJECTED: VersionStatus.REJECTED,
+    VersionStatus.CANARY: VersionStatus.UNDECIDED,
+    VersionStatus.ACCEPTED: VersionStatus.UNDECIDED,
+    VersionStatus.UNDECIDED: VersionStatus.UNDECIDED,
+}
 
 _PoolVersion = tuple[str, str]
 
@@ -52,10 +77,32 @@
         seen = {(entry.pool, entry.version) for entry in entries}
         return {key for key in seen if key not in self._status_by_version}
 
+    def needs_records(
+        self,
+        orders: Iterable[rollouts.RolloutOrder],
+        seen: Iterable[_PoolVersion],
+    ) -> bool:
+        """Returns whether the orders leave the status of a version open.
+
+        That is so for new versions, and for those whose order is no longer
+        there and whose decision this host has not read.
+
+        Args:
+            orders: All orders.
+            seen: Pools and versions whose targets were known before the read
+                was sent.
+        """
+        named = _state_by_version(orders, ())
+        return any(
+            self._status_by_version.get(key) in _UNPROVEN
+            for key in {*seen, *self._status_by_version} - named.keys()
+        )
+
     def apply_orders(
         self,
         orders: Iterable[rollouts.RolloutOrder],
         seen: Iterable[_PoolVersion],
+        records: Iterable[version_records.VersionRecord] = (),
     ) -> list[tuple[str, str, VersionStatus]]:
         """Updates the status of the versions from a read of the orders.
 
@@ -63,15 +110,34 @@
             orders: All orders.
             seen: Pools and versions whose targets were known before the read
                 was sent.
+            records: All records, read after the orders; may be left out if
+                `needs_records` is false.
 
         Returns:
             Pool, version and new status of each version whose status changed.
         """
-        orders_by_key = {(row.pool, row.version): row for row in orders}
+        orders = tuple(orders)
+        current = {(row.pool, row.version) for row in orders}
+        open_pools = {
+            row.pool for row in orders if row.state is rollouts.OrderState.OPEN
+        }
+        states = _state_by_version(orders, records)
+        examined_pools = {pool for pool, _ in self._status_by_version}
         changes = []
-        for key in {*seen, *self._status_by_version, *orders_by_key}:
+        for key in {*seen, *self._status_by_version, *current}:
             before = self._status_by_version.get(key)
-            after = _next_status(before, orders_by_key.get(key))
+            if key in states:
+                after = _status_by_state(before, states[key], key in current)
+            elif before is None:
+                # Its order may have been replaced before this host read it.
+                is_hidden = key[0] in open_pools & examined_pools
+                after = (
+                    VersionStatus.UNDECIDED
+                    if is_hidden
+                    else VersionStatus.STABLE
+                )
+            else:
+                after = _STATUS_WITHOUT_ORDER[before]
             if after is not before:
                 self._status_by_version[key] = after
                 changes.append((*key, after))
@@ -91,11 +157,10 @@
         self, entries: list[target_registry.TargetEntry]
     ) -> list[target_registry.TargetEntry]:
         """Returns the targets of canary and accepted versions."""
-        trial = (VersionStatus.CANARY, VersionStatus.ACCEPTED)
         return [
             entry
             for entry in entries
-            if self.status_of(entry.pool, entry.version) in trial
+            if self.status_of(entry.pool, entry.version) in _IN_TRIAL
         ]
 
     def stable(
@@ -121,6 +186,33 @@
             if self.status_of(entry.pool, entry.version) is required
         ]
 
+    def last_resort(
+        self,
+        entries: list[target_registry.TargetEntry],
+        listed: Iterable[target_registry.TargetEntry],
+    ) -> list[target_registry.TargetEntry]:
+        """Returns the targets of undecided versions of a pool without others.
+
+        They are not used while the pool has targets of a stable or an accepted
+        version, also if these cannot take a request now.
+
+        Args:
+            entries: Targets of the pool to choose from.
+            listed: All targets of the pool.
+        """
+        if any(
+            self.status_of(entry.pool, entry.version) in _SETTLED
+            for entry in listed
+            if not entry.leaving
+        ):
+            return []
+        return [
+            entry
+            for entry in entries
+            if self.status_of(entry.pool, entry.version)
+            is VersionStatus.UNDECIDED
+        ]
+
     def _has_known_version(self, entry: target_registry.TargetEntry) -> bool:
         """Returns whether any version of a target's pool has a status."""
         return any(pool == entry.pool for pool, _ in self._status_by_version)
@@ -140,20 +232,39 @@
         ]
 
 
-def _next_status(
-    before: VersionStatus | None, order: rollouts.RolloutOrder | None
+def _state_by_version(
+    orders: Iterable[rollouts.RolloutOrder],
+    records: Iterable[version_records.VersionRecord],
+) -> dict[_PoolVersion, rollouts.OrderState]:
+    """Returns the known state of the order of each version.
+
+    An order goes before what it says of the one before it, which is newer than
+    the records.
+    """
+    states = {record.key: record.state for record in records}
+    orders = tuple(orders)
+    for order in orders:
+        if order.earlier is not None:
+            states[order.pool, order.earlier.version] = order.earlier.state
+    for order in orders:
+        states[order.pool, order.version] = order.state
+    return states
+
+
+def _status_by_state(
+    before: VersionStatus | None,
+    state: rollouts.OrderState,
+    is_current: bool,
 ) -> VersionStatus:
-    """Returns the status of a version after a read of the orders."""
-    if order is None:
-        # The targets of a rolled-back version are being removed. A later order
-        # for another version must not make them stable.
-        return (
-            VersionStatus.REJECTED
-            if before is VersionStatus.REJECTED
-            else (VersionStatus.STABLE)
-        )
-    if order.state is rollouts.OrderState.COMPLETED:
-        return VersionStatus.STABLE
-    if order.state is rollouts.OrderState.ROLLED_BACK:
-        return VersionStatus.REJECTED
+    """Returns the status of a version by the state of its order.
+
+    Args:
+        before: Status before, or None.
+        state: State of the order.
+        is_current: Whether the order is the one that the pool has now.
+    """
+    if state is not rollouts.OrderState.OPEN:
+        return _STATUS_BY_DECISION[state]
+    if not is_current:
+        return VersionStatus.UNDECIDED
     return before if before is VersionStatus.ACCEPTED else VersionStatus.CANARY
--- a/packages/core/src/rattanpulley_core/serving.py
+++ b/packages/core/src/rattanpulley_core/serving.py
@@ -27,6 +27,7 @@
 from rattanpulley_core._internal.serving import target_freshness
 from rattanpulley_core._internal.serving import target_registry
 from rattanpulley_core._internal.serving import trial_table
+from rattanpulley_core._internal.serving import version_records
 from rattanpulley_core._internal.serving import versions
 
 Acceptance = cached_config.Acceptance
@@ -82,6 +83,7 @@
 Judgement = rollouts.Judgement
 OrderState = rollouts.OrderState
 RolloutEvidence = rollouts.RolloutEvidence
+EarlierOrder = rollouts.EarlierOrder
 RolloutOrder = rollouts.RolloutOrder
 RouteCounts = rollouts.RouteCounts
 Verdict = rollouts.Verdict
@@ -102,6 +104,10 @@
 TargetFreshness = target_freshness.TargetFreshness
 VersionStatus = versions.VersionStatus
 VersionGate = versions.VersionGate
+VersionRecord = version_records.VersionRecord
+elapsed_s = version_records.elapsed_s
+expired_records = version_records.expired
+record_of = version_records.record_of
 AdmissionAction = admission.Action
 AdmissionCause = admission.Cause
 AdmissionControl = admission_control.AdmissionControl
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/rollouts/order_watch.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/rollouts/order_watch.py
@@ -12,17 +12,17 @@
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import context as context_lib
 from rattanpulleyd._internal.relay.rollouts import trial_steps
+from rattanpulleyd._internal.relay.rollouts import version_recorder
 
 STEP_INTERVAL_S = 0.2
 CALL_TIMEOUT_S = trial_steps.CALL_TIMEOUT_S
 POLL_S = 1.5
 # Targets of a version that was rolled back leave within seconds; ready ones may
-# belong to a new order for the same version.
-REJECTED_POLL_S = 3.0
+# belong to a new order for the same version. The record of an undecided version
+# may still be written.
+UNUSED_POLL_S = 3.0
 RETRY_S = 0.4
-# Expected number of hosts that record the start of an order, for hosts that
-# start later.
-START_RECORDING_HOSTS = 4.0
+_UNUSED = (serving.VersionStatus.REJECTED, serving.VersionStatus.UNDECIDED)
 
 
 class RolloutWatch:
@@ -43,7 +43,10 @@
         """
         self._context = context
         self._store = store
-        self._steps = trial_steps.TrialSteps(context, store, host)
+        self._recorder = version_recorder.VersionRecorder(context, store)
+        self._steps = trial_steps.TrialSteps(
+            context, store, self._recorder, host
+        )
         self._read_at_s = float("-inf")
         self._retry_at_s = float("-inf")
 
@@ -72,6 +75,7 @@
         for trial in self._context.trials.trials:
             if self._steps.advance(trial):
                 self._read_orders(clock.now_s())
+        self._recorder.step(clock.now_s())
 
     def _must_read(self, now_s: float) -> bool:
         context = self._context
@@ -82,31 +86,44 @@
             return True
         if context.trials.trials:
             return now_s - self._read_at_s >= POLL_S
-        rejected = any(
+        has_unused = any(
             not entry.leaving
             and context.trials.gate.status_of(entry.pool, entry.version)
-            is serving.VersionStatus.REJECTED
+            in _UNUSED
             for entry in entries
         )
-        return rejected and now_s - self._read_at_s >= REJECTED_POLL_S
+        return has_unused and now_s - self._read_at_s >= UNUSED_POLL_S
 
     def _read_orders(self, now_s: float) -> None:
         context = self._context
         seen = {(e.pool, e.version) for e in context.targets.all_entries()}
         orders = self._store.read_orders(CALL_TIMEOUT_S)
         context.metrics.store_calls.labels("rollouts", "ok").inc()
-        self._read_at_s = now_s
         gate = context.trials.gate
+        records: tuple[serving.VersionRecord, ...] = ()
+        if gate.needs_records(orders, seen):
+            records = self._store.read_version_records(CALL_TIMEOUT_S)
+            context.metrics.store_calls.labels("version_records", "ok").inc()
+            self._recorder.confirm(records)
+        self._read_at_s = now_s
         stable_pools = {
             pool
             for pool, version in seen
             if gate.status_of(pool, version) is serving.VersionStatus.STABLE
         }
         before = gate.status_by_version()
-        changes = gate.apply_orders(orders, seen)
+        changes = gate.apply_orders(orders, seen, records)
         self._log_changes(changes, before, orders)
+        self._recorder.expect_changes(orders, changes)
+        records_by_key = {record.key: record for record in records}
         for order in context.trials.apply_orders(orders, now_s):
-            self._start_trial(order, order.pool in stable_pools)
+            # A host that ran when the targets appeared saw the start.
+            elapsed_s = 0.0
+            if order.pool not in stable_pools:
+                elapsed_s = serving.elapsed_s(
+                    records_by_key, order, time.time()
+                )
+            self._start_trial(order, elapsed_s)
         self._steps.remove_evidence()
 
     def _log_changes(
@@ -140,28 +157,12 @@
             )
 
     def _start_trial(
-        self, order: serving.RolloutOrder, saw_start: bool
+        self, order: serving.RolloutOrder, elapsed_s: float
     ) -> None:
-        """Starts a trial.
-
-        Args:
-            order: The order.
-            saw_start: Whether this host ran when the new targets appeared;
-                otherwise it started later and must read when the order was
-                given.
-        """
+        """Starts a trial of an order that has been open for some time."""
         context = self._context
         fleet = context.fleet
         hosts = fleet.hosts if fleet.listed else None
-        elapsed_s = 0.0
-        if saw_start:
-            if context.rng.random() < START_RECORDING_HOSTS / fleet.hosts:
-                self._record_start(order)
-        else:
-            started_at = self._store.read_start(order, CALL_TIMEOUT_S)
-            if started_at is not None:
-                elapsed_s = time.time() - started_at
-        elapsed_s = min(max(0.0, elapsed_s), order.duration_s)
         context.trials.begin(order, clock.now_s() - elapsed_s, hosts)
         context.log.change(
             "rollout.trial_began",
@@ -171,10 +172,3 @@
             elapsed_s=round(elapsed_s, 2),
             hosts=hosts,
         )
-
-    def _record_start(self, order: serving.RolloutOrder) -> None:
-        try:
-            self._store.record_start(order, time.time(), CALL_TIMEOUT_S)
-        except serving.SourceError as error:
-            # Only hosts that start during the rollout need this record.
-            self._context.log.failure("rollout.call_failed", reason=str(error))
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/rollouts/trial_steps.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/rollouts/trial_steps.py
@@ -9,6 +9,7 @@
 from rattanpulley_core import serving
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import context as context_lib
+from rattanpulleyd._internal.relay.rollouts import version_recorder
 
 CALL_TIMEOUT_S = 0.9
 
@@ -20,6 +21,7 @@
         self,
         context: context_lib.RelayContext,
         store: serving.RolloutStore,
+        recorder: version_recorder.VersionRecorder,
         host: str,
     ) -> None:
         """Creates the steps of a host without calling the store.
@@ -27,10 +29,12 @@
         Args:
             context: State of the process.
             store: Holds the orders and the evidence of all hosts.
+            recorder: Keeps the records of ordered versions.
             host: Name of this host.
         """
         self._context = context
         self._store = store
+        self._recorder = recorder
         self._host = host
         self._written: set[tuple[str, str]] = set()
 
@@ -116,5 +120,7 @@
             version=trial.order.version,
             state=wanted.value,
         )
+        if recorded:
+            self._recorder.expect_own_decision(trial.order, wanted)
         trial.delay_retry(clock.now_s())
         return True
