Take no cut answer to an unfinished upload for complete

What callers saw: a target answered an upload at once with a 200 without a length, sent a part of the body and ended the connection. The caller of the own interface got the part as the whole answer, and so could a client of the relay and a writer to the store.

Cause: urllib3's pool ignores a broken pipe and a reset that a write meets; the system reports a reset once, so that the next read ends like a complete body. A target that ends its side in order and takes no more bytes shows no error to a read either.

--- a/packages/daemon/src/rattanpulleyd/_internal/engine/connection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/engine/connection.py
@@ -62,6 +62,7 @@
     """
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     opened = fair_socket.FairSocket(family, socket.SOCK_STREAM)
+    opened.checks_delivery = True
     try:
         opened.settimeout(timeout_s)
         opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/target_connection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/target_connection.py
@@ -18,6 +18,7 @@
 from rattanpulleyd._internal.relay import wire
 from rattanpulleyd._internal.sockets import arrived_first
 from rattanpulleyd._internal.sockets import bounded_send
+from rattanpulleyd._internal.sockets import delivery
 from rattanpulleyd._internal.sockets import framing_limit
 from rattanpulleyd._internal.sockets import joined_parts
 from rattanpulleyd._internal.sockets import late_reads
@@ -107,6 +108,7 @@
         self._socket: socket.socket | None = None
         self._turn = read_turn.ReadTurn()
         self._framing = framing_limit.FramingLimit()
+        self._ends_with_connection = False
         self.sent = False
 
     def connect(self, timeout_s: float) -> None:
@@ -188,6 +190,7 @@
             if isinstance(event, h11.Response):
                 raw = tuple(event.headers.raw_items())
                 head = ResponseHead(event.status_code, raw)
+                self._ends_with_connection = not head.frames_body
                 if self._on_head is not None:
                     self._on_head(self._entry, head)
                 return head
@@ -213,11 +216,27 @@
             self._framing.record_content(len(event.data))
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
+            self._check_delivery()
             return None
         raise AttemptError(
             serving.FailureKind.CORRUPT, "the body is not framed"
         )
 
+    def _check_delivery(self) -> None:
+        """Checks the end of a body that ends with its connection.
+
+        Raises:
+            AttemptError: The target ended the connection before it had taken
+                the whole request, so that the body may be cut.
+        """
+        if not self._ends_with_connection:
+            return
+        if not delivery.is_complete(self._open_socket):
+            raise AttemptError(
+                serving.FailureKind.CONNECTION_LOST,
+                "ended before the target took the request",
+            )
+
     def close(self) -> None:
         """Closes the connection, which cancels the request at the target."""
         if self._socket is not None:
--- a/packages/daemon/src/rattanpulleyd/_internal/sockets/fair_socket.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/sockets/fair_socket.py
@@ -15,6 +15,7 @@
 import urllib3.connection
 
 from rattanpulleyd._internal.sockets import arrived_first
+from rattanpulleyd._internal.sockets import delivery
 from rattanpulleyd._internal.sockets import late_reads
 from rattanpulleyd._internal.sockets import read_turn
 
@@ -35,6 +36,8 @@
         received_bytes: Number of bytes that were read.
         read_until_s: Time on `time.monotonic()` at which all reads end, or
             None. What has arrived is still read for a moment after it.
+        checks_delivery: Whether an end of the connection counts as a reset
+            unless the peer has taken all that was sent.
     """
 
     def __init__(self, *args: Any, **options: Any) -> None:
@@ -43,20 +46,36 @@
         self._late_reads = late_reads.LateReads()
         self.received_bytes = 0
         self.read_until_s: float | None = None
+        self.checks_delivery = False
 
     def recv(self, *args: Any) -> bytes:
-        """Reads as the base class does."""
+        """Reads as the base class does.
+
+        Raises:
+            ConnectionResetError: The connection ended before the peer had taken
+                all that was sent.
+        """
         data: bytes = self._read(super().recv, *args)
-        self.received_bytes += len(data)
-        self._turn.yield_if_long()
+        self._record_read(len(data))
         return data
 
     def recv_into(self, *args: Any) -> int:
-        """Reads as the base class does."""
+        """Reads as the base class does.
+
+        Raises:
+            ConnectionResetError: The connection ended before the peer had taken
+                all that was sent.
+        """
         size: int = self._read(super().recv_into, *args)
+        self._record_read(size)
+        return size
+
+    def _record_read(self, size: int) -> None:
+        """Counts the bytes of a read; 0 is the end of the connection."""
         self.received_bytes += size
         self._turn.yield_if_long()
-        return size
+        if not size and self.checks_delivery and not delivery.is_complete(self):
+            raise ConnectionResetError("ended before it took the request")
 
     def _read(self, receive: Callable[..., Any], *args: Any) -> Any:
         """Reads; a timeout counts only if nothing has arrived."""
@@ -88,7 +107,9 @@
     """
 
     def _new_conn(self) -> FairSocket:
-        return make_fair(super()._new_conn())
+        fair = make_fair(super()._new_conn())
+        fair.checks_delivery = True
+        return fair
 
     def getresponse(self) -> Any:
         """Returns the response once its head is complete.
