Take only a final status in a sound status line for an answer

What callers saw: an answer with status 600 or 999 was passed on to clients with body and signature; through the own interface also 101, 103, 199 without the answer behind them, and +200 and 2_00 as 200. The own probe of engines took 600 and 999 for a sign of life.

Cause: h11 and http.client take any three digits from 100 on; http.client passes over 100 only and reads the text as a Python number.

Change: one check of what a final status is, for the relay, the own interface and the probe; a response class that refuses a malformed status line.

--- a/packages/daemon/src/rattanpulleyd/_internal/engine/connection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/engine/connection.py
@@ -17,6 +17,7 @@
 
 from rattanpulleyd._internal.engine import engine_requests
 from rattanpulleyd._internal.sockets import fair_socket
+from rattanpulleyd._internal.sockets import strict_response
 
 CONNECT_TIMEOUT_S = 0.25
 # Longest wait for the headers of a stream. The generation core detects stalls
@@ -48,6 +49,7 @@
     """
     host, port = _host_and_port(url)
     connection = urllib3.connection.HTTPConnection(host, port)
+    connection.response_class = strict_response.StrictResponse
     connection.sock = _open_socket(host, port, timeout_s)
     return connection
 
--- a/packages/daemon/src/rattanpulleyd/_internal/engine/prober.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/engine/prober.py
@@ -12,6 +12,7 @@
 from rattanpulley_core import interfaces
 from rattanpulleyd._internal.engine import connection
 from rattanpulleyd._internal.engine import engine_requests
+from rattanpulleyd._internal.sockets import final_status
 
 # Bounds the reads of progress in a probe: the generation core waits 0.75 s for
 # its result.
@@ -86,6 +87,8 @@
         http_request = engine_requests.HttpRequest("GET", "/health", None)
         response = connection.send(opened, http_request, request.timeout_s)
         health = connection.read_json(response)
+        if not final_status.is_final(response.status):
+            raise InvalidHealthError(f"status {response.status}")
         if not isinstance(health, dict) or "boot_id" not in health:
             raise InvalidHealthError(json.dumps(health)[:200])
     except BaseException:
@@ -131,6 +134,7 @@
         row = connection.read_json(response)
         if response.status == 404:
             del self.next_index_by_generation_id[generation_id]
+        if response.status != 200:
             return
         if isinstance(row, dict) and type(row.get("next_index")) is int:
             next_index = row["next_index"]
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/target_connection.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/target_connection.py
@@ -19,6 +19,7 @@
 from rattanpulleyd._internal.sockets import arrived_first
 from rattanpulleyd._internal.sockets import bounded_send
 from rattanpulleyd._internal.sockets import delivery
+from rattanpulleyd._internal.sockets import final_status
 from rattanpulleyd._internal.sockets import framing_limit
 from rattanpulleyd._internal.sockets import joined_parts
 from rattanpulleyd._internal.sockets import late_reads
@@ -188,6 +189,11 @@
         while True:
             event = self._next_event(until_s, late)
             if isinstance(event, h11.Response):
+                if not final_status.is_final(event.status_code):
+                    raise AttemptError(
+                        serving.FailureKind.CORRUPT,
+                        f"{event.status_code} is no status",
+                    )
                 raw = tuple(event.headers.raw_items())
                 head = ResponseHead(event.status_code, raw)
                 self._ends_with_connection = not head.frames_body
--- a/packages/daemon/src/rattanpulleyd/_internal/services/http_service.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/services/http_service.py
@@ -9,6 +9,7 @@
 from rattanpulley_core import interfaces
 from rattanpulleyd._internal.engine import connection as connections
 from rattanpulleyd._internal.sockets import fair_socket
+from rattanpulleyd._internal.sockets import final_status
 from rattanpulleyd._internal.sockets import read_turn
 
 CONNECT_TIMEOUT_S = 0.25
@@ -153,8 +154,11 @@
 
     Raises:
         urllib3.exceptions.HTTPError: The answer is longer than
-            `MAX_ANSWER_BYTES`, or the connection failed.
+            `MAX_ANSWER_BYTES`, its status is not final, or the connection
+            failed.
     """
+    if not final_status.is_final(response.status):
+        raise urllib3.exceptions.HTTPError(f"status {response.status}")
     body = bytearray()
     turn = read_turn.ReadTurn()
     while part := response.read1(READ_BYTES):
--- a/packages/daemon/src/rattanpulleyd/_internal/sockets/fair_socket.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/sockets/fair_socket.py
@@ -18,6 +18,7 @@
 from rattanpulleyd._internal.sockets import delivery
 from rattanpulleyd._internal.sockets import late_reads
 from rattanpulleyd._internal.sockets import read_turn
+from rattanpulleyd._internal.sockets import strict_response
 
 # The timeout of a read expires first if a peer is only silent.
 HEAD_MARGIN_S = 0.05
@@ -106,6 +107,8 @@
     responses until another one comes, each of them within the timeout.
     """
 
+    response_class = strict_response.StrictResponse
+
     def _new_conn(self) -> FairSocket:
         fair = make_fair(super()._new_conn())
         fair.checks_delivery = True
