Look for the order of a version that comes back

What callers saw: the operator moved a service to v2, then ordered v1 again, whose new targets fail half of their requests.

Cause: the orders are read when a version without a status appears. v1 stayed stable for the life of the process, also when its last target had left.

Change: a stable version is forgotten once its targets have all left and another stable version of its pool has some.

--- a/packages/core/src/rattanpulley_core/_internal/serving/versions.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/versions.py
@@ -7,6 +7,10 @@
 A pool has one order. The next order, or its withdrawal, hides a version whose
 order was open until then. Such a version does not become stable by that; only a
 completed order makes it stable.
+
+A version whose targets have all left, because another one took its place, can
+be ordered again. Its new targets wait for the orders like those of a new
+version.
 """
 
 from collections.abc import Iterable
@@ -59,6 +63,8 @@
 
     def __init__(self) -> None:
         self._status_by_version: dict[_PoolVersion, VersionStatus] = {}
+        # Ids of the targets when they were last observed.
+        self._ids_by_version: dict[_PoolVersion, set[str]] = {}
 
     def status_of(self, pool: str, version: str) -> VersionStatus:
         """Returns the status of a version."""
@@ -77,6 +83,42 @@
         seen = {(entry.pool, entry.version) for entry in entries}
         return {key for key in seen if key not in self._status_by_version}
 
+    def forget_departed(
+        self, entries: Iterable[target_registry.TargetEntry]
+    ) -> list[_PoolVersion]:
+        """Forgets stable versions whose targets have all left.
+
+        A version is kept while no other stable one can serve its pool: the
+        orders cannot be read for its new targets while the store is away.
+
+        Args:
+            entries: All targets; called whenever they may have changed.
+
+        Returns:
+            The pools and versions that were forgotten.
+        """
+        ids_by_version: dict[_PoolVersion, set[str]] = {}
+        serving: set[_PoolVersion] = set()
+        for entry in entries:
+            key = (entry.pool, entry.version)
+            ids_by_version.setdefault(key, set()).add(entry.target_id)
+            if not entry.leaving and self._is_stable(key):
+                serving.add(key)
+        departed = [
+            key
+            for key, ids in self._ids_by_version.items()
+            if self._is_stable(key)
+            and ids.isdisjoint(ids_by_version.get(key, ()))
+            and any(row[0] == key[0] and row != key for row in serving)
+        ]
+        self._ids_by_version = ids_by_version
+        for key in departed:
+            del self._status_by_version[key]
+        return departed
+
+    def _is_stable(self, key: _PoolVersion) -> bool:
+        return self._status_by_version.get(key) is VersionStatus.STABLE
+
     def needs_records(
         self,
         orders: Iterable[rollouts.RolloutOrder],
--- a/packages/core/tests/serving/test_versions.py
+++ b/packages/core/tests/serving/test_versions.py
@@ -226,6 +226,40 @@
     assert not gate.needs_records([told], {("pool", "v1")})
 
 
+@pytest.mark.parametrize("is_noticed", [True, False])
+def test_version_that_comes_back_waits_for_its_order(is_noticed: bool) -> None:
+    # Guards against full traffic to the version before the present one, which
+    # the operator orders again, and whose order was not looked for.
+    gate = serving.VersionGate()
+    read(gate, "v1 v2", [order(state=COMPLETED)])
+    gate.forget_departed(entries("v1", "v2"))
+    if is_noticed:
+        assert gate.forget_departed(entries("v2")) == [("pool", "v1")]
+    rows = [*entries("v2"), serving_builders.target("again", version="v1")]
+    departed = gate.forget_departed(rows)
+    assert departed == ([] if is_noticed else [("pool", "v1")])
+    assert gate.unexamined(rows) == {("pool", "v1")}
+    assert versions_of(gate.stable(rows)) == ["v2"]
+    read(gate, "v1 v2", [order("v1")])
+    assert versions_of(gate.canaries(rows)) == ["v1"]
+    assert gate.forget_departed(rows) == []
+
+
+def test_version_without_another_is_kept_when_all_targets_restart() -> None:
+    # Guards against an outage when all targets crash while the store is away.
+    gate = serving.VersionGate()
+    read(gate, "v1 v2", [order()])
+    gate.forget_departed(entries("v1", "v2"))
+    again = [serving_builders.target("again", version="v1"), *entries("v2")]
+    assert gate.forget_departed(again) == []
+    assert gate.forget_departed(entries("v2")) == []
+    assert versions_of(gate.stable(again)) == ["v1"]
+    leaving = serving_builders.target("t-v2", version="v2", leaving=True)
+    read(gate, "v1 v2", [order(state=COMPLETED)])
+    gate.forget_departed([leaving])
+    assert gate.forget_departed([leaving]) == []
+
+
 def test_undecided_version_serves_only_alone() -> None:
     # Guards against an outage where the record of a completion was lost, and
     # against full traffic while the stable targets are merely busy.
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/rollouts/order_watch.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/rollouts/order_watch.py
@@ -82,6 +82,8 @@
         if not context.targets.listed:
             return False
         entries = context.targets.all_entries()
+        for pool, version in context.trials.gate.forget_departed(entries):
+            context.log.change("version.departed", pool=pool, version=version)
         if context.trials.gate.unexamined(entries):
             return True
         if context.trials.trials:
