Forget a version whose targets left before the completion was read

Cause, found by reading: the targets of the old version stop as soon as the order is completed. A host that reads the completion up to 1.5 s later had no other stable version when they left, and forgot that they had been there.

Change: the ids of the targets of a stable version are kept while it has none.

--- a/packages/core/src/rattanpulley_core/_internal/serving/versions.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/versions.py
@@ -111,9 +111,16 @@
             and ids.isdisjoint(ids_by_version.get(key, ()))
             and any(row[0] == key[0] and row != key for row in serving)
         ]
-        self._ids_by_version = ids_by_version
         for key in departed:
             del self._status_by_version[key]
+        # The old targets may leave before this host has read the completion
+        # that makes the other version stable.
+        absent = {
+            key: ids
+            for key, ids in self._ids_by_version.items()
+            if key not in ids_by_version and self._is_stable(key)
+        }
+        self._ids_by_version = absent | ids_by_version
         return departed
 
     def _is_stable(self, key: _PoolVersion) -> bool:
--- a/packages/core/tests/serving/test_versions.py
+++ b/packages/core/tests/serving/test_versions.py
@@ -245,6 +245,20 @@
     assert gate.forget_departed(rows) == []
 
 
+def test_version_departs_before_the_completion_is_read() -> None:
+    # Guards against a host that reads the completion after the old targets
+    # have stopped, and takes their version for stable when it comes back.
+    gate = serving.VersionGate()
+    read(gate, "v1 v2", [order()])
+    gate.accept("pool", "v2")
+    gate.forget_departed(entries("v1", "v2"))
+    assert gate.forget_departed(entries("v2")) == []
+    assert gate.forget_departed(entries("v2")) == []
+    read(gate, "v2", [order(state=COMPLETED)])
+    assert gate.forget_departed(entries("v2")) == [("pool", "v1")]
+    assert gate.forget_departed(entries("v2")) == []
+
+
 def test_version_without_another_is_kept_when_all_targets_restart() -> None:
     # Guards against an outage when all targets crash while the store is away.
     gate = serving.VersionGate()
