Write the record of a decision at the host that took it

Cause, found by reading the change: the host that decided expects the record for certain, reads its own decision back before the record is written, and then drew like all other hosts. At hundreds of hosts the record was missing in 1 of 50 rounds, so that a completed version could count as undecided after the next order.

Change: what is certain stays so when a newer form of the record comes.

Measured: test_host_that_decided_writes_the_record fails without the line. Names of two functions say what they are of (order_elapsed_s, record_of_order).

--- a/packages/core/tests/serving/test_versions.py
+++ b/packages/core/tests/serving/test_versions.py
@@ -311,8 +311,8 @@
 def test_late_host_reads_when_an_open_order_began() -> None:
     # Guards against a verdict after the time limit of the order.
     records = {("pool", "v2"): record("v2", OPEN)}
-    assert serving.elapsed_s(records, order(), 8.0) == 7.0
+    assert serving.order_elapsed_s(records, order(), 8.0) == 7.0
     # Another clock, or an earlier order of the version.
-    assert serving.elapsed_s(records, order(), 0.5) == 0.0
-    assert serving.elapsed_s(records, order(), 14.0) == 0.0
-    assert serving.elapsed_s({}, order(), 8.0) == 0.0
+    assert serving.order_elapsed_s(records, order(), 0.5) == 0.0
+    assert serving.order_elapsed_s(records, order(), 14.0) == 0.0
+    assert serving.order_elapsed_s({}, order(), 8.0) == 0.0
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/rollouts/order_watch.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/rollouts/order_watch.py
@@ -122,7 +122,7 @@
             # A host that ran when the targets appeared saw the start.
             elapsed_s = 0.0
             if order.pool not in stable_pools:
-                elapsed_s = serving.elapsed_s(
+                elapsed_s = serving.order_elapsed_s(
                     records_by_key, order, time.time()
                 )
             self._start_trial(order, elapsed_s)
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/rollouts/version_recorder.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/rollouts/version_recorder.py
@@ -78,7 +78,7 @@
             state: The decision.
         """
         decided = dataclasses.replace(order, state=state)
-        record = serving.record_of(decided, time.time())
+        record = serving.record_of_order(decided, time.time())
         self._expect(record, is_certain=True)
 
     def expect_changes(
@@ -114,7 +114,7 @@
         """
         known = self._newest_by_key.get(key)
         if order is not None and order.version == key[1]:
-            return serving.record_of(order, time.time())
+            return serving.record_of_order(order, time.time())
         earlier = order.earlier if order is not None else None
         if known and earlier is not None and earlier.version == key[1]:
             return dataclasses.replace(known, state=earlier.state)
@@ -132,6 +132,9 @@
         if not record.supersedes(self._newest_by_key.get(record.key)):
             return
         self._newest_by_key[record.key] = record
+        earlier = self._expected_by_key.get(record.key)
+        # The host that decided reads its own decision before it is written.
+        is_certain |= earlier is not None and earlier.is_certain
         self._expected_by_key[record.key] = _Expected(
             record, is_certain=is_certain
         )
--- a/packages/daemon/tests/relay/rollouts/test_version_recorder.py
+++ b/packages/daemon/tests/relay/rollouts/test_version_recorder.py
@@ -1,5 +1,6 @@
 """Tests of the hosts' reads of replaced orders and of their records."""
 
+import dataclasses
 import random
 import types
 
@@ -157,3 +158,20 @@
     fake_clock.now += version_recorder.ROUND_INTERVAL_S
     watch.step(fake_clock.now)
     assert ("pool", "v2") in store.records_by_key
+
+
+def test_host_that_decided_writes_the_record(fake_clock) -> None:
+    # Guards against a completion that no host records, because the one that
+    # decided reads it back and draws like all others.
+    store = FakeStore()
+    context, _ = make_host(store, "host", 1, 10_000)
+    recorder = version_recorder.VersionRecorder(context, store)  # type: ignore[arg-type]
+    opened = order("v2", 5)
+    completed = dataclasses.replace(
+        opened, state=serving.OrderState.COMPLETED, revision=7
+    )
+    recorder.expect_own_decision(opened, completed.state)
+    change = ("pool", "v2", serving.VersionStatus.STABLE)
+    recorder.expect_changes([completed], [change])
+    recorder.step(fake_clock.now)
+    assert store.records_by_key["pool", "v2"].state is completed.state
