Let no older record undo what a host knows of a version

Cause, found by reading the change: a version is completed, ordered again and rolled back, and the record of the later order is not written. A host that had read the rollback took the record of the first order for newer as soon as it read the records for another version, and used the rolled-back version in full.

Change: the records that decide are the newest of those in the store and those that this host expects there, by the revision of the order.

Measured: test_record_of_an_earlier_order_does_not_undo_a_rollback fails before the change (STABLE for REJECTED).

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/rollouts/order_watch.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/rollouts/order_watch.py
@@ -104,9 +104,9 @@
         gate = context.trials.gate
         records: tuple[serving.VersionRecord, ...] = ()
         if gate.needs_records(orders, seen):
-            records = self._store.read_version_records(CALL_TIMEOUT_S)
+            stored = self._store.read_version_records(CALL_TIMEOUT_S)
             context.metrics.store_calls.labels("version_records", "ok").inc()
-            self._recorder.confirm(records)
+            records = self._recorder.confirm(stored)
         self._read_at_s = now_s
         stable_pools = {
             pool
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/rollouts/version_recorder.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/rollouts/version_recorder.py
@@ -55,11 +55,17 @@
         self._newest_by_key: dict[_PoolVersion, serving.VersionRecord] = {}
         self._round_at_s = float("-inf")
 
-    def confirm(self, records: Iterable[serving.VersionRecord]) -> None:
+    def confirm(
+        self, records: Iterable[serving.VersionRecord]
+    ) -> tuple[serving.VersionRecord, ...]:
         """Notes the records that are in the store.
 
         Args:
             records: All records.
+
+        Returns:
+            The newest known record of each version. Those of this host may be
+            newer than what is in the store.
         """
         for record in records:
             if record.supersedes(self._newest_by_key.get(record.key)):
@@ -67,6 +73,7 @@
             expected = self._expected_by_key.get(record.key)
             if expected and not expected.record.supersedes(record):
                 del self._expected_by_key[record.key]
+        return tuple(self._newest_by_key.values())
 
     def expect_own_decision(
         self, order: serving.RolloutOrder, state: serving.OrderState
--- a/packages/daemon/tests/relay/rollouts/test_version_recorder.py
+++ b/packages/daemon/tests/relay/rollouts/test_version_recorder.py
@@ -175,3 +175,30 @@
     recorder.expect_changes([completed], [change])
     recorder.step(fake_clock.now)
     assert store.records_by_key["pool", "v2"].state is completed.state
+
+
+def test_record_of_an_earlier_order_does_not_undo_a_rollback(
+    fake_clock,
+) -> None:
+    # Guards against full traffic to a version that was completed, ordered again
+    # and rolled back, where the record of the later order was not written.
+    store = FakeStore()
+    context, watch = make_host(store, "host", 1, 10_000)
+    list_versions(context, "v1")
+    watch.step(fake_clock.now)
+    completed = serving.VersionRecord(
+        "pool", "v2", serving.OrderState.COMPLETED, 3, 1.0
+    )
+    store.records_by_key[completed.key] = completed
+    store.order = dataclasses.replace(
+        order("v2", 8), state=serving.OrderState.ROLLED_BACK
+    )
+    for row, versions in (
+        (store.order, ("v1", "v2")),
+        (order("v3", 9), ("v1", "v2", "v3", "v4")),
+    ):
+        store.order = row
+        fake_clock.now += order_watch.UNUSED_POLL_S
+        list_versions(context, *versions)
+        watch.step(fake_clock.now)
+        assert status_of(context, "v2") == "REJECTED"
