--- a/review/common-3/review3/hosts.py
+++ b/review/common-3/review3/hosts.py
@@ -164,6 +164,20 @@
             self._process.kill()
             self._process.wait()
 
+    def memory_mb(self) -> float:
+        """Returns the memory of its own that the process has; 0 without one.
+
+        Pages of files, which processes share, do not count.
+        """
+        if self._process is None or self._process.poll() is not None:
+            return 0.0
+        with contextlib.suppress(OSError):
+            text = pathlib.Path(f"/proc/{self._process.pid}/status").read_text()
+            for line in text.splitlines():
+                if line.startswith("RssAnon:"):
+                    return int(line.split()[1]) / 1024
+        return 0.0
+
     def is_ready(self) -> bool:
         """Returns what the balancer's readiness check finds."""
         with contextlib.suppress(OSError, http.client.HTTPException):
--- a/review/common-3/review3/store.py
+++ b/review/common-3/review3/store.py
@@ -1,5 +1,6 @@
 """Stand-in of the platform's metadata store."""
 
+import bisect
 import http.server
 import json
 import threading
@@ -17,6 +18,10 @@
 Row = dict[str, Any]
 
 
+def _revision_of(row: tuple[int, Row]) -> int:
+    return row[0]
+
+
 class _Server(http.server.ThreadingHTTPServer):
     """Does not report clients that are killed during a watch."""
 
@@ -32,7 +37,8 @@
 
     def __init__(self, host: str = "127.0.0.1") -> None:
         self._rows: dict[tuple[str, str], Row] = {}
-        self._events: list[tuple[int, str, Row]] = []
+        # Revision and event of each change, by kind.
+        self._events: dict[str, list[tuple[int, Row]]] = {}
         self._raw_by_mark: dict[bytes, bytes] = {}
         self._changed = threading.Condition(threading.RLock())
         self._revision = 100
@@ -85,7 +91,8 @@
 
     def _add_event(self, kind: str, row: Row, deleted: bool) -> None:
         event = {"deleted": deleted, "object": row}
-        self._events.append((self._revision, kind, event))
+        rows = self._events.setdefault(kind, [])
+        rows.append((self._revision, event))
         self._changed.notify_all()
 
     def _read(self, path: str) -> tuple[int, Any]:
@@ -124,11 +131,9 @@
         until_s = time.monotonic() + wait_s
         with self._changed:
             while True:
-                events = [
-                    event
-                    for revision, event_kind, event in self._events
-                    if revision > after and event_kind == kind
-                ]
+                rows = self._events.get(kind, [])
+                first = bisect.bisect_right(rows, after, key=_revision_of)
+                events = [event for _, event in rows[first:]]
                 left_s = until_s - time.monotonic()
                 if events or left_s <= 0:
                     return 200, {
