--- a/review/11/case.py
+++ b/review/11/case.py
@@ -37,16 +37,18 @@
         replica.work_s = 0.14
     deployment.start()
     limit = memory_limit.MemoryLimit(deployment.hosts, deployment.log)
-    balancer = clients_lib.Balancer(deployment.hosts)
-    clients = kept.KeptClients(balancer, deployment.log)
-    clients.start(24, 0.1)
-    time.sleep(CALM_S)
-    if has_trouble:
-        write_other_entries(deployment)
-    time.sleep(AFTER_S)
-    clients.stop()
-    balancer.close()
-    limit.close()
+    try:
+        balancer = clients_lib.Balancer(deployment.hosts)
+        clients = kept.KeptClients(balancer, deployment.log)
+        clients.start(24, 0.1)
+        time.sleep(CALM_S)
+        if has_trouble:
+            write_other_entries(deployment)
+        time.sleep(AFTER_S)
+        clients.stop()
+        balancer.close()
+    finally:
+        limit.close()
     deployment.log.say(f"killed for memory: {sorted(limit.kills)}")
     return judge(deployment, clients.attempts)
 
--- a/review/common-3/review3/deployment.py
+++ b/review/common-3/review3/deployment.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 import time
@@ -98,6 +99,8 @@
         The exit status: 1 if the rule was broken, 0 if it held, 2 if the case
         could not run.
     """
+    # What was started is ended also if the script is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     log = record_lib.Record(pathlib.Path(sys.argv[1]) / "record.txt")
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     deployment = None
@@ -105,8 +108,8 @@
         try:
             deployment = Deployment(pathlib.Path(folder), log)
             holds = play(deployment, has_trouble)
-        except (hosts_lib.CaseError, OSError) as error:
-            log.say(f"the case could not run: {error}")
+        except Exception as error:  # noqa: BLE001 - shows nothing of the rule
+            log.say(f"the case could not run: {error!r}")
             return 2
         finally:
             if deployment is not None:
