--- a/review/11/case.py
+++ b/review/11/case.py
@@ -10,8 +10,9 @@
 from review3 import memory_limit
 
 CALM_S = 8.0
-AFTER_S = 30.0
-ENTRIES = 14
+ROUNDS = 5
+ROUND_S = 6.0
+ENTRIES = 20
 # The pages' `value_bytes` is 1,048,576.
 ENTRY_BYTES = 1_000_000
 PORT = b'{"p":80},'
@@ -19,10 +20,15 @@
 MOST_LOST = 3
 
 
-def write_other_entries(deployment: deployment_lib.Deployment) -> None:
-    """Writes entries without the fields of a replica, as an agent does."""
+def write_other_entries(
+    deployment: deployment_lib.Deployment, number: int
+) -> None:
+    """Writes entries without the fields of a replica, as an agent does.
+
+    It writes them anew in each round, as replicas do with theirs.
+    """
     ports = PORT * (ENTRY_BYTES // len(PORT))
-    spec = b'{"ports":[' + ports + b'{"p":81}]}'
+    spec = b'{"round":%d,"ports":[' % number + ports + b'{"p":81}]}'
     for row in range(ENTRIES):
         name = f"inventory-{row}"
         deployment.platform.put_raw("servers", name, spec)
@@ -42,9 +48,10 @@
         clients = kept.KeptClients(balancer, deployment.log)
         clients.start(24, 0.1)
         time.sleep(CALM_S)
-        if has_trouble:
-            write_other_entries(deployment)
-        time.sleep(AFTER_S)
+        for number in range(ROUNDS):
+            if has_trouble:
+                write_other_entries(deployment, number)
+            time.sleep(ROUND_S)
         clients.stop()
         balancer.close()
     finally:
