--- a/review/common-3/review3/lateness.py
+++ b/review/common-3/review3/lateness.py
@@ -8,7 +8,7 @@
 from review3 import hosts as hosts_lib
 from review3 import record as record_lib
 
-TIMEOUT_MS = 1000
+TIMEOUT_MS = 500
 CLIENTS = 40
 CALM_S = 5.0
 ROUNDS = 3
