--- a/packages/core/src/rattanpulley_core/_internal/serving/sources.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/sources.py
@@ -27,6 +27,10 @@
     """The store no longer has the changes after the position of a watch."""
 
 
+class ChangesUnreadableError(SourceError):
+    """The response to a watch cannot be read, unlike the list."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetListing:
     """All targets at one store position.
@@ -85,6 +89,7 @@
 
         Raises:
             HistoryGoneError: The targets must be listed again.
+            ChangesUnreadableError: The targets must be listed again.
         """
 
 
--- a/packages/core/src/rattanpulley_core/serving.py
+++ b/packages/core/src/rattanpulley_core/serving.py
@@ -139,6 +139,7 @@
 RolloutStore = sources.RolloutStore
 SuspectStore = sources.SuspectStore
 HostDirectory = sources.HostDirectory
+ChangesUnreadableError = sources.ChangesUnreadableError
 HistoryGoneError = sources.HistoryGoneError
 ServingSource = sources.ServingSource
 SourceError = sources.SourceError
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/bounded_http.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/bounded_http.py
@@ -18,6 +18,10 @@
     """A response is larger or takes longer than allowed."""
 
 
+class ResponseTooLongError(ResponseBoundsError):
+    """A response has more bytes than its reader allows."""
+
+
 def read_body(
     response: urllib3.BaseHTTPResponse, max_bytes: int, until_s: float
 ) -> bytes:
@@ -32,7 +36,8 @@
             What has arrived by then is still read.
 
     Raises:
-        ResponseBoundsError: The body is too large or not complete in time.
+        ResponseTooLongError: The body is too large.
+        ResponseBoundsError: The body is not complete in time.
         urllib3.exceptions.HTTPError: The connection failed.
     """
     left_s = until_s - clock.now_s()
@@ -60,7 +65,7 @@
     while part := response.read1(READ_BYTES):
         body += part
         if len(body) > max_bytes:
-            raise ResponseBoundsError(f"more than {max_bytes} bytes")
+            raise ResponseTooLongError(f"more than {max_bytes} bytes")
         # The rest may have arrived while this process was stalled.
         if late.are_over(clock.now_s(), until_s):
             raise ResponseBoundsError("not complete in time")
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/target_refresh.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/target_refresh.py
@@ -65,6 +65,12 @@
                     "store.history_gone", reason=str(error)
                 )
                 continue
+            except serving.ChangesUnreadableError as error:
+                self._position = None
+                self._context.log.change(
+                    "store.changes_unreadable", reason=str(error)
+                )
+                continue
             except serving.SourceError as error:
                 if self._repeats_cut_watch(error):
                     continue
--- a/packages/daemon/src/rattanpulleyd/relay.py
+++ b/packages/daemon/src/rattanpulleyd/relay.py
@@ -11,6 +11,7 @@
 
 Endpoint = settings.Endpoint
 ResponseBoundsError = bounded_http.ResponseBoundsError
+ResponseTooLongError = bounded_http.ResponseTooLongError
 now_s = clock.now_s
 read_body = bounded_http.read_body
 HeaderNames = wire.HeaderNames
