Move what follows the store out of the flat relay package

Those that read the configuration, the targets and the hosts from the store belong together and change together.

Change: relay/refresh/ holds config_refresh, fleet_refresh, target_refresh and store_backoff, and the tests mirror it. No code changes but the imports.

--- a/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/program.py
@@ -16,11 +16,9 @@
 from rattanpulleyd import exceptions
 from rattanpulleyd._internal.relay import byte_budget
 from rattanpulleyd._internal.relay import clock
-from rattanpulleyd._internal.relay import config_refresh
 from rattanpulleyd._internal.relay import connection_limits
 from rattanpulleyd._internal.relay import context as context_lib
 from rattanpulleyd._internal.relay import decision_log
-from rattanpulleyd._internal.relay import fleet_refresh
 from rattanpulleyd._internal.relay import listener as listener_lib
 from rattanpulleyd._internal.relay import memory_copies
 from rattanpulleyd._internal.relay import pages
@@ -34,10 +32,12 @@
 from rattanpulleyd._internal.relay import target_connection
 from rattanpulleyd._internal.relay import target_health
 from rattanpulleyd._internal.relay import target_prober
-from rattanpulleyd._internal.relay import target_refresh
 from rattanpulleyd._internal.relay import target_reports
 from rattanpulleyd._internal.relay import tasks
 from rattanpulleyd._internal.relay import wire
+from rattanpulleyd._internal.relay.refresh import config_refresh
+from rattanpulleyd._internal.relay.refresh import fleet_refresh
+from rattanpulleyd._internal.relay.refresh import target_refresh
 from rattanpulleyd._internal.relay.rollouts import order_watch
 
 LOOP_GAP_INTERVAL_S = 0.25
--- /dev/null
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/refresh/__init__.py
@@ -0,0 +1,1 @@
+"""Reads what changes in the store: configuration, targets and hosts."""
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/config_refresh.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/refresh/config_refresh.py
@@ -6,7 +6,7 @@
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import context as context_lib
 from rattanpulleyd._internal.relay import peer_reader
-from rattanpulleyd._internal.relay import store_backoff
+from rattanpulleyd._internal.relay.refresh import store_backoff
 
 # A changed configuration is read within this fraction of the time in which it
 # must be active. Each read confirms the configuration as of its sending, so
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/target_refresh.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/refresh/target_refresh.py
@@ -6,7 +6,7 @@
 from rattanpulleyd._internal.relay import clock
 from rattanpulleyd._internal.relay import context as context_lib
 from rattanpulleyd._internal.relay import peer_reader
-from rattanpulleyd._internal.relay import store_backoff
+from rattanpulleyd._internal.relay.refresh import store_backoff
 
 WATCH_WAIT_S = 2.5
 # Wait while entries are missing, so that missing entries expire on time.
--- a/packages/daemon/tests/relay/test_config_refresh.py
+++ b/packages/daemon/tests/relay/refresh/test_config_refresh.py
@@ -5,7 +5,7 @@
 import relay_builders
 
 from rattanpulley_core import serving
-from rattanpulleyd._internal.relay import config_refresh
+from rattanpulleyd._internal.relay.refresh import config_refresh
 
 
 class ConfigStore:
--- a/packages/daemon/tests/relay/test_fleet_refresh.py
+++ b/packages/daemon/tests/relay/refresh/test_fleet_refresh.py
@@ -8,7 +8,7 @@
 
 from rattanpulley_core import serving
 from rattanpulleyd._internal.relay import clock
-from rattanpulleyd._internal.relay import fleet_refresh
+from rattanpulleyd._internal.relay.refresh import fleet_refresh
 
 OWN = serving.HostEntry("h07", "north", "10.0.0.7:1")
 
--- a/packages/daemon/tests/relay/test_store_backoff.py
+++ b/packages/daemon/tests/relay/refresh/test_store_backoff.py
@@ -1,6 +1,6 @@
 """Tests of the timing of repeated calls to the store."""
 
-from rattanpulleyd._internal.relay import store_backoff
+from rattanpulleyd._internal.relay.refresh import store_backoff
 
 
 def test_unreachable_store_is_called_less_often():
--- a/packages/daemon/tests/relay/test_target_refresh.py
+++ b/packages/daemon/tests/relay/refresh/test_target_refresh.py
@@ -9,8 +9,8 @@
 import relay_builders
 
 from rattanpulley_core import serving
-from rattanpulleyd._internal.relay import store_backoff
-from rattanpulleyd._internal.relay import target_refresh
+from rattanpulleyd._internal.relay.refresh import store_backoff
+from rattanpulleyd._internal.relay.refresh import target_refresh
 
 LEAVE_S = 2.0
 
--- a/packages/daemon/tests/relay/test_reloaded_bounds.py
+++ b/packages/daemon/tests/relay/test_reloaded_bounds.py
@@ -5,10 +5,10 @@
 import relay_builders
 
 from rattanpulley_core import serving
-from rattanpulleyd._internal.relay import config_refresh
 from rattanpulleyd._internal.relay import program
 from rattanpulleyd._internal.relay import settings
-from rattanpulleyd._internal.relay import target_refresh
+from rattanpulleyd._internal.relay.refresh import config_refresh
+from rattanpulleyd._internal.relay.refresh import target_refresh
 
 BOUNDS = settings.RelayBounds(
     key_removal_s=4.0,
