Name unreadable entries in the log, once for each change

What operators saw: `targets.unreadable` with a number of entries, each time they were read, so that neither the writer nor a change could be told from it.

Change: lists and watches tell the name, the revision and the problem of each entry that names no target. The log line has up to ten of them, every 10 s at most, and the counter grows once for each change of an entry, no longer with each read.

Existing checks: numbers of unreadable entries became their names and revisions, which is stricter.

Measured: the tests of the refreshes and of odd and damaged objects pass. The test of one count for each change fails where each read is counted (by construction; the interface is new, so that it cannot run on the code before).

--- a/packages/core/src/rattanpulley_core/_internal/serving/sources.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/sources.py
@@ -31,18 +31,33 @@
     """The response to a watch cannot be read, unlike the list."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnreadableEntry:
+    """Entry of the store that names no target to use.
+
+    Attributes:
+        name: Its name, or None if it is unknown.
+        revision: Store position of its last change, or None if it is unknown.
+        problem: Why it names no target.
+    """
+
+    name: str | None
+    revision: int | None
+    problem: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetListing:
     """All targets at one store position.
 
     Attributes:
         entries: Entries with a usable target.
-        unreadable: Number of entries that cannot be parsed as a target.
+        unreadable: The other entries.
         position: Store position at which a watch continues.
     """
 
     entries: tuple[target_registry.TargetEntry, ...]
-    unreadable: int
+    unreadable: tuple[UnreadableEntry, ...]
     position: int
 
 
@@ -55,13 +70,13 @@
         removed_ids: Ids of targets whose entries were removed or became
             unreadable.
         position: Store position at which the next watch continues.
-        unreadable: Number of entries that could not be read.
+        unreadable: New or changed entries that name no target.
     """
 
     changed: tuple[target_registry.TargetEntry, ...]
     removed_ids: tuple[str, ...]
     position: int
-    unreadable: int = 0
+    unreadable: tuple[UnreadableEntry, ...] = ()
 
 
 class ServingSource(abc.ABC):
--- a/packages/core/src/rattanpulley_core/serving.py
+++ b/packages/core/src/rattanpulley_core/serving.py
@@ -147,3 +147,4 @@
 SourceTimeoutError = sources.SourceTimeoutError
 TargetChanges = sources.TargetChanges
 TargetListing = sources.TargetListing
+UnreadableEntry = sources.UnreadableEntry
--- a/packages/daemon/src/rattanpulleyd/_internal/relay/refresh/target_refresh.py
+++ b/packages/daemon/src/rattanpulleyd/_internal/relay/refresh/target_refresh.py
@@ -8,13 +8,12 @@
 from rattanpulleyd._internal.relay import peer_reader
 from rattanpulleyd._internal.relay.refresh import read_timeout
 from rattanpulleyd._internal.relay.refresh import store_backoff
+from rattanpulleyd._internal.relay.refresh import unreadable_entries
 
 WATCH_WAIT_S = 2.5
 # Wait while entries are missing, so that missing entries expire on time.
 SHORT_WATCH_WAIT_S = 0.5
 LIST_TIMEOUT_S = 0.9
-# Least time between two log lines on unreadable entries.
-UNREADABLE_LOG_PERIOD_S = 10.0
 # Shortest outage that counts as an interruption. Entries expire after a few
 # missed heartbeats; a store that was unreachable for less has lost none.
 MIN_OUTAGE_S = 1.0
@@ -48,7 +47,7 @@
         self._failing = False
         self._repeats_watch = False
         self._list_timeout = read_timeout.ReadTimeout(LIST_TIMEOUT_S)
-        self._unreadable_logged_at_s = float("-inf")
+        self._unreadable = unreadable_entries.UnreadableEntries(context)
         self._backoff = store_backoff.RetryBackoff()
 
     def set_leaving(self, leave_s: float) -> None:
@@ -69,6 +68,9 @@
                 continue
             except serving.ChangesUnreadableError as error:
                 self._position = None
+                self._context.metrics.store_calls.labels(
+                    "targets", "unreadable"
+                ).inc()
                 self._context.log.change(
                     "store.changes_unreadable", reason=str(error)
                 )
@@ -151,7 +153,7 @@
         self._position = listing.position
         context.shared_targets.log.restart(listing.position)
         context.shared_targets.confirmed_at_s = sent_at_s
-        self._record_unreadable(listing.unreadable)
+        self._unreadable.record_listed(listing.unreadable)
         return changes
 
     def _read_list(self) -> serving.TargetListing:
@@ -193,19 +195,9 @@
         sent_at_s = clock.suspend_aware_now_s()
         update = self._source.watch_targets(position, wait_s)
         self._context.metrics.store_calls.labels("targets", "ok").inc()
-        self._record_unreadable(update.unreadable)
+        self._unreadable.record_changed(update.unreadable)
         return self._apply(update, sent_at_s)
 
-    def _record_unreadable(self, entries: int) -> None:
-        """Counts unreadable entries; logs them if none were for a while."""
-        if not entries:
-            return
-        self._context.metrics.unreadable_entries.inc(entries)
-        now_s = clock.now_s()
-        if now_s - self._unreadable_logged_at_s >= UNREADABLE_LOG_PERIOD_S:
-            self._unreadable_logged_at_s = now_s
-            self._context.log.failure("targets.unreadable", entries=entries)
-
     def _apply(
         self, update: serving.TargetChanges, confirmed_at_s: float
     ) -> list[serving.RegistryChange]:
--- a/packages/daemon/tests/relay/refresh/test_target_refresh.py
+++ b/packages/daemon/tests/relay/refresh/test_target_refresh.py
@@ -11,6 +11,7 @@
 from rattanpulley_core import serving
 from rattanpulleyd._internal.relay.refresh import store_backoff
 from rattanpulleyd._internal.relay.refresh import target_refresh
+from rattanpulleyd._internal.relay.refresh import unreadable_entries
 
 LEAVE_S = 2.0
 
@@ -24,7 +25,7 @@
 
     def list_targets(self, timeout_s: float) -> serving.TargetListing:
         self.calls.append(("list", self.clock.now))
-        return serving.TargetListing((relay_builders.target("t"),), 0, 1)
+        return serving.TargetListing((relay_builders.target("t"),), (), 1)
 
     def watch_targets(
         self, position: int, wait_s: float
@@ -210,6 +211,13 @@
     assert [name for name, _ in source.calls].count("list") == 2
 
 
+def _unreadable(number):
+    return tuple(
+        serving.UnreadableEntry(f"odd-{row}", number, "damaged")
+        for row in range(3)
+    )
+
+
 def test_unreadable_entries_are_counted_and_seldom_logged(
     fake_clock, monkeypatch
 ):
@@ -225,7 +233,7 @@
 
     def watch_odd(position, wait_s):
         changes = watch_targets(position, wait_s)
-        return dataclasses.replace(changes, unreadable=3)
+        return dataclasses.replace(changes, unreadable=_unreadable(position))
 
     monkeypatch.setattr(source, "watch_targets", watch_odd)
     peers = refresh_fakes.make_peers(lambda position, max_age_s: None)
@@ -234,14 +242,58 @@
     unreadable = [
         fields for name, fields in lines if name == "targets.unreadable"
     ]
-    most = 1 + took_s / target_refresh.UNREADABLE_LOG_PERIOD_S
+    most = 1 + took_s / unreadable_entries.LOG_PERIOD_S
     assert 1 <= len(unreadable) <= most
-    assert unreadable[0] == {"entries": 3}
+    assert unreadable[0] == {
+        "entries": 3,
+        "names": [f"odd-{row}@1: damaged" for row in range(3)],
+    }
     watches = [name for name, _ in source.calls].count("watch") - 1
     counted = f"rattanpulley_unreadable_entries_total {3.0 * watches}"
     assert counted.encode() in context.metrics.text()
 
 
+def test_unreadable_entry_is_counted_once_for_each_change(
+    fake_clock, monkeypatch
+):
+    # Guards against a counter that grows with lists, so that it tells nothing
+    # of what other writers do.
+    context = make_context("a")
+    report = unreadable_entries.UnreadableEntries(context)
+    for _ in range(5):
+        report.record_listed(_unreadable(7))
+    report.record_changed(_unreadable(8))
+    report.record_listed(_unreadable(8))
+    counted = b"rattanpulley_unreadable_entries_total 6.0"
+    assert counted in context.metrics.text()
+    report.record_listed(())
+    report.record_listed(_unreadable(8))
+    counted = b"rattanpulley_unreadable_entries_total 9.0"
+    assert counted in context.metrics.text()
+
+
+def test_unreadable_changes_are_replaced_by_a_list(fake_clock, monkeypatch):
+    # Guards against a watch that is repeated from the same position, and
+    # against calls without a pause while another writer goes on.
+    context = make_context("a")
+    source = Source(fake_clock)
+
+    def watch_damaged(position, wait_s):
+        source.calls.append(("watch", fake_clock.now))
+        if len(source.calls) > 20:
+            raise refresh_fakes.EndOfTestError
+        raise serving.ChangesUnreadableError("damaged")
+
+    monkeypatch.setattr(source, "watch_targets", watch_damaged)
+    peers = refresh_fakes.make_peers(lambda position, max_age_s: None)
+    run_refresh(context, source, peers)
+    names = [name for name, _ in source.calls]
+    assert names == ["list", "watch"] * 10 + names[20:]
+    watches = [at for name, at in source.calls if name == "watch"]
+    gaps = [late - early for early, late in itertools.pairwise(watches)]
+    assert min(gaps) >= 0.3 * LEAVE_S
+
+
 class SlowList(Source):
     """A store whose list needs a time to arrive."""
 
