Find the targets at an address without looking at all of them

Cause: each new target was compared with all others, to replace the older ones at its address, so that a list took time with the square of its length.

Change: the registry keeps the ids of the targets by address.

--- a/packages/core/src/rattanpulley_core/_internal/serving/target_registry.py
+++ b/packages/core/src/rattanpulley_core/_internal/serving/target_registry.py
@@ -70,6 +70,7 @@
         self._entries_by_id: dict[str, TargetEntry] = {}
         # Ordered, unlike sets of strings: seeded drives repeat exactly.
         self._ids_by_pool: dict[str, dict[str, None]] = {}
+        self._ids_by_address: dict[str, dict[str, None]] = {}
         self._missing_since_by_id: dict[str, float] = {}
         # Targets whose process was succeeded by another one at its address.
         self._succeeded_ids: collections.OrderedDict[str, None] = (
@@ -138,11 +139,13 @@
         """Adds or updates the entry of one target."""
         self._missing_since_by_id.pop(entry.target_id, None)
         known = self._entries_by_id.get(entry.target_id)
-        if known is not None and known.pool != entry.pool:
+        if known is not None and _place(known) != _place(entry):
             self._delete(known)
         changes = self._remove_superseded(entry) if known is None else []
         self._entries_by_id[entry.target_id] = entry
         self._ids_by_pool.setdefault(entry.pool, {})[entry.target_id] = None
+        same_address = self._ids_by_address.setdefault(entry.address, {})
+        same_address[entry.target_id] = None
         kind = _change_kind(known, entry)
         if kind:
             changes.append(RegistryChange(entry.target_id, kind))
@@ -153,11 +156,12 @@
 
         Their entries expire only seconds later.
         """
+        at_address = [
+            self._entries_by_id[target_id]
+            for target_id in self._ids_by_address.get(entry.address, ())
+        ]
         superseded = [
-            known
-            for known in self._entries_by_id.values()
-            if known.address == entry.address
-            and known.started_ms < entry.started_ms
+            known for known in at_address if known.started_ms < entry.started_ms
         ]
         for known in superseded:
             self._remember_succeeded(known)
@@ -228,6 +232,14 @@
     def _delete(self, entry: TargetEntry) -> None:
         del self._entries_by_id[entry.target_id]
         self._ids_by_pool[entry.pool].pop(entry.target_id, None)
+        same_address = self._ids_by_address[entry.address]
+        del same_address[entry.target_id]
+        if not same_address:
+            del self._ids_by_address[entry.address]
+
+
+def _place(entry: TargetEntry) -> tuple[str, str]:
+    return entry.pool, entry.address
 
 
 def _change_kind(known: TargetEntry | None, entry: TargetEntry) -> str:
--- a/packages/core/tests/serving/test_target_registry.py
+++ b/packages/core/tests/serving/test_target_registry.py
@@ -1,5 +1,8 @@
 """Tests of the registry of targets."""
 
+import dataclasses
+
+import pytest
 import serving_builders as builders
 
 from rattanpulley_core import serving
@@ -110,3 +113,41 @@
     registry.upsert(builders.target("a"))
     assert registry.replace_restarted("a", "a", started_ms=2) == []
     assert _ids(registry) == {"a"}
+
+
+# Guards against hosts that stand still for seconds while thousands of entries
+# arrive, since each new one was compared with all others (CONFIG).
+def test_work_for_a_new_target_does_not_grow_with_the_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    compared = []
+
+    def counted(entry: serving.TargetEntry) -> str:
+        compared.append(entry)
+        return f"{entry.host}:{entry.port}"
+
+    monkeypatch.setattr(serving.TargetEntry, "address", property(counted))
+    registry = serving.TargetRegistry()
+    entries = [
+        serving.TargetEntry(
+            f"t{number}", "p", f"10.0.0.{number}", 1, "d", "v", 1, False, 0.0, 1
+        )
+        for number in range(250)
+    ]
+    registry.replace_all(entries, 0.0, False)
+    assert len(compared) <= 10 * len(entries)
+
+
+def test_target_that_moves_is_found_at_its_new_address_only() -> None:
+    registry = serving.TargetRegistry()
+    first = serving.TargetEntry(
+        "a", "p", "10.0.0.1", 1, "d", "v", 1, False, 0.0, 1
+    )
+    registry.upsert(first)
+    registry.upsert(dataclasses.replace(first, host="10.0.0.2"))
+    # A later start at the address that it has left does not replace it.
+    other = dataclasses.replace(first, target_id="b", started_ms=9)
+    registry.upsert(other)
+    assert {row.target_id for row in registry.all_entries()} == {"a", "b"}
+    registry.upsert(dataclasses.replace(other, target_id="c", host="10.0.0.2"))
+    assert {row.target_id for row in registry.all_entries()} == {"b", "c"}
