--- a/packages/daemon/src/rattanpulleyd/relay.py
+++ b/packages/daemon/src/rattanpulleyd/relay.py
@@ -8,6 +8,7 @@
 from rattanpulleyd._internal.relay import target_reports
 from rattanpulleyd._internal.relay import wire
 from rattanpulleyd._internal.sockets import kept_connections
+from rattanpulleyd._internal.sockets import read_turn
 
 Endpoint = settings.Endpoint
 ResponseBoundsError = bounded_http.ResponseBoundsError
@@ -20,6 +21,7 @@
 MachineLimits = settings.MachineLimits
 RelayBounds = settings.RelayBounds
 KeptConnectionPool = kept_connections.KeptConnectionPool
+ReadTurn = read_turn.ReadTurn
 RelayProgram = program.RelayProgram
 Store = program.Store
 RelaySettings = settings.RelaySettings
